--- /dev/null
+++ b/command/register.go
@@ -0,0 +1,27 @@
+package command
+
+import flags "github.com/jessevdk/go-flags"
+
+// subcommand describes one entry of the command line.
+type subcommand struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+// subcommands lists every subcommand in the order of the help page.
+func subcommands(streams *IO) []subcommand {
+	return []subcommand{
+		{"version", "Print the version", "Prints the version of the binary.\n\nExample: figring version", &versionCommand{streams: streams}},
+	}
+}
+
+func register(parser *flags.Parser, streams *IO) error {
+	for _, one := range subcommands(streams) {
+		if _, err := parser.AddCommand(one.name, one.short, one.long, one.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/redtest/main.go
@@ -0,0 +1,171 @@
+// Command redtest runs "go test -race" on the packages it is given and compares
+// the failures with KNOWN-RED.txt. It exits 1 when a test fails that is not
+// listed, when a package cannot be built, or when no test ran.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sort"
+	"strings"
+)
+
+// knownRedFile lists the tests that may fail.
+const knownRedFile = "KNOWN-RED.txt"
+
+// event is one line of "go test -json".
+type event struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+// tally sums up a run.
+type tally struct {
+	passed, failed, skipped int
+	red                     []string
+	broken                  []string
+	output                  map[string]*strings.Builder
+}
+
+func main() {
+	known, err := readKnown(knownRedFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "redtest:", err)
+		os.Exit(1)
+	}
+	args := append([]string{"test", "-race", "-count=1", "-json", "-timeout=9m"}, os.Args[1:]...)
+	command := exec.Command("go", args...)
+	command.Stderr = os.Stderr
+	stdout, err := command.StdoutPipe()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "redtest:", err)
+		os.Exit(1)
+	}
+	if err := command.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, "redtest:", err)
+		os.Exit(1)
+	}
+	result := collect(stdout)
+	runError := command.Wait()
+	os.Exit(judge(result, known, runError))
+}
+
+// readKnown returns the listed tests as "package TestName".
+func readKnown(path string) (map[string]bool, error) {
+	known := make(map[string]bool)
+	content, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return known, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	for _, line := range strings.Split(string(content), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line, "|")
+		known[strings.Join(strings.Fields(name), " ")] = true
+	}
+	return known, nil
+}
+
+func collect(stream io.Reader) *tally {
+	result := &tally{output: make(map[string]*strings.Builder)}
+	lines := bufio.NewScanner(stream)
+	lines.Buffer(make([]byte, 0, 1<<20), 16<<20)
+	for lines.Scan() {
+		var one event
+		if json.Unmarshal(lines.Bytes(), &one) != nil {
+			fmt.Println(lines.Text())
+			continue
+		}
+		result.add(one)
+	}
+	return result
+}
+
+func (r *tally) add(one event) {
+	name := strings.TrimSpace(one.Package + " " + one.Test)
+	switch one.Action {
+	case "output", "build-output":
+		builder, ok := r.output[name]
+		if !ok {
+			builder = &strings.Builder{}
+			r.output[name] = builder
+		}
+		builder.WriteString(one.Output)
+	case "pass":
+		if one.Test != "" {
+			r.passed++
+		} else {
+			fmt.Println("ok  ", one.Package)
+		}
+	case "skip":
+		if one.Test != "" {
+			r.skipped++
+		}
+	case "fail", "build-fail":
+		r.fail(name, one)
+	}
+}
+
+func (r *tally) fail(name string, one event) {
+	if one.Test == "" {
+		r.broken = append(r.broken, name)
+		return
+	}
+	r.failed++
+	r.red = append(r.red, name)
+}
+
+// judge prints the verdict and returns the exit code. A failed package is
+// excused only when each of its failed tests is listed.
+func judge(r *tally, known map[string]bool, runError error) int {
+	sort.Strings(r.red)
+	var unexpected []string
+	redPackages := make(map[string]bool)
+	for _, name := range r.red {
+		root := parentTest(name)
+		redPackages[strings.Fields(name)[0]] = true
+		if known[root] || known[name] {
+			fmt.Println("known red:", name)
+			continue
+		}
+		unexpected = append(unexpected, name)
+	}
+	for _, name := range r.broken {
+		if !redPackages[name] {
+			unexpected = append(unexpected, name)
+		}
+	}
+	for _, name := range unexpected {
+		fmt.Println("FAIL", name)
+		if output, ok := r.output[name]; ok {
+			fmt.Print(output.String())
+		}
+	}
+	fmt.Printf("%d passed, %d failed, %d skipped\n", r.passed, r.failed, r.skipped)
+	switch {
+	case len(unexpected) > 0, r.passed == 0:
+		return 1
+	case runError != nil && len(r.red) == 0 && len(r.broken) == 0:
+		fmt.Println("go test:", runError)
+		return 1
+	}
+	return 0
+}
+
+// parentTest returns "package TestName" for a subtest's name.
+func parentTest(name string) string {
+	pkg, test, _ := strings.Cut(name, " ")
+	top, _, _ := strings.Cut(test, "/")
+	return pkg + " " + top
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# The whole check of the tree: formatter, vet, staticcheck, build against the
+# C library, and the tests with the race detector. KNOWN-RED.txt lists tests
+# that fail for a known fault, one line each: "package TestName | seed | seen |
+# issue"; only those may fail, and they are printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export CGO_ENABLED=1
+if ! command -v gcc >/dev/null; then
+	apt-get update -qq && apt-get install -y -qq gcc libc6-dev
+fi
+
+unformatted=$(gofmt -l $(git ls-files '*.go'))
+if [ -n "$unformatted" ]; then
+	printf 'gofmt: these files need formatting:\n%s\n' "$unformatted"
+	exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+mkdir -p bin
+go build -tags netcgo -o bin/figring ./cmd/figring
+if ! ldd bin/figring | grep -q 'libc\.so'; then
+	echo "bin/figring is not linked to the C library"
+	exit 1
+fi
+go run ./scripts/redtest ./...
--- /dev/null
+++ b/wire/pool.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
+)
+
+// dialTimeout bounds the set-up of a connection, without the handshake.
+const dialTimeout = 1 * time.Second
+
+// Dialer opens connections; net.Dialer is one. Tests wrap it to cut or delay.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Pool keeps one multiplexed connection to each peer and redials after a loss.
+type Pool struct {
+	secret string
+	tls    *tls.Config
+	dialer Dialer
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+type peer struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewPool returns a pool. tlsConfig may be nil for plain TCP; dialer may be
+// nil for the network itself.
+func NewPool(secret string, tlsConfig *tls.Config, dialer Dialer) *Pool {
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: dialTimeout}
+	}
+	return &Pool{secret: secret, tls: tlsConfig, dialer: dialer, peers: make(map[string]*peer)}
+}
+
+// Call calls method at address and waits for the reply or for ctx. Its error
+// wraps ErrNotSent when the request provably never left, else
+// ErrOutcomeUnknown, also when ctx ended first.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	target, err := p.peer(address)
+	if err != nil {
+		return err
+	}
+	client, err := p.connect(ctx, target, address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	var sent atomic.Bool
+	call := client.Go(method, trackedRequest{body: args, sent: &sent}, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return p.finish(target, client, call.Error, &sent)
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+func (p *Pool) peer(address string) (*peer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, fmt.Errorf("%w: pool is closed", ErrNotSent)
+	}
+	target, ok := p.peers[address]
+	if !ok {
+		target = &peer{}
+		p.peers[address] = target
+	}
+	return target, nil
+}
+
+func (p *Pool) connect(ctx context.Context, target *peer, address string) (*rpc.Client, error) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if target.client != nil {
+		return target.client, nil
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(dialCtx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.tls != nil {
+		conn = tls.Client(conn, p.tls)
+	}
+	if err := greet(conn, p.secret); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	codec := trackingCodec{ClientCodec: msgpackrpc.NewCodec(true, true, conn), conn: conn}
+	target.client = rpc.NewClientWithCodec(codec)
+	return target.client, nil
+}
+
+func (p *Pool) finish(target *peer, client *rpc.Client, err error, sent *atomic.Bool) error {
+	if err == nil {
+		return nil
+	}
+	var fromPeer rpc.ServerError
+	if errors.As(err, &fromPeer) {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	target.drop(client)
+	if !sent.Load() {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+func (t *peer) drop(client *rpc.Client) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.client == client {
+		t.client = nil
+	}
+	_ = client.Close()
+}
+
+// Forget closes the connection to address; a later call dials anew.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	target, ok := p.peers[address]
+	delete(p.peers, address)
+	p.mu.Unlock()
+	if ok {
+		target.close()
+	}
+}
+
+func (t *peer) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.client != nil {
+		_ = t.client.Close()
+		t.client = nil
+	}
+}
+
+// Close closes every connection. Open calls end with ErrOutcomeUnknown.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	peers := p.peers
+	p.peers = make(map[string]*peer)
+	p.mu.Unlock()
+	for _, target := range peers {
+		target.close()
+	}
+}
--- /dev/null
+++ b/wire/pool_test.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/model"
+)
+
+// echoService answers Run with its own arguments, so that a round trip shows
+// whether each field survives the codec.
+type echoService struct{ hold chan struct{} }
+
+func (e *echoService) Lookup(args *LookupRequest, reply *LookupReply) error {
+	reply.Sidecar = args.Entry
+	reply.Started = time.UnixMilli(1_700_000_000_123).UTC()
+	for _, key := range args.Keys {
+		reply.Records = append(reply.Records, TaskRecord{Ref: model.TaskRef{Key: key, Index: 7}, Phase: PhaseDone})
+	}
+	return nil
+}
+
+func (e *echoService) Run(_ *RunRequest, _ *RunReply) error {
+	<-e.hold
+	return nil
+}
+
+func startServer(t *testing.T, secret string, service *echoService) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer(secret, nil)
+	must.NoError(t, server.Register("Sidecar", service))
+	go func() { _ = server.Serve(listener) }()
+	return server, listener.Addr().String()
+}
+
+func TestPoolRoundTrip(t *testing.T) {
+	server, address := startServer(t, "s", &echoService{})
+	defer server.Close()
+	pool := NewPool("s", nil, nil)
+	defer pool.Close()
+
+	key := model.JobKey{Caller: "desk", ID: uuid.Must(uuid.NewV7())}
+	var reply LookupReply
+	args := &LookupRequest{Entry: "e.1", Keys: []model.JobKey{key}}
+	must.NoError(t, pool.Call(t.Context(), address, MethodLookup, args, &reply))
+	must.Eq(t, model.Incarnation("e.1"), reply.Sidecar)
+	must.Eq(t, key, reply.Records[0].Ref.Key)
+	must.Eq(t, 7, reply.Records[0].Ref.Index)
+	must.True(t, time.UnixMilli(1_700_000_000_123).Equal(reply.Started))
+}
+
+func TestPoolErrors(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		address := listener.Addr().String()
+		must.NoError(t, listener.Close())
+		pool := NewPool("s", nil, nil)
+		defer pool.Close()
+		err = pool.Call(t.Context(), address, MethodLookup, &LookupRequest{}, &LookupReply{})
+		must.ErrorIs(t, err, ErrNotSent)
+	})
+	t.Run("wrong secret", func(t *testing.T) {
+		server, address := startServer(t, "right", &echoService{})
+		defer server.Close()
+		pool := NewPool("wrong", nil, nil)
+		defer pool.Close()
+		err := pool.Call(t.Context(), address, MethodLookup, &LookupRequest{}, &LookupReply{})
+		must.ErrorIs(t, err, ErrNotSent)
+		must.ErrorIs(t, err, ErrHandshake)
+	})
+	t.Run("cut after the request was sent", func(t *testing.T) {
+		service := &echoService{hold: make(chan struct{})}
+		server, address := startServer(t, "s", service)
+		pool := NewPool("s", nil, nil)
+		defer pool.Close()
+		result := make(chan error, 1)
+		go func() {
+			result <- pool.Call(context.Background(), address, MethodRun, &RunRequest{}, &RunReply{})
+		}()
+		waitForConn(t, server)
+		pool.Forget(address)
+		must.ErrorIs(t, <-result, ErrOutcomeUnknown)
+		close(service.hold)
+		server.Close()
+	})
+	t.Run("redials after the peer restarted", func(t *testing.T) {
+		server, address := startServer(t, "s", &echoService{})
+		pool := NewPool("s", nil, nil)
+		defer pool.Close()
+		must.NoError(t, pool.Call(t.Context(), address, MethodLookup, &LookupRequest{}, &LookupReply{}))
+		server.Close()
+		err := pool.Call(t.Context(), address, MethodLookup, &LookupRequest{}, &LookupReply{})
+		must.Error(t, err)
+	})
+}
+
+func waitForConn(t *testing.T, server *Server) {
+	t.Helper()
+	for range 2000 {
+		server.mu.Lock()
+		count := len(server.conns)
+		server.mu.Unlock()
+		if count > 0 {
+			time.Sleep(20 * time.Millisecond)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("no connection arrived")
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
+)
+
+// Server serves net/rpc with MessagePack on connections that present the
+// shared secret.
+type Server struct {
+	rpc    *rpc.Server
+	secret string
+	tls    *tls.Config
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	closed   bool
+	wait     sync.WaitGroup
+}
+
+// NewServer returns a server. tlsConfig may be nil for plain TCP.
+func NewServer(secret string, tlsConfig *tls.Config) *Server {
+	return &Server{
+		rpc:    rpc.NewServer(),
+		secret: secret,
+		tls:    tlsConfig,
+		conns:  make(map[net.Conn]struct{}),
+	}
+}
+
+// Register publishes the methods of receiver under name.
+func (s *Server) Register(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Serve accepts connections on listener until Close. It returns nil then.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.tls != nil {
+		listener = tls.NewListener(listener, s.tls)
+	}
+	if !s.start(listener) {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return s.acceptError(err)
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) start(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	return !s.closed
+}
+
+func (s *Server) acceptError(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wait.Add(1)
+	return true
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.wait.Done()
+	defer s.untrack(conn)
+	if admit(conn, s.secret) != nil {
+		return
+	}
+	s.rpc.ServeCodec(msgpackrpc.NewCodec(true, true, conn))
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting, closes every connection and waits for their calls.
+// Whoever wants open calls to be answered waits for them before Close.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
