--- /dev/null
+++ b/claims/claim.go
@@ -0,0 +1,14 @@
+package claims
+
+import "github.com/figring/figring/model"
+
+// Claim records that a job key is taken.
+type Claim struct {
+	Key model.JobKey
+	// Digest is the digest of the submission that took the key.
+	Digest uint64
+	// Tasks is the number of tasks of the job.
+	Tasks int
+	// ClaimedUnixMs is the time of the claim on the claimer's wall clock.
+	ClaimedUnixMs int64
+}
--- /dev/null
+++ b/claims/options.go
@@ -0,0 +1,81 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Mode says how claims share writes.
+type Mode string
+
+const (
+	// Grouped lets the claims that arrive during a write share the next one.
+	Grouped Mode = "grouped"
+	// RowPerClaim writes one row for each claim, as a baseline to measure by.
+	RowPerClaim Mode = "row"
+)
+
+const (
+	defaultInFlight     = 1
+	defaultGroupClaims  = 2000
+	defaultUnresolved   = 64
+	defaultWriteTimeout = 5 * time.Second
+	// resolveInterval is the pause between two attempts to find out what
+	// became of a write.
+	resolveInterval = 100 * time.Millisecond
+)
+
+// Options tune a Writer. Zero values mean defaults.
+type Options struct {
+	Mode Mode
+	// MinInterval returns the least time between the starts of two writes, the
+	// entry's share of the write budget. Nil means no bound.
+	MinInterval func() time.Duration
+	// InFlight bounds the writes in progress.
+	InFlight int
+	// GroupClaims bounds the claims in one write.
+	GroupClaims int
+	// Unresolved bounds the writes of unknown outcome. Above it every claim is
+	// refused at once.
+	Unresolved int
+	// WriteTimeout bounds one attempt of a write.
+	WriteTimeout time.Duration
+	// Resolved reports the outcome of claims whose write was of unknown
+	// outcome for a time: nil for written, else ErrNotClaimed or ErrFenced.
+	Resolved func(claims []Claim, err error)
+	// Now and NewAttempt are time.Now and a random identifier by default.
+	Now        func() time.Time
+	NewAttempt func() string
+}
+
+func (o Options) withDefaults() Options {
+	if o.InFlight <= 0 {
+		o.InFlight = defaultInFlight
+	}
+	if o.GroupClaims <= 0 {
+		o.GroupClaims = defaultGroupClaims
+	}
+	if o.Mode == RowPerClaim {
+		o.GroupClaims = 1
+	}
+	if o.Unresolved <= 0 {
+		o.Unresolved = defaultUnresolved
+	}
+	if o.WriteTimeout <= 0 {
+		o.WriteTimeout = defaultWriteTimeout
+	}
+	if o.MinInterval == nil {
+		o.MinInterval = func() time.Duration { return 0 }
+	}
+	if o.Resolved == nil {
+		o.Resolved = func([]Claim, error) {}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewAttempt == nil {
+		o.NewAttempt = uuid.NewString
+	}
+	return o
+}
--- /dev/null
+++ b/claims/sweep.go
@@ -0,0 +1,44 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// Sweep deletes the rows that the entry wrote before the given time and
+// returns how many it deleted. An interrupted sweep is repeated later.
+func Sweep(ctx context.Context, table platform.Table, incarnation model.Incarnation, before time.Time) (int, error) {
+	end := rowsFrom(incarnation, before)
+	from := prefixOf(incarnation)
+	deleted := 0
+	for from != "" && from < end {
+		page, err := table.List(ctx, prefixOf(incarnation), from, pageRows)
+		if err != nil {
+			return deleted, fmt.Errorf("%w: %w", ErrRead, err)
+		}
+		writes := deletions(page.Rows, end)
+		if len(writes) == 0 {
+			return deleted, nil
+		}
+		if _, err := table.Commit(ctx, platform.Txn{Writes: writes}); err != nil {
+			return deleted, fmt.Errorf("%w: %w", ErrRead, err)
+		}
+		deleted += len(writes)
+		from = page.Next
+	}
+	return deleted, nil
+}
+
+func deletions(rows []platform.Row, end string) []platform.Write {
+	var writes []platform.Write
+	for _, row := range rows {
+		if row.Key < end {
+			writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+		}
+	}
+	return writes
+}
