Decide at the sidecar what starts, apart from any I/O

The promise that a task starts at most once, and only under a live permit, has to be testable under any order of events.

--- /dev/null
+++ b/decision/startgate/advance.go
@@ -0,0 +1,120 @@
+package startgate
+
+import (
+	"time"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// advance ends the waits that are over and starts from the head of the queue
+// while slots are free. The permit is checked here, at the step of the start:
+// a permit that lapsed while its task was queued hands the task back.
+func (g *Gate) advance(now time.Time) []Action {
+	out := g.expire(now)
+	for len(g.queue) > 0 && g.running < g.slots && g.state == wire.TargetReady {
+		head := g.queue[0]
+		g.queue = g.queue[1:]
+		out = append(out, g.start(head, now))
+	}
+	return out
+}
+
+func (g *Gate) expire(now time.Time) []Action {
+	lapsed, _ := g.handBack(wire.ReasonNoPermit, func(one *queued) bool {
+		return !g.permits.Live(one.Entry, now)
+	})
+	late, _ := g.handBack(wire.ReasonDeadline, func(one *queued) bool {
+		return !now.Before(one.Deadline)
+	})
+	waited, _ := g.handBack(wire.ReasonQueueTimeout, func(one *queued) bool {
+		return !now.Before(one.end())
+	})
+	return append(append(lapsed, late...), waited...)
+}
+
+func (g *Gate) start(one *queued, now time.Time) Action {
+	wait := now.Sub(one.received)
+	prior := g.records.byRef[one.Ref]
+	attempt := 1
+	if prior != nil {
+		attempt = prior.attempt + 1
+		prior.prior = nil
+	}
+	g.records.started(one.Ref, &record{
+		entry:     one.Entry,
+		phase:     wire.PhaseStarted,
+		attempt:   attempt,
+		startedAt: now,
+		id:        one.ID,
+		wait:      wait,
+		waiters:   one.waiters,
+		prior:     prior,
+	})
+	g.running++
+	return Start{
+		ID:       one.ID,
+		Ref:      one.Ref,
+		Attempt:  attempt,
+		Deadline: one.Deadline,
+		Permit:   g.permits.Remaining(one.Entry, now),
+		Wait:     wait,
+	}
+}
+
+// handBack ends the queued dispatches that match, and whoever attached to
+// them, as not started.
+func (g *Gate) handBack(reason wire.NotStartedReason, match func(*queued) bool) ([]Action, int) {
+	var out []Action
+	count := 0
+	kept := make([]*queued, 0, len(g.queue))
+	for _, one := range g.queue {
+		if !match(one) {
+			kept = append(kept, one)
+			continue
+		}
+		count++
+		for _, id := range append([]uint64{one.ID}, one.waiters...) {
+			out = append(out, End{ID: id, Status: wire.RunNotStarted, Reason: reason})
+		}
+	}
+	g.queue = kept
+	return out, count
+}
+
+func (g *Gate) withdraw(e Withdraw) []Action {
+	wanted := func(ref model.TaskRef) bool {
+		return ref.Key == e.Key && listed(e.Indexes, ref.Index)
+	}
+	out, count := g.handBack(wire.ReasonWithdrawn, func(one *queued) bool { return wanted(one.Ref) })
+	answer := Withdrawn{Withdrawn: count}
+	for _, index := range g.records.byKey[e.Key] {
+		ref := model.TaskRef{Key: e.Key, Index: index}
+		if !wanted(ref) {
+			continue
+		}
+		answer.Started++
+		if g.records.byRef[ref].running() {
+			answer.Running = append(answer.Running, ref)
+		}
+	}
+	return append(out, answer)
+}
+
+func listed(indexes []int, index int) bool {
+	if indexes == nil {
+		return true
+	}
+	for _, one := range indexes {
+		if one == index {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) revoke(e Revoke) []Action {
+	g.permits.Revoke(e.Entry, e.BundleVersion)
+	out, count := g.handBack(wire.ReasonNoPermit, func(one *queued) bool { return one.Entry == e.Entry })
+	return append(out, Withdrawn{Withdrawn: count})
+}
