--- a/command/register.go
+++ b/command/register.go
@@ -14,6 +14,8 @@
 func subcommands(streams *IO) []subcommand {
 	return []subcommand{
 		{"version", "Print the version", "Prints the version of the binary.\n\nExample: figring version", &versionCommand{streams: streams}},
+		{"standin-platform", "Serve a stand-in for the platform", standinPlatformHelp, &standinPlatformCommand{streams: streams}},
+		{"standin-minion", "Serve a stand-in for a minion", standinMinionHelp, &standinMinionCommand{streams: streams}},
 	}
 }
 
--- /dev/null
+++ b/command/serving.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+)
+
+// untilSignal returns a context that ends at SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// newLogger returns a logger of JSON lines to the error stream.
+func newLogger(streams *IO) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: streams.Err}}
+}
+
+// listen opens a listener and logs its address. An address that can't be used
+// is an error of usage.
+func listen(logger *log.Logger, role, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &exitError{code: ExitUsage, err: err}
+	}
+	logger.Info().Str("role", role).Str("address", listener.Addr().String()).Msg("listening")
+	return listener, nil
+}
--- /dev/null
+++ b/minion/observe.go
@@ -0,0 +1,86 @@
+package minion
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// maxControlBody bounds the body of a control request, in bytes.
+const maxControlBody = 64 << 10
+
+// stopRequest is the body of POST /stop.
+type stopRequest struct {
+	Job  string `json:"job"`
+	Task int    `json:"task"`
+}
+
+// stopReply is the answer to POST /stop.
+type stopReply struct {
+	Stopped int `json:"stopped"`
+}
+
+func (m *Minion) stop(w http.ResponseWriter, r *http.Request) {
+	var asked stopRequest
+	if !decode(w, r, &asked) {
+		return
+	}
+	answer(w, stopReply{Stopped: m.slots.stop(asked.Job, asked.Task)})
+}
+
+func (m *Minion) getLedger(w http.ResponseWriter, r *http.Request) {
+	var since int64
+	if text := r.URL.Query().Get("since"); text != "" {
+		parsed, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		since = parsed
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	encoder := json.NewEncoder(w)
+	for _, start := range m.ledger.since(since) {
+		if encoder.Encode(start) != nil {
+			return
+		}
+	}
+}
+
+func (m *Minion) getCounters(w http.ResponseWriter, _ *http.Request) {
+	answer(w, m.Counts())
+}
+
+func (m *Minion) getControl(w http.ResponseWriter, _ *http.Request) {
+	answer(w, m.Control())
+}
+
+func (m *Minion) putControl(w http.ResponseWriter, r *http.Request) {
+	control := m.options.Control
+	if !decode(w, r, &control) {
+		return
+	}
+	if err := m.validate.Struct(control); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	m.SetControl(control)
+	answer(w, control)
+}
+
+// decode reads a JSON body, or answers 400 and returns false.
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, reply any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A reply that can't be written is lost, and the client knows it.
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- /dev/null
+++ b/minion/serve_test.go
@@ -0,0 +1,133 @@
+package minion_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/figring/figring/minion"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/announce"
+	"github.com/shoenig/test/must"
+)
+
+// served is a minion that serves on two ports of its own.
+type served struct {
+	minion  *minion.Minion
+	address string
+	control string
+	leave   context.CancelFunc
+	ended   chan error
+}
+
+func serve(t *testing.T, options minion.Options) *served {
+	t.Helper()
+	m, err := minion.New(options)
+	must.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &served{
+		minion:  m,
+		address: listener.Addr().String(),
+		control: control.Addr().String(),
+		leave:   cancel,
+		ended:   make(chan error, 1),
+	}
+	go func() { s.ended <- m.Serve(ctx, listener, control) }()
+	return s
+}
+
+func post(client *http.Client, address, body string) (int, string, error) {
+	request, err := http.NewRequest("POST", "http://"+address+"/run", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set("Figring-Job", "j1")
+	request.Header.Set("Figring-Task", "0")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err
+}
+
+func TestServe_LeavesAfterItsTasks(t *testing.T) {
+	receiver := announce.NewReceiver()
+	sidecar := httptest.NewServer(receiver)
+	t.Cleanup(sidecar.Close)
+	with := options()
+	with.AnnounceURL = sidecar.URL
+	s := serve(t, with)
+	ready, err := receiver.Next(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, platform.MinionReady, ready.State)
+	must.Eq(t, s.address, ready.Address)
+	must.Eq(t, 2, ready.Slots)
+	must.Eq(t, 4, ready.Connections)
+
+	type reply struct {
+		status int
+		body   string
+		err    error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		status, body, err := post(http.DefaultClient, s.address, `{"runMs":500,"output":"done"}`)
+		replies <- reply{status, body, err}
+	}()
+	for s.minion.Counts().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.leave()
+	for {
+		one, err := receiver.Next(t.Context())
+		must.NoError(t, err)
+		if one.State == platform.MinionLeaving {
+			break
+		}
+	}
+	must.Eq(t, reply{200, "done", nil}, <-replies)
+	must.NoError(t, <-s.ended)
+	_, err = net.Dial("tcp", s.address)
+	must.Error(t, err)
+}
+
+func TestServe_LimitsConnections(t *testing.T) {
+	s := serve(t, options())
+	var open []net.Conn
+	for range 4 {
+		conn, err := net.Dial("tcp", s.address)
+		must.NoError(t, err)
+		open = append(open, conn)
+	}
+	for s.minion.Counts().PeakConnections < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	beyond, err := net.Dial("tcp", s.address)
+	must.NoError(t, err)
+	_, err = beyond.Read(make([]byte, 1))
+	must.Error(t, err)
+	must.NoError(t, beyond.Close())
+	must.Eq(t, 1, s.minion.Counts().ConnectionOverruns)
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	status, _, err := post(client, s.control, `{"runMs":0}`)
+	must.NoError(t, err)
+	must.Eq(t, 200, status)
+	must.Eq(t, 4, s.minion.Counts().PeakConnections)
+	for _, conn := range open {
+		must.NoError(t, conn.Close())
+	}
+	s.leave()
+	must.NoError(t, <-s.ended)
+}
