Add the membership duty: sessions, takeover and ownership changes

Entries must agree who owns a partition through the platform's table alone. Every change is one transaction that requires what its plan rests on.

--- a/decision/ownership/watch.go
+++ b/decision/ownership/watch.go
@@ -20,6 +20,11 @@
 	lastReceived time.Time
 }
 
+// blindAfter is the time without a read after which an observer no longer
+// trusts its own sightings: what kept it from reading may have kept the
+// holders from renewing.
+const blindAfter = 2 * model.SessionRenewal
+
 type sighting struct {
 	version int64
 	since   time.Time
@@ -31,11 +36,11 @@
 }
 
 // Observe takes in one whole listing, sent at sentAt and received at
-// receivedAt. When the observer itself read nothing for a session's life, all
+// receivedAt. When the observer itself read nothing for blindAfter, all
 // sightings start anew: after an outage of the table the holders get the time
 // to renew that they could not use.
 func (w *Watch) Observe(rows []Session, sentAt, receivedAt time.Time) {
-	blind := sentAt.Sub(w.lastReceived) > model.SessionTTL
+	blind := sentAt.Sub(w.lastReceived) > blindAfter
 	next := make(map[model.Incarnation]sighting, len(rows))
 	for _, row := range rows {
 		old, ok := w.seen[row.Incarnation]
@@ -49,6 +54,12 @@
 	w.lastReceived = receivedAt
 }
 
+// Reset forgets all sightings. An observer whose own lease is over calls it:
+// the table may refuse everybody's renewals and not only those of one holder.
+func (w *Watch) Reset() {
+	clear(w.seen)
+}
+
 // Lapsed reports whether the session, at exactly the given version, is over.
 func (w *Watch) Lapsed(session Session, now time.Time) bool {
 	old, ok := w.seen[session.Incarnation]
@@ -57,15 +68,3 @@
 	}
 	return now.Sub(old.since) >= LapseAfter
 }
-
-// Split divides the rows of the last listing into living and lapsed sessions.
-func (w *Watch) Split(rows []Session, now time.Time) (live, lapsed []Session) {
-	for _, row := range rows {
-		if w.Lapsed(row, now) {
-			lapsed = append(lapsed, row)
-		} else {
-			live = append(live, row)
-		}
-	}
-	return live, lapsed
-}
--- /dev/null
+++ b/membership/apply.go
@@ -0,0 +1,126 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/figring/figring/decision/ownership"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// apply commits a proposal. Partitions to be given away are released first, so
+// that their new owner reads every claim that was made for them.
+func (m *Manager) apply(ctx context.Context, read reading, live []ownership.Session, proposal ownership.Proposal) {
+	given := givenAway(&read.assignment, &proposal.Next, m.self)
+	m.release(given)
+	touch := m.unblock(given)
+	if !proposal.Changed && len(proposal.Fenced) == 0 && !touch {
+		signal(m.acquireNow)
+		return
+	}
+	versions, err := m.commit(ctx, m.transaction(read.version, proposal))
+	switch {
+	case err == nil:
+		m.logTakeover(proposal)
+		m.publish(proposal.Next, versions[0], liveRows(read.rows, live))
+	case provesNoEffect(err):
+		m.refreshSoon(ctx)
+	default:
+		m.doubted(read.version)
+		m.refreshSoon(ctx)
+	}
+	signal(m.acquireNow)
+}
+
+// refreshSoon repeats the turn after a short pause.
+func (m *Manager) refreshSoon(ctx context.Context) {
+	if pause(ctx, retryInterval) == nil {
+		m.Refresh()
+	}
+}
+
+func givenAway(current, next *ownership.Assignment, self model.Incarnation) []int {
+	var given []int
+	for _, p := range current.Owned(self) {
+		if next.Parts[p].Owner != self {
+			given = append(given, p)
+		}
+	}
+	return given
+}
+
+// release ends the holding of the partitions and waits until the outcome of
+// their open claims is known.
+func (m *Manager) release(partitions []int) {
+	m.callbacks.Lock()
+	defer m.callbacks.Unlock()
+	for _, p := range m.block(partitions) {
+		m.opts.OnRelease(p)
+	}
+}
+
+// block marks the partitions and returns those that were not blocked before.
+func (m *Manager) block(partitions []int) []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var fresh []int
+	for _, p := range partitions {
+		if !m.blocked[p] {
+			fresh = append(fresh, p)
+		}
+		m.blocked[p] = true
+		delete(m.held, p)
+	}
+	return fresh
+}
+
+// unblock lets partitions be held again that are not to be given away any
+// more. While a commit that gave them away may still take effect they stay
+// blocked, and the row must be touched: writing it in any way under the same
+// condition ends the doubt.
+func (m *Manager) unblock(given []int) (touch bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.inDoubt {
+		return true
+	}
+	clear(m.blocked)
+	for _, p := range given {
+		m.blocked[p] = true
+	}
+	return false
+}
+
+func (m *Manager) doubted(version int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inDoubt = true
+	m.doubt = version
+}
+
+// transaction requires all that the proposal rests on: the assignment, this
+// entry's own fence, the versions of the lapsed sessions, and that owners
+// without a session still have none.
+func (m *Manager) transaction(version int64, proposal ownership.Proposal) platform.Txn {
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: AssignmentKey, Version: version}, m.Fence()},
+		Writes:     []platform.Write{{Key: AssignmentKey, Value: encodeAssignment(&proposal.Next)}},
+	}
+	for _, owner := range proposal.Absent {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: sessionKey(owner)})
+	}
+	for _, lapsed := range proposal.Fenced {
+		key := sessionKey(lapsed.Incarnation)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: lapsed.Version})
+		txn.Writes = append(txn.Writes,
+			platform.Write{Key: key, Delete: true},
+			platform.Write{Key: fenceKey(lapsed.Incarnation), Delete: true})
+	}
+	return txn
+}
+
+func (m *Manager) logTakeover(proposal ownership.Proposal) {
+	for _, lapsed := range proposal.Fenced {
+		m.opts.Log.Warn().Str("entry", string(lapsed.Incarnation)).Msg("took over a lapsed session")
+	}
+}
--- /dev/null
+++ b/membership/errors.go
@@ -0,0 +1,12 @@
+package membership
+
+import "errors"
+
+// The errors of this package.
+var (
+	// ErrFenced means that this incarnation's session was taken over. It can
+	// never own or claim anything again; the process starts as another one.
+	ErrFenced = errors.New("session was taken over")
+	// ErrStore means that the table could not be used in time.
+	ErrStore = errors.New("membership table not accessible")
+)
--- /dev/null
+++ b/membership/leave.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/figring/figring/platform"
+)
+
+// Leave gives all partitions away and returns when that is committed, or at
+// once when no other entry could take them. The session goes on until Close,
+// because claimed jobs stay here until they end.
+func (m *Manager) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	signal(m.renewNow)
+	m.Refresh()
+	for {
+		done, changed := m.left()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrStore, ctx.Err())
+		}
+	}
+}
+
+func (m *Manager) left() (bool, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended || !m.session.registered {
+		return true, nil
+	}
+	if m.view.known && !m.view.othersStay(m.self) {
+		return true, nil
+	}
+	empty := len(m.view.assignment.Owned(m.self)) == 0
+	return m.view.known && empty && !m.inDoubt && m.session.leavingKnown, m.changed
+}
+
+// Close ends Run and deletes the session and fence rows, so that others need
+// not wait for the session to lapse. From its start this entry owns nothing.
+func (m *Manager) Close(ctx context.Context) error {
+	m.end()
+	m.mu.Lock()
+	cancel := m.cancel
+	m.mu.Unlock()
+	if cancel == nil {
+		return nil
+	}
+	cancel()
+	select {
+	case <-m.stopped:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrStore, ctx.Err())
+	}
+	return m.deleteRows(ctx)
+}
+
+// deleteRows repeats the deletion until it is known that the rows are gone. A
+// failed condition means that: the fence is written once and only deleted.
+func (m *Manager) deleteRows(ctx context.Context) error {
+	fence := m.Fence()
+	if fence.Version <= 0 {
+		return nil
+	}
+	for {
+		_, err := m.commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{fence},
+			Writes: []platform.Write{
+				{Key: sessionKey(m.self), Delete: true},
+				{Key: fence.Key, Delete: true},
+			},
+		})
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		if pause(ctx, retryInterval) != nil {
+			return fmt.Errorf("%w: %w", ErrStore, err)
+		}
+	}
+}
--- /dev/null
+++ b/membership/manager.go
@@ -0,0 +1,242 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/decision/ownership"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+// Manager holds this entry's session and its partitions. Run does the work;
+// the other methods may be called at any time from any goroutine.
+type Manager struct {
+	opts Options
+	self model.Incarnation
+	// watch is used by the observing duty alone.
+	watch *ownership.Watch
+
+	renewNow   chan struct{}
+	observeNow chan struct{}
+	acquireNow chan struct{}
+	stopped    chan struct{}
+
+	// callbacks orders OnAcquire and OnRelease. It is taken before mu.
+	callbacks sync.Mutex
+
+	mu      sync.Mutex
+	session session
+	view    view
+	// held are the partitions that are assigned here and whose claims are
+	// loaded.
+	held map[int]bool
+	// blocked are partitions that were released for giving away. They are not
+	// held again before it is known that they were not given away.
+	blocked map[int]bool
+	// doubt is the version of the assignment that a commit of unknown outcome
+	// required; it may take effect while the row has this version.
+	doubt   int64
+	inDoubt bool
+	leaving bool
+	ended   bool
+	cancel  context.CancelFunc
+	// changed is closed and replaced whenever something above changes.
+	changed chan struct{}
+}
+
+// New returns a manager that does nothing until Run.
+func New(opts Options) *Manager {
+	return &Manager{
+		opts:       opts.withDefaults(),
+		self:       opts.Self.Incarnation,
+		watch:      ownership.NewWatch(),
+		renewNow:   make(chan struct{}, 1),
+		observeNow: make(chan struct{}, 1),
+		acquireNow: make(chan struct{}, 1),
+		stopped:    make(chan struct{}),
+		session:    session{open: make(map[int64]attempt)},
+		held:       make(map[int]bool),
+		blocked:    make(map[int]bool),
+		changed:    make(chan struct{}),
+	}
+}
+
+// Run registers the session and keeps it until ctx ends or Close is called,
+// and then returns nil. It returns ErrFenced when the session was taken over.
+// It is called once.
+func (m *Manager) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !m.start(cancel) {
+		return nil
+	}
+	defer close(m.stopped)
+	if err := m.register(ctx); err != nil {
+		return ignoreEnd(err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.repeat(ctx, model.SessionRenewal, m.renewNow, m.renewOnce) })
+	group.Go(func() error { return m.repeat(ctx, observeInterval, m.observeNow, m.observeOnce) })
+	group.Go(func() error { return m.acquireLoop(ctx) })
+	return ignoreEnd(group.Wait())
+}
+
+func ignoreEnd(err error) error {
+	if errors.Is(err, ErrFenced) {
+		return err
+	}
+	return nil
+}
+
+func (m *Manager) start(cancel context.CancelFunc) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return false
+	}
+	m.cancel = cancel
+	return true
+}
+
+// repeat calls step at once, at each interval and at each hint, until ctx ends
+// or step fails for good.
+func (m *Manager) repeat(ctx context.Context, interval time.Duration, hint <-chan struct{}, step func(context.Context) error) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		if err := step(ctx); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-hint:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Refresh hints that the table has changed. Hints that come during a read
+// share the next one.
+func (m *Manager) Refresh() {
+	signal(m.observeNow)
+}
+
+func signal(hint chan struct{}) {
+	select {
+	case hint <- struct{}{}:
+	default:
+	}
+}
+
+// notify wakes whoever waits for a change. The caller holds mu.
+func (m *Manager) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Lease returns the end of this entry's lease, or zero when it has none.
+func (m *Manager) Lease() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.session.lease.Valid(m.opts.Now()) {
+		return time.Time{}
+	}
+	return m.session.lease.Expiry()
+}
+
+// Fence returns the condition that every claim must require. Before the
+// registration it is one that never holds.
+func (m *Manager) Fence() platform.Condition {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.session.registered {
+		return platform.Condition{Key: fenceKey(m.self), Version: -1}
+	}
+	return platform.Condition{Key: fenceKey(m.self), Version: m.session.fenceVersion}
+}
+
+// Owns reports whether this entry may decide about keys of the partition now:
+// it is assigned, the claims of former owners are loaded, and the lease holds.
+// An answer is void after a pause; the claim's fence and the permits repeat
+// the check where the effect is.
+func (m *Manager) Owns(partition int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held[partition] && m.session.lease.Valid(m.opts.Now())
+}
+
+// Owner returns the entry to which the partition is assigned, when it lives.
+func (m *Manager) Owner(partition int) (wire.EntryInfo, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.view.live[m.view.assignment.Parts[partition].Owner]
+	return row.Entry, ok
+}
+
+// Live returns the entry of the incarnation if its session was alive at the
+// last read.
+func (m *Manager) Live(incarnation model.Incarnation) (wire.EntryInfo, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.view.live[incarnation]
+	return row.Entry, ok
+}
+
+// Entries returns the living entries in order of incarnation, those that leave
+// included, and a version that is equal for equal lists. The list must not be
+// changed.
+func (m *Manager) Entries() ([]wire.EntryInfo, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.entries, m.view.entriesVersion
+}
+
+// Ready reports whether the session is registered, the lease holds and the
+// assignment is known.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.session.lease.Valid(m.opts.Now()) && m.view.known
+}
+
+// end voids the lease and every partition for good. It reports whether this
+// call was the first.
+func (m *Manager) end() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return false
+	}
+	m.ended = true
+	m.session.lease.Void()
+	clear(m.held)
+	m.notify()
+	return true
+}
+
+// fenced ends the manager because its session is gone.
+func (m *Manager) fenced() error {
+	if m.end() {
+		m.opts.Log.Error().Str("entry", string(m.self)).Msg("session was taken over")
+		m.opts.OnFenced()
+	}
+	return ErrFenced
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/membership/register.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"context"
+	"errors"
+
+	"github.com/figring/figring/platform"
+)
+
+// register writes the session and fence rows, repeating until it is known that
+// they are there. A repeated attempt can't overwrite one that took effect,
+// because both require the rows to be absent.
+func (m *Manager) register(ctx context.Context) error {
+	for {
+		done, err := m.registerOnce(ctx)
+		if done || err != nil {
+			return err
+		}
+		if err := pause(ctx, retryInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (m *Manager) registerOnce(ctx context.Context) (bool, error) {
+	number, value := m.beginAttempt()
+	versions, err := m.commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{
+			{Key: sessionKey(m.self)},
+			{Key: fenceKey(m.self)},
+		},
+		Writes: []platform.Write{
+			{Key: sessionKey(m.self), Value: value},
+			{Key: fenceKey(m.self), Value: []byte(m.self)},
+		},
+	})
+	if err == nil {
+		m.registered(number, versions[0], versions[1])
+		return true, nil
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		m.attemptFailed(number)
+		return false, nil
+	}
+	return m.readRegistration(ctx)
+}
+
+// readRegistration finds out whether an earlier attempt took effect.
+func (m *Manager) readRegistration(ctx context.Context) (bool, error) {
+	fence, err := m.get(ctx, fenceKey(m.self))
+	if err != nil {
+		return false, nil
+	}
+	row, err := m.get(ctx, sessionKey(m.self))
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, m.fenced()
+	}
+	if err != nil {
+		return false, nil
+	}
+	session, err := DecodeSession(row.Value)
+	if err != nil {
+		return false, nil
+	}
+	m.registered(session.Renewals, row.Version, fence.Version)
+	return true, nil
+}
+
+func (m *Manager) registered(number, version, fenceVersion int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return
+	}
+	m.session.registered = true
+	m.session.fenceVersion = fenceVersion
+	m.session.took(number, version)
+	m.notify()
+	m.opts.Log.Info().Str("entry", string(m.self)).Msg("session registered")
+}
+
+// beginAttempt notes the sending time of a write of the session row.
+func (m *Manager) beginAttempt() (int64, []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	number := m.session.begin(m.opts.Now(), m.leaving)
+	row := SessionRow{Entry: m.opts.Self, Leaving: m.leaving, Renewals: number}
+	return number, encodeSession(row)
+}
+
+func (m *Manager) attemptFailed(number int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.session.failed(number)
+}
--- /dev/null
+++ b/membership/renew.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"context"
+	"errors"
+
+	"github.com/figring/figring/platform"
+)
+
+// renewOnce writes the session row once more. It fails only when the session
+// was taken over: while the table is out the lease ends by itself, and the
+// same session is renewed when the table is back and the row still there.
+func (m *Manager) renewOnce(ctx context.Context) error {
+	number, value := m.beginAttempt()
+	versions, err := m.commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: sessionKey(m.self), Version: m.sessionVersion()}},
+		Writes:     []platform.Write{{Key: sessionKey(m.self), Value: value}},
+	})
+	if err == nil {
+		m.renewed(number, versions[0])
+		return nil
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		m.attemptFailed(number)
+		return nil
+	}
+	return m.readSession(ctx)
+}
+
+// readSession finds out which attempt wrote the row last. An attempt that is
+// not in the row yet stays open, because it may arrive later.
+func (m *Manager) readSession(ctx context.Context) error {
+	row, err := m.get(ctx, sessionKey(m.self))
+	if errors.Is(err, platform.ErrNotFound) {
+		return m.fenced()
+	}
+	if err != nil {
+		return nil
+	}
+	session, err := DecodeSession(row.Value)
+	if err != nil {
+		return nil
+	}
+	m.renewed(session.Renewals, row.Version)
+	return nil
+}
+
+func (m *Manager) renewed(number, version int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return
+	}
+	m.session.took(number, version)
+	m.notify()
+}
+
+func (m *Manager) sessionVersion() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.session.version
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figring/figring/decision/ownership"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// view is what the last complete read of the table said. It is replaced as a
+// whole, never changed.
+type view struct {
+	known      bool
+	assignment ownership.Assignment
+	// version is that of the assignment row; 0 while there is none.
+	version int64
+	live    map[model.Incarnation]SessionRow
+	entries []wire.EntryInfo
+	// entriesVersion is a hash of entries: equal lists have equal versions,
+	// whichever entry is asked.
+	entriesVersion int64
+}
+
+func newView(assignment ownership.Assignment, version int64, live map[model.Incarnation]SessionRow) view {
+	v := view{known: true, assignment: assignment, version: version, live: live}
+	for _, row := range live {
+		v.entries = append(v.entries, row.Entry)
+	}
+	slices.SortFunc(v.entries, func(a, b wire.EntryInfo) int {
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	v.entriesVersion = hashEntries(v.entries)
+	return v
+}
+
+func hashEntries(entries []wire.EntryInfo) int64 {
+	digest := xxhash.New()
+	for _, entry := range entries {
+		for _, field := range []string{string(entry.Incarnation), entry.Zone, entry.Address} {
+			_, _ = digest.WriteString(field)
+			_, _ = digest.Write([]byte{0})
+		}
+	}
+	return int64(digest.Sum64() >> 1)
+}
+
+// othersStay reports whether another entry is alive that may take partitions.
+func (v *view) othersStay(self model.Incarnation) bool {
+	for incarnation, row := range v.live {
+		if incarnation != self && !row.Leaving {
+			return true
+		}
+	}
+	return false
+}
