--- a/claims/attempt.go
+++ b/claims/attempt.go
@@ -20,15 +20,15 @@
 func (w *Writer) write(next *group) {
 	one, err := w.newAttempt(next.values())
 	if err != nil {
-		next.finish(fmt.Errorf("%w: %w", ErrNotClaimed, err))
+		w.finish(next, fmt.Errorf("%w: %w", ErrNotClaimed, err))
 		return
 	}
 	err = w.commit(one)
 	switch {
 	case err == nil:
-		next.finish(nil)
+		w.finish(next, nil)
 	case provesNothingSent(err):
-		next.finish(fmt.Errorf("%w: %w", ErrNotClaimed, err))
+		w.finish(next, fmt.Errorf("%w: %w", ErrNotClaimed, err))
 	default:
 		w.startResolving(next, one, err)
 	}
@@ -122,11 +122,10 @@
 }
 
 func (w *Writer) resolved(next *group, err error) {
-	next.finish(err)
+	w.opts.Resolved(next.values(), err)
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.fenced = w.fenced || errors.Is(err, ErrFenced)
 	w.unresolved--
-	w.markIdle()
-	w.mu.Unlock()
-	w.opts.Resolved(next.values(), err)
+	w.finishLocked(next, err)
 }
--- a/claims/options.go
+++ b/claims/options.go
@@ -42,7 +42,8 @@
 	// WriteTimeout bounds one attempt of a write.
 	WriteTimeout time.Duration
 	// Resolved reports the outcome of claims whose write was of unknown
-	// outcome for a time: nil for written, else ErrNotClaimed or ErrFenced.
+	// outcome for a time: nil for written, else an error of this package. It is
+	// called before the callers of Append that still wait are answered.
 	Resolved func(claims []Claim, err error)
 	// Now and NewAttempt are time.Now and a random identifier by default.
 	Now        func() time.Time
--- a/claims/writer.go
+++ b/claims/writer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +30,8 @@
 	sequence   uint64
 	nextStart  time.Time
 	fenced     bool
-	// idle is closed when nothing is queued, in flight or unresolved.
-	idle chan struct{}
+	// open are the groups that are queued, in flight or unresolved.
+	open map[*group]struct{}
 }
 
 // New returns a writer for the entry self, whose every write requires the
@@ -43,6 +45,7 @@
 		opts:   opts.withDefaults(),
 		ctx:    ctx,
 		cancel: cancel,
+		open:   make(map[*group]struct{}),
 	}
 }
 
@@ -81,7 +84,6 @@
 	}
 	target := w.collecting()
 	target.claims = append(target.claims, claim)
-	w.markBusy()
 	if w.flights < w.opts.InFlight {
 		w.flights++
 		go w.flight()
@@ -96,6 +98,7 @@
 	}
 	fresh := newGroup()
 	w.queue = append(w.queue, fresh)
+	w.open[fresh] = struct{}{}
 	return fresh
 }
 
@@ -163,41 +166,42 @@
 			next.sent = true
 			return next, true
 		}
+		w.finishLocked(next, nil)
 	}
 	w.flights--
-	w.markIdle()
 	return nil, false
 }
 
-func (w *Writer) markBusy() {
-	if w.idle == nil {
-		w.idle = make(chan struct{})
-	}
+func (w *Writer) finish(done *group, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finishLocked(done, err)
 }
 
-func (w *Writer) markIdle() {
-	if w.idle != nil && len(w.queue) == 0 && w.flights == 0 && w.unresolved == 0 {
-		close(w.idle)
-		w.idle = nil
-	}
+func (w *Writer) finishLocked(done *group, err error) {
+	delete(w.open, done)
+	done.finish(err)
 }
 
-// Settle returns once the outcome of every write begun before it is known, or
-// with ErrClaimUnknown when ctx ends first. Whoever gives a partition away
-// stops claiming for it and then settles.
+// Settle returns once the outcome of every claim appended before it is known,
+// or with ErrClaimUnknown when ctx ends first. It does not wait for later
+// claims. Whoever gives a partition away stops claiming for it and then
+// settles.
 func (w *Writer) Settle(ctx context.Context) error {
-	w.mu.Lock()
-	idle := w.idle
-	w.mu.Unlock()
-	if idle == nil {
-		return nil
-	}
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrClaimUnknown, ctx.Err())
+	for _, one := range w.openGroups() {
+		select {
+		case <-one.done:
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrClaimUnknown, ctx.Err())
+		}
 	}
+	return nil
+}
+
+func (w *Writer) openGroups() []*group {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.open))
 }
 
 // Close ends the writer. Claims whose outcome is open end with
--- /dev/null
+++ b/decision/ownership/plan_test.go
@@ -0,0 +1,187 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/figring/figring/model"
+)
+
+// group is a model of entries that take turns.
+type group struct {
+	assignment Assignment
+	live       []Session
+	lapsed     []Session
+	joined     int
+	now        time.Time
+}
+
+func newGroupOf(n int) *group {
+	g := &group{now: time.Unix(1_700_000_000, 0)}
+	for range n {
+		g.join()
+	}
+	return g
+}
+
+func (g *group) join() {
+	g.joined++
+	name := model.Incarnation(fmt.Sprintf("e%03d", g.joined))
+	g.live = append(g.live, Session{Incarnation: name, Version: 1})
+}
+
+func (g *group) remove(i int) Session {
+	gone := g.live[i]
+	g.live = slices.Delete(slices.Clone(g.live), i, i+1)
+	return gone
+}
+
+func (g *group) crash(i int) {
+	gone := g.remove(i)
+	g.lapsed = append(g.lapsed, gone)
+}
+
+func (g *group) alive(entry model.Incarnation) bool { return holds(g.live, entry) }
+
+// turn lets the entry act, checks what it proposes and applies it. It returns
+// the number of partitions that moved.
+func (g *group) turn(t must.T, i int) int {
+	g.now = g.now.Add(time.Second)
+	self := g.live[i].Incarnation
+	proposal := Plan(g.assignment, g.live, g.lapsed, self, g.now)
+	moved := 0
+	for p := range g.assignment.Parts {
+		old, next := g.assignment.Parts[p], proposal.Next.Parts[p]
+		must.True(t, g.alive(next.Owner), must.Sprintf("partition %d has no living owner", p))
+		if old.Owner == next.Owner {
+			must.Eq(t, old, next)
+			continue
+		}
+		moved++
+		must.Eq(t, old.Epoch+1, next.Epoch)
+		must.True(t, old.Owner == self || !g.alive(old.Owner), must.Sprintf("%s moved a partition of %s", self, old.Owner))
+		if old.Owner != "" {
+			must.SliceContains(t, next.Former, Former{Incarnation: old.Owner, EndedUnixMs: g.now.UnixMilli()})
+		}
+	}
+	must.Eq(t, moved > 0, proposal.Changed)
+	must.Eq(t, len(g.lapsed), len(proposal.Fenced))
+	g.assignment = proposal.Next
+	g.lapsed = nil
+	return moved
+}
+
+// settle lets all entries take turns until nothing moves.
+func (g *group) settle(t must.T) int {
+	total := 0
+	for range 4 {
+		moved := 0
+		for i := range g.live {
+			moved += g.turn(t, i)
+		}
+		total += moved
+		if moved == 0 {
+			return total
+		}
+	}
+	t.Fatalf("still moving after four turns of each entry")
+	return total
+}
+
+func (g *group) checkBalance(t must.T) {
+	low, high := model.Partitions, 0
+	for _, taker := range takers(g.live) {
+		owned := len(g.assignment.Owned(taker))
+		low, high = min(low, owned), max(high, owned)
+	}
+	must.LessEq(t, 1, high-low)
+	for _, session := range g.live {
+		if !slices.Contains(takers(g.live), session.Incarnation) {
+			must.SliceEmpty(t, g.assignment.Owned(session.Incarnation))
+		}
+	}
+}
+
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroupOf(rapid.IntRange(1, 6).Draw(t, "entries"))
+		pick := func() int { return rapid.IntRange(0, len(g.live)-1).Draw(t, "entry") }
+		t.Repeat(map[string]func(*rapid.T){
+			"turn":  func(*rapid.T) { g.turn(t, pick()) },
+			"join":  func(*rapid.T) { g.join() },
+			"leave": func(*rapid.T) { g.live[pick()].Leaving = true },
+			"crash": func(t *rapid.T) {
+				if len(g.live) == 1 {
+					t.Skip("the last one stays")
+				}
+				g.crash(pick())
+			},
+			"close": func(t *rapid.T) {
+				if len(g.live) == 1 {
+					t.Skip("the last one stays")
+				}
+				g.remove(pick())
+			},
+		})
+		g.settle(t)
+		g.checkBalance(t)
+	})
+}
+
+func TestPlanMovesLittle(t *testing.T) {
+	for n := 1; n <= 8; n++ {
+		t.Run(fmt.Sprintf("join to %d", n), func(t *testing.T) {
+			g := newGroupOf(n)
+			g.settle(t)
+			g.join()
+			moved := g.settle(t)
+			must.Eq(t, len(g.assignment.Owned(g.live[n].Incarnation)), moved)
+		})
+		t.Run(fmt.Sprintf("crash of one of %d", n+1), func(t *testing.T) {
+			g := newGroupOf(n + 1)
+			g.settle(t)
+			owned := len(g.assignment.Owned(g.live[0].Incarnation))
+			g.crash(0)
+			must.Eq(t, owned, g.settle(t))
+			g.checkBalance(t)
+		})
+	}
+}
+
+func TestPlanEdges(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	t.Run("an entry that is not live proposes nothing", func(t *testing.T) {
+		proposal := Plan(Assignment{}, []Session{{Incarnation: "a"}}, []Session{{Incarnation: "b"}}, "c", now)
+		must.False(t, proposal.Changed)
+		must.SliceEmpty(t, proposal.Fenced)
+	})
+	t.Run("all leave: they keep what they have", func(t *testing.T) {
+		g := newGroupOf(2)
+		g.settle(t)
+		g.live[0].Leaving, g.live[1].Leaving = true, true
+		must.Eq(t, 0, g.settle(t))
+	})
+	t.Run("owners without a row are named", func(t *testing.T) {
+		g := newGroupOf(2)
+		g.settle(t)
+		gone := g.remove(0)
+		proposal := Plan(g.assignment, g.live, nil, g.live[0].Incarnation, now)
+		must.Eq(t, []model.Incarnation{gone.Incarnation}, proposal.Absent)
+	})
+	t.Run("former owners are forgotten after their time", func(t *testing.T) {
+		part := Part{Owner: "a"}
+		part = part.give("b", now)
+		part = part.give("c", now.Add(FormerLife))
+		must.Len(t, 2, part.Former)
+		part = part.give("d", now.Add(FormerLife+time.Millisecond))
+		must.Eq(t, []Former{
+			{Incarnation: "b", EndedUnixMs: now.Add(FormerLife).UnixMilli()},
+			{Incarnation: "c", EndedUnixMs: now.Add(FormerLife + time.Millisecond).UnixMilli()},
+		}, part.Former)
+	})
+}
