Run the sidecar role

One goroutine owns what may start; the calls of entries, the minion, the renewals and the ends of tasks send it typed messages.

--- /dev/null
+++ b/sidecar/call.go
@@ -0,0 +1,13 @@
+package sidecar
+
+import (
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// call is an open Run or Attach call; request is nil for the latter.
+type call struct {
+	entry   model.Incarnation
+	request *wire.RunRequest
+	answer  chan wire.RunReply
+}
--- /dev/null
+++ b/sidecar/directory.go
@@ -0,0 +1,158 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// sessionPrefix starts the keys of the entries' session rows.
+	sessionPrefix = "sessions/"
+	// listInterval is the least time between two reads of the session rows.
+	listInterval = 2 * time.Second
+	// listPage is the number of rows in one read of the table.
+	listPage = 100
+)
+
+// sessionRow is the part of an entry's session row that is read here.
+type sessionRow struct{ Entry wire.EntryInfo }
+
+// entryList is a list of live entries that an entry gave.
+type entryList struct {
+	entries []wire.EntryInfo
+	version int64
+}
+
+// renewal is the duty of one entry's permit.
+type renewal struct{ cancel context.CancelFunc }
+
+// directory keeps the list of live entries and one renewal for each.
+type directory struct {
+	sidecar  *Sidecar
+	lists    chan entryList
+	renewals map[model.Incarnation]renewal
+	// known is the version of the list, and answered the last time in Unix
+	// nanoseconds at which any entry answered.
+	known    atomic.Int64
+	answered atomic.Int64
+	read     time.Time
+}
+
+func newDirectory(sidecar *Sidecar) *directory {
+	return &directory{
+		sidecar:  sidecar,
+		lists:    make(chan entryList, 1),
+		renewals: make(map[model.Incarnation]renewal),
+	}
+}
+
+// run reads the list at start, and again only while no entry answers or when
+// an entry calls that is not in it.
+func (d *directory) run(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	d.refresh(ctx)
+	for {
+		select {
+		case list := <-d.lists:
+			d.take(ctx, list)
+		case entry := <-d.sidecar.strangers:
+			d.meet(ctx, entry)
+		case <-ticker.C:
+			if d.silent() {
+				d.refresh(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *directory) silent() bool {
+	return time.Since(time.Unix(0, d.answered.Load())) >= listInterval
+}
+
+func (d *directory) meet(ctx context.Context, entry model.Incarnation) {
+	if _, known := d.renewals[entry]; !known {
+		d.refresh(ctx)
+	}
+}
+
+// refresh reads the session rows, at most once in listInterval.
+func (d *directory) refresh(ctx context.Context) {
+	if !d.read.IsZero() && time.Since(d.read) < listInterval {
+		return
+	}
+	d.read = time.Now()
+	entries, err := d.list(ctx)
+	if err != nil {
+		return
+	}
+	d.known.Store(0)
+	d.settle(ctx, entries)
+}
+
+func (d *directory) list(ctx context.Context) ([]wire.EntryInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	var entries []wire.EntryInfo
+	from := ""
+	for {
+		page, err := d.sidecar.parts.Table.List(ctx, sessionPrefix, from, listPage)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		for _, row := range page.Rows {
+			var session sessionRow
+			if json.Unmarshal(row.Value, &session) == nil && session.Entry.Address != "" {
+				entries = append(entries, session.Entry)
+			}
+		}
+		if page.Next == "" {
+			return entries, nil
+		}
+		from = page.Next
+	}
+}
+
+// take takes a list from an entry unless it has a newer one.
+func (d *directory) take(ctx context.Context, list entryList) {
+	if list.version <= d.known.Load() {
+		return
+	}
+	d.known.Store(list.version)
+	d.settle(ctx, list.entries)
+}
+
+// settle starts the renewals of new entries and ends those of gone ones. The
+// permits of the latter end by themselves.
+func (d *directory) settle(ctx context.Context, entries []wire.EntryInfo) {
+	listed := make(map[model.Incarnation]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.Incarnation] = true
+		if _, known := d.renewals[entry.Incarnation]; !known {
+			d.begin(ctx, entry)
+		}
+	}
+	for incarnation, one := range d.renewals {
+		if !listed[incarnation] {
+			one.cancel()
+			delete(d.renewals, incarnation)
+		}
+	}
+	d.sidecar.entries.Update(float64(len(d.renewals)))
+}
+
+func (d *directory) begin(ctx context.Context, entry wire.EntryInfo) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.renewals[entry.Incarnation] = renewal{cancel: cancel}
+	d.sidecar.duties.Go(func() {
+		defer cancel()
+		newRenewer(d, entry).run(ctx)
+	})
+}
--- /dev/null
+++ b/sidecar/message.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/startgate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+// message is what the other goroutines send to the one that owns the state.
+// Every answer channel holds one element, so that the owner never waits.
+type message interface{ message() }
+
+// runMessage is an entry's Run call.
+type runMessage struct {
+	request *wire.RunRequest
+	answer  chan wire.RunReply
+}
+
+// attachMessage is an entry's Attach call.
+type attachMessage struct {
+	request *wire.AttachRequest
+	answer  chan wire.RunReply
+}
+
+// lookupMessage is an entry's Lookup call.
+type lookupMessage struct {
+	request *wire.LookupRequest
+	answer  chan wire.LookupReply
+}
+
+// withdrawMessage is an entry's Withdraw call.
+type withdrawMessage struct {
+	request *wire.WithdrawRequest
+	answer  chan wire.WithdrawReply
+}
+
+// revokeMessage is an entry's Revoke call.
+type revokeMessage struct {
+	request *wire.RevokeRequest
+	answer  chan wire.RevokeReply
+}
+
+// endMessage is the end of a running task.
+type endMessage struct {
+	ref     model.TaskRef
+	verdict verdict
+}
+
+// registeredMessage says that this incarnation's row is written.
+type registeredMessage struct{ first bool }
+
+// minionMessage carries an announcement that differs from the one before.
+type minionMessage struct{ said platform.Announcement }
+
+// minionLostMessage says that the minion fell silent.
+type minionLostMessage struct{}
+
+// planMessage asks how long an entry's permit lasts.
+type planMessage struct {
+	entry  model.Incarnation
+	answer chan plan
+}
+
+// plan says when the next renewal is due.
+type plan struct {
+	remaining time.Duration
+	// state grows with every change that entries are told at once.
+	state uint64
+}
+
+// renewMessage asks for the next renewal of an entry's permit. The number of
+// the message and its send time are recorded when it is answered.
+type renewMessage struct {
+	entry  model.Incarnation
+	answer chan wire.RenewRequest
+}
+
+// permitMessage carries a permit from a renewal.
+type permitMessage struct {
+	entry  model.Incarnation
+	permit wire.Permit
+}
+
+// drainMessage starts the ordered stop.
+type drainMessage struct{}
+
+// statusMessage asks for what the status pages show.
+type statusMessage struct{ answer chan status }
+
+// status is what the status pages show.
+type status struct {
+	state   wire.TargetState
+	running int
+	queued  int
+	calls   int
+}
+
+func (runMessage) message()        {}
+func (attachMessage) message()     {}
+func (lookupMessage) message()     {}
+func (withdrawMessage) message()   {}
+func (revokeMessage) message()     {}
+func (endMessage) message()        {}
+func (registeredMessage) message() {}
+func (minionMessage) message()     {}
+func (minionLostMessage) message() {}
+func (planMessage) message()       {}
+func (renewMessage) message()      {}
+func (permitMessage) message()     {}
+func (drainMessage) message()      {}
+func (statusMessage) message()     {}
+
+// ended turns the message into the event of the start authority.
+func (m endMessage) ended() startgate.TaskEnded {
+	return startgate.TaskEnded{Ref: m.ref, Outcome: m.verdict.outcome, Result: m.verdict.result}
+}
--- /dev/null
+++ b/sidecar/parts.go
@@ -0,0 +1,27 @@
+package sidecar
+
+import (
+	"net/http"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+// Parts are what a sidecar is built on.
+type Parts struct {
+	Table         platform.Table
+	Announcements platform.Announcements
+	// Announce is served at Settings.AnnounceListen; nil serves nothing.
+	Announce http.Handler
+	// Metrics is served at /metrics; nil serves nothing.
+	Metrics http.Handler
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
+	// Logger takes changes of state; nil means log.DefaultLogger.
+	Logger *log.Logger
+	// Dialer opens connections to entries; nil means the network itself.
+	Dialer wire.Dialer
+}
--- /dev/null
+++ b/sidecar/renewer.go
@@ -0,0 +1,125 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// renewBefore is how long before a permit's end it is renewed.
+	renewBefore = time.Second
+	// renewJitter spreads the renewals of many sidecars.
+	renewJitter = 200 * time.Millisecond
+	// renewTimeout bounds one renewal.
+	renewTimeout = time.Second
+	// renewPause is the least time between two renewals.
+	renewPause = 250 * time.Millisecond
+	// refusedPause is the mean time between two renewals at an entry that
+	// grants nothing.
+	refusedPause    = time.Second
+	renewRetryFirst = 50 * time.Millisecond
+	renewRetryLast  = 2 * time.Second
+)
+
+// renewer keeps the permit of one entry alive. Permits also come with the
+// entry's dispatches, so it sends only when one is about to end or when the
+// state of this sidecar changed.
+type renewer struct {
+	directory *directory
+	sidecar   *Sidecar
+	entry     wire.EntryInfo
+	// told is the state that the entry has heard of, plus one.
+	told  uint64
+	retry *backoff
+}
+
+func newRenewer(directory *directory, entry wire.EntryInfo) *renewer {
+	return &renewer{
+		directory: directory,
+		sidecar:   directory.sidecar,
+		entry:     entry,
+		retry:     newBackoff(renewRetryFirst, renewRetryLast),
+	}
+}
+
+func (r *renewer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wake := r.sidecar.changed.wait()
+		current, err := r.plan()
+		if err != nil {
+			return
+		}
+		due := current.remaining - renewBefore - rand.N(renewJitter)
+		if due > 0 && r.told == current.state+1 {
+			_ = pause(ctx, due, wake)
+			continue
+		}
+		_ = pause(ctx, r.renew(ctx, current.state), wake)
+	}
+}
+
+func (r *renewer) plan() (plan, error) {
+	answer := make(chan plan, 1)
+	return ask(r.sidecar.box, planMessage{entry: r.entry.Incarnation, answer: answer}, answer)
+}
+
+// renew sends one renewal and returns how long to wait at least.
+func (r *renewer) renew(ctx context.Context, state uint64) time.Duration {
+	reply, err := r.call(ctx)
+	if err != nil {
+		r.sidecar.renewalFailures.Inc(1)
+		return r.retry.delay()
+	}
+	r.sidecar.renewals.Inc(1)
+	if r.sidecar.box.send(permitMessage{entry: reply.Entry, permit: reply.Permit}) != nil {
+		return 0
+	}
+	if reply.Entry != r.entry.Incarnation {
+		r.meet(ctx)
+		return r.retry.delay()
+	}
+	r.retry.reset()
+	r.told = state + 1
+	r.directory.answered.Store(time.Now().UnixNano())
+	r.pass(ctx, reply)
+	if reply.Permit.TTL <= 0 {
+		return max(reply.RetryAfter, refusedPause/2+rand.N(refusedPause))
+	}
+	return max(reply.RetryAfter, renewPause)
+}
+
+func (r *renewer) call(ctx context.Context) (wire.RenewReply, error) {
+	var reply wire.RenewReply
+	answer := make(chan wire.RenewRequest, 1)
+	request, err := ask(r.sidecar.box, renewMessage{entry: r.entry.Incarnation, answer: answer}, answer)
+	if err != nil {
+		return reply, err
+	}
+	request.KnownEntries = r.directory.known.Load()
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err = r.sidecar.pool.Call(ctx, r.entry.Address, wire.MethodRenew, &request, &reply)
+	return reply, Error.Wrap(err)
+}
+
+// meet reports that another incarnation answers at the entry's address.
+func (r *renewer) meet(ctx context.Context) {
+	select {
+	case r.sidecar.strangers <- "":
+	case <-ctx.Done():
+	}
+}
+
+// pass hands a newer list of entries to the directory.
+func (r *renewer) pass(ctx context.Context, reply wire.RenewReply) {
+	if reply.Entries == nil {
+		return
+	}
+	select {
+	case r.directory.lists <- entryList{entries: reply.Entries, version: reply.EntriesVersion}:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/sidecar/run.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// drainPoll is the interval at which a stopping sidecar looks whether calls
+	// are still open.
+	drainPoll = 20 * time.Millisecond
+	// replyLinger is left for the last replies to leave the process.
+	replyLinger = 200 * time.Millisecond
+	// leaveTimeout bounds the marking of the row at a stop.
+	leaveTimeout = 3 * time.Second
+)
+
+// Run runs the sidecar until ctx ends, then stops in order: it tells the
+// entries that it is draining, hands back what is queued, finishes what runs,
+// delivers the replies and marks its row. It is called once.
+func (s *Sidecar) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer s.shut(cancel)
+	s.core.taskCtx = inner
+	s.joining, s.halt = context.WithCancel(inner)
+	defer s.halt()
+	s.begin(inner)
+	<-ctx.Done()
+	return s.drain(inner)
+}
+
+func (s *Sidecar) begin(ctx context.Context) {
+	s.duties.Go(func() { s.core.run(ctx) })
+	s.duties.Go(func() { _ = s.rpc.Serve(s.rpcListener) })
+	s.serveHTTP(ctx, s.statusListener, s.statusHandler())
+	s.serveHTTP(ctx, s.announceListener, s.parts.Announce)
+	s.duties.Go(func() { s.join(ctx) })
+}
+
+// join writes the row and only then listens to the minion and the entries: no
+// task may be taken by an incarnation that isn't in the table.
+func (s *Sidecar) join(ctx context.Context) {
+	err := s.row.register(s.joining)
+	first := s.row.row.First
+	close(s.joined)
+	if err != nil {
+		return
+	}
+	if s.box.send(registeredMessage{first: first}) != nil {
+		return
+	}
+	s.duties.Go(func() { s.watch(ctx) })
+	newDirectory(s).run(ctx)
+}
+
+func (s *Sidecar) drain(ctx context.Context) error {
+	if err := s.box.send(drainMessage{}); err != nil {
+		return err
+	}
+	s.halt()
+	<-s.joined
+	open := s.finish(ctx)
+	_ = pause(ctx, replyLinger, nil)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := s.row.leave(ctx, open > 0); err != nil {
+		s.parts.Logger.Warn().Err(err).Msg("row not marked")
+	}
+	return nil
+}
+
+// finish waits until no call is open, at most for the drain limit, and returns
+// the number of those that still are.
+func (s *Sidecar) finish(ctx context.Context) int {
+	limit := time.Now().Add(s.settings.DrainLimit)
+	for {
+		now, err := s.status()
+		if err != nil {
+			return 0
+		}
+		if now.calls == 0 || !time.Now().Before(limit) {
+			return now.calls
+		}
+		_ = pause(ctx, drainPoll, nil)
+	}
+}
+
+// shut ends every goroutine. The owner of the state ends first, which ends the
+// calls that are still open; the server can then wait for them.
+func (s *Sidecar) shut(cancel context.CancelFunc) {
+	cancel()
+	<-s.box.done
+	s.rpc.Close()
+	s.pool.Close()
+	s.core.tasks.Wait()
+	s.duties.Wait()
+	if s.core.minion != nil {
+		s.core.minion.close()
+	}
+}
--- /dev/null
+++ b/sidecar/service.go
@@ -0,0 +1,48 @@
+package sidecar
+
+import "github.com/figring/figring/wire"
+
+// service is the receiver of the net/rpc calls. An error from it means that
+// the outcome is unknown to the entry, so it returns one only at the end of
+// the process.
+type service struct{ box *mailbox }
+
+// Run holds the call open until the task has ended or is handed back.
+func (s *service) Run(request *wire.RunRequest, reply *wire.RunReply) error {
+	answer := make(chan wire.RunReply, 1)
+	got, err := ask(s.box, runMessage{request: request, answer: answer}, answer)
+	*reply = got
+	return err
+}
+
+// Attach waits for the end of a task and starts nothing.
+func (s *service) Attach(request *wire.AttachRequest, reply *wire.RunReply) error {
+	answer := make(chan wire.RunReply, 1)
+	got, err := ask(s.box, attachMessage{request: request, answer: answer}, answer)
+	*reply = got
+	return err
+}
+
+// Lookup lists the records of jobs.
+func (s *service) Lookup(request *wire.LookupRequest, reply *wire.LookupReply) error {
+	answer := make(chan wire.LookupReply, 1)
+	got, err := ask(s.box, lookupMessage{request: request, answer: answer}, answer)
+	*reply = got
+	return err
+}
+
+// Withdraw hands back what is queued of a job.
+func (s *service) Withdraw(request *wire.WithdrawRequest, reply *wire.WithdrawReply) error {
+	answer := make(chan wire.WithdrawReply, 1)
+	got, err := ask(s.box, withdrawMessage{request: request, answer: answer}, answer)
+	*reply = got
+	return err
+}
+
+// Revoke ends the permit of an entry.
+func (s *service) Revoke(request *wire.RevokeRequest, reply *wire.RevokeReply) error {
+	answer := make(chan wire.RevokeReply, 1)
+	got, err := ask(s.box, revokeMessage{request: request, answer: answer}, answer)
+	*reply = got
+	return err
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/decision/permit"
+	"github.com/figring/figring/decision/startgate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// Sidecar is one run of the role.
+type Sidecar struct {
+	settings Settings
+	parts    Parts
+	self     model.Incarnation
+	row      *rowWriter
+
+	box       *mailbox
+	changed   *signal
+	strangers chan model.Incarnation
+	core      *core
+	pool      *wire.Pool
+	rpc       *wire.Server
+
+	rpcListener      net.Listener
+	statusListener   net.Listener
+	announceListener net.Listener
+
+	entries         tally.Gauge
+	renewals        tally.Counter
+	renewalFailures tally.Counter
+
+	// joining ends at the start of an ordered stop, and joined is closed when
+	// the first writing of the row has ended: one goroutine at a time has it.
+	joining context.Context
+	halt    context.CancelFunc
+	joined  chan struct{}
+
+	// duties counts every goroutine but the tasks.
+	duties sync.WaitGroup
+}
+
+// New returns a sidecar that listens and does nothing else before Run.
+func New(settings Settings, parts Parts) (*Sidecar, error) {
+	if parts.Scope == nil {
+		parts.Scope = tally.NoopScope
+	}
+	if parts.Logger == nil {
+		parts.Logger = &log.DefaultLogger
+	}
+	s := &Sidecar{
+		settings:        settings.withDefaults(),
+		parts:           parts,
+		self:            model.NewIncarnation(settings.Name),
+		box:             newMailbox(),
+		changed:         newSignal(),
+		joined:          make(chan struct{}),
+		strangers:       make(chan model.Incarnation, 16),
+		pool:            wire.NewPool(settings.Secret, nil, parts.Dialer),
+		rpc:             wire.NewServer(settings.Secret, nil),
+		entries:         parts.Scope.Gauge(metrics.SidecarEntries),
+		renewals:        parts.Scope.Counter(metrics.SidecarRenewals),
+		renewalFailures: parts.Scope.Counter(metrics.SidecarRenewalFailures),
+	}
+	if err := s.listen(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	s.build(time.Now())
+	return s, Error.Wrap(s.rpc.Register("Sidecar", &service{box: s.box}))
+}
+
+func (s *Sidecar) build(now time.Time) {
+	target := wire.Target{
+		Sidecar:     s.settings.Name,
+		Incarnation: s.self,
+		Zone:        s.settings.Zone,
+		Rack:        s.settings.Rack,
+		Worker:      s.settings.Worker,
+		Address:     s.Address(),
+		State:       wire.TargetEmpty,
+	}
+	permits := permit.NewLedger()
+	s.core = &core{
+		box:     s.box,
+		target:  target,
+		worker:  s.settings.Worker,
+		started: now,
+		gate: startgate.New(startgate.Settings{
+			Self:          s.self,
+			QueueCapacity: s.settings.QueueCapacity,
+			RecordLimit:   s.settings.RecordLimit,
+			ResultBytes:   s.settings.ResultBytes,
+		}, permits, now),
+		permits:   permits,
+		calls:     make(map[uint64]*call),
+		changed:   s.changed,
+		strangers: s.strangers,
+		meters:    newMeters(s.parts.Scope),
+		logger:    s.parts.Logger,
+	}
+	s.row = &rowWriter{table: s.parts.Table, row: Row{Target: target, Started: now.UnixMilli()}}
+}
+
+// Incarnation returns the identity of this run.
+func (s *Sidecar) Incarnation() model.Incarnation { return s.self }
+
+// Address returns the address that entries dial.
+func (s *Sidecar) Address() string {
+	if s.settings.RPCAdvertise != "" {
+		return s.settings.RPCAdvertise
+	}
+	return s.rpcListener.Addr().String()
+}
+
+// StatusAddress returns the address of the status pages, or "".
+func (s *Sidecar) StatusAddress() string { return addressOf(s.statusListener) }
+
+// AnnounceAddress returns the address for the minion's announcements, or "".
+func (s *Sidecar) AnnounceAddress() string { return addressOf(s.announceListener) }
+
+func addressOf(listener net.Listener) string {
+	if listener == nil {
+		return ""
+	}
+	return listener.Addr().String()
+}
+
+func (s *Sidecar) listen() error {
+	var err error
+	if s.rpcListener, err = net.Listen("tcp", s.settings.RPCListen); err != nil {
+		return Error.Wrap(err)
+	}
+	if s.settings.StatusListen != "" {
+		if s.statusListener, err = net.Listen("tcp", s.settings.StatusListen); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	if s.settings.AnnounceListen != "" && s.parts.Announce != nil {
+		if s.announceListener, err = net.Listen("tcp", s.settings.AnnounceListen); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func (s *Sidecar) closeListeners() {
+	for _, one := range []net.Listener{s.rpcListener, s.statusListener, s.announceListener} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// serveHTTP serves handler until ctx ends.
+func (s *Sidecar) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
+	if listener == nil {
+		return
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: httpTimeout, IdleTimeout: httpIdleTimeout}
+	s.duties.Go(func() { _ = server.Serve(listener) })
+	s.duties.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+}
+
+const (
+	httpTimeout     = 2 * time.Second
+	httpIdleTimeout = time.Minute
+)
