Bundles: life of a bundle, watcher and editor

The watcher starts a read at each poll, up to six in flight, and counts freshness from before the send, so that a store with 1.8 s a read still gives fresh views.

--- /dev/null
+++ b/decision/bundle/close_zone.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// CloseZone takes an availability zone out: no task starts there.
+type CloseZone struct {
+	Zone string
+}
+
+// Emergency implements Edit.
+func (e CloseZone) Emergency() bool { return true }
+
+// TakesOut implements Edit.
+func (e CloseZone) TakesOut() bool { return true }
+
+func (e CloseZone) apply(b *model.Bundle) {
+	b.ClosedZones = with(b.ClosedZones, e.Zone)
+}
+
+func (e CloseZone) check(rules Rules) error {
+	return rules.checkZone("zone", e.Zone)
+}
--- /dev/null
+++ b/decision/bundle/drain_entry.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// DrainEntry asks an entry to hand its partitions over.
+type DrainEntry struct {
+	Entry string
+}
+
+// Emergency implements Edit.
+func (e DrainEntry) Emergency() bool { return true }
+
+// TakesOut implements Edit.
+func (e DrainEntry) TakesOut() bool { return true }
+
+func (e DrainEntry) apply(b *model.Bundle) {
+	b.DrainedEntries = with(b.DrainedEntries, e.Entry)
+}
+
+func (e DrainEntry) check(Rules) error {
+	return checkName("entry", e.Entry)
+}
--- /dev/null
+++ b/decision/bundle/drain_target.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// DrainTarget stops new work for a sidecar.
+type DrainTarget struct {
+	Target string
+}
+
+// Emergency implements Edit.
+func (e DrainTarget) Emergency() bool { return true }
+
+// TakesOut implements Edit.
+func (e DrainTarget) TakesOut() bool { return true }
+
+func (e DrainTarget) apply(b *model.Bundle) {
+	b.DrainedTargets = with(b.DrainedTargets, e.Target)
+}
+
+func (e DrainTarget) check(Rules) error {
+	return checkName("target", e.Target)
+}
--- /dev/null
+++ b/decision/bundle/lifecycle.go
@@ -0,0 +1,73 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// Propose returns a proposal to replace current by next. It fails with a
+// ConflictError unless base is the version of current.
+func Propose(id, operator string, base int64, current, next model.Bundle, rules Rules) (Proposal, error) {
+	if operator == "" {
+		return Proposal{}, ErrOperator
+	}
+	if base != current.Version {
+		return Proposal{}, &ConflictError{Base: base, Current: current.Version}
+	}
+	next = normalise(next)
+	if err := rules.Validate(next); err != nil {
+		return Proposal{}, err
+	}
+	next.Version = base + 1
+	return Proposal{ID: id, Base: base, Bundle: next, State: Proposed, ProposedBy: operator}, nil
+}
+
+// SignOff returns the proposal signed off by operator, who must be another one
+// than the proposer.
+func SignOff(proposal Proposal, operator, attempt string) (Proposal, error) {
+	if operator == "" {
+		return proposal, ErrOperator
+	}
+	if proposal.State != Proposed {
+		return proposal, ErrState
+	}
+	if operator == proposal.ProposedBy {
+		return proposal, ErrSameOperator
+	}
+	proposal.State = SignedOff
+	proposal.SignedOffBy = operator
+	proposal.SignOffAttempt = attempt
+	return proposal, nil
+}
+
+// RollOut returns the proposal as rolled out and the bundle that it puts in
+// force. Whoever stores both must do so on the condition that current is still
+// in force: of two operators who race, one gets a ConflictError.
+func RollOut(proposal Proposal, current model.Bundle, operator, attempt string) (Proposal, model.Bundle, error) {
+	if operator == "" {
+		return proposal, current, ErrOperator
+	}
+	if proposal.State != SignedOff {
+		return proposal, current, ErrState
+	}
+	if proposal.Base != current.Version {
+		return proposal, current, &ConflictError{Base: proposal.Base, Current: current.Version}
+	}
+	proposal.State = RolledOut
+	proposal.RolledOutBy = operator
+	proposal.RollOutAttempt = attempt
+	next := proposal.Bundle
+	next.Version = current.Version + 1
+	return proposal, next, nil
+}
+
+// Reject returns the proposal turned down. Nothing in force changes.
+func Reject(proposal Proposal, operator, attempt string) (Proposal, error) {
+	if operator == "" {
+		return proposal, ErrOperator
+	}
+	if proposal.State != Proposed && proposal.State != SignedOff {
+		return proposal, ErrState
+	}
+	proposal.State = Rejected
+	proposal.RejectedBy = operator
+	proposal.RejectAttempt = attempt
+	return proposal, nil
+}
--- /dev/null
+++ b/decision/bundle/normalise.go
@@ -0,0 +1,30 @@
+package bundle
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/figring/figring/model"
+)
+
+// normalise returns a deep copy of b with sorted lists and lower-case token
+// hashes, so that equal bundles have equal JSON and tokens are found.
+func normalise(b model.Bundle) model.Bundle {
+	b.ClosedZones = sorted(b.ClosedZones)
+	b.DrainedTargets = sorted(b.DrainedTargets)
+	b.DrainedEntries = sorted(b.DrainedEntries)
+	b.Callers = append([]model.Caller{}, b.Callers...)
+	for i := range b.Callers {
+		b.Callers[i].TokenHash = strings.ToLower(b.Callers[i].TokenHash)
+	}
+	slices.SortStableFunc(b.Callers, func(x, y model.Caller) int {
+		return strings.Compare(x.Name, y.Name)
+	})
+	return b
+}
+
+func sorted(names []string) []string {
+	copied := append([]string{}, names...)
+	slices.Sort(copied)
+	return copied
+}
--- /dev/null
+++ b/decision/bundle/open_zone.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// OpenZone takes an availability zone back in.
+type OpenZone struct {
+	Zone string
+}
+
+// Emergency implements Edit.
+func (e OpenZone) Emergency() bool { return true }
+
+// TakesOut implements Edit.
+func (e OpenZone) TakesOut() bool { return false }
+
+func (e OpenZone) apply(b *model.Bundle) {
+	b.ClosedZones = without(b.ClosedZones, e.Zone)
+}
+
+func (e OpenZone) check(rules Rules) error {
+	return rules.checkZone("zone", e.Zone)
+}
--- /dev/null
+++ b/decision/bundle/remove_caller.go
@@ -0,0 +1,26 @@
+package bundle
+
+import (
+	"slices"
+
+	"github.com/figring/figring/model"
+)
+
+// RemoveCaller ends a caller's right to submit work.
+type RemoveCaller struct {
+	Name string
+}
+
+// Emergency implements Edit.
+func (e RemoveCaller) Emergency() bool { return false }
+
+// TakesOut implements Edit.
+func (e RemoveCaller) TakesOut() bool { return false }
+
+func (e RemoveCaller) apply(b *model.Bundle) {
+	b.Callers = slices.DeleteFunc(b.Callers, func(one model.Caller) bool { return one.Name == e.Name })
+}
+
+func (e RemoveCaller) check(Rules) error {
+	return checkName("name", e.Name)
+}
--- /dev/null
+++ b/decision/bundle/rules.go
@@ -0,0 +1,114 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/figring/figring/model"
+)
+
+// MaxNames bounds each list of names in a bundle.
+const MaxNames = 4096
+
+// maxNameBytes bounds the name of a sidecar, an entry or a zone.
+const maxNameBytes = 128
+
+var fieldRules = validator.New(validator.WithRequiredStructEnabled())
+
+// Rules holds what a bundle is checked against.
+type Rules struct {
+	// Zones lists the availability zones that exist.
+	Zones []string
+}
+
+// Validate returns an InvalidError for the first rule that the bundle breaks.
+func (r Rules) Validate(b model.Bundle) error {
+	for i, zone := range b.ClosedZones {
+		if err := r.checkZone(fmt.Sprintf("closedZones[%d]", i), zone); err != nil {
+			return err
+		}
+	}
+	if err := checkNames("closedZones", b.ClosedZones); err != nil {
+		return err
+	}
+	if err := checkNames("drainedTargets", b.DrainedTargets); err != nil {
+		return err
+	}
+	if err := checkNames("drainedEntries", b.DrainedEntries); err != nil {
+		return err
+	}
+	if err := checkCallers(b.Callers); err != nil {
+		return err
+	}
+	return checkFields("limits", b.Limits)
+}
+
+func (r Rules) checkZone(field, zone string) error {
+	if slices.Contains(r.Zones, zone) {
+		return nil
+	}
+	return &InvalidError{Field: field, Allowed: fmt.Sprintf("unknown zone %q, want one of %q", zone, r.Zones)}
+}
+
+func checkNames(field string, names []string) error {
+	if len(names) > MaxNames {
+		return &InvalidError{Field: field, Allowed: fmt.Sprintf("at most %d names", MaxNames)}
+	}
+	seen := make(map[string]bool, len(names))
+	for i, name := range names {
+		path := fmt.Sprintf("%s[%d]", field, i)
+		if err := checkName(path, name); err != nil {
+			return err
+		}
+		if seen[name] {
+			return &InvalidError{Field: path, Allowed: fmt.Sprintf("%q stands twice", name)}
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
+func checkName(field, name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return &InvalidError{Field: field, Allowed: fmt.Sprintf("a name of 1 to %d bytes", maxNameBytes)}
+	}
+	return nil
+}
+
+func checkCallers(callers []model.Caller) error {
+	names := make(map[string]bool, len(callers))
+	hashes := make(map[string]bool, len(callers))
+	for i, caller := range callers {
+		path := fmt.Sprintf("callers[%d]", i)
+		if err := checkFields(path, caller); err != nil {
+			return err
+		}
+		if names[caller.Name] {
+			return &InvalidError{Field: path + ".name", Allowed: fmt.Sprintf("%q stands twice", caller.Name)}
+		}
+		if caller.TokenHash != "" && hashes[caller.TokenHash] {
+			return &InvalidError{Field: path + ".tokenHash", Allowed: "a token of its own"}
+		}
+		names[caller.Name] = true
+		hashes[caller.TokenHash] = true
+	}
+	return nil
+}
+
+func checkFields(path string, value any) error {
+	err := fieldRules.Struct(value)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return err
+	}
+	first := failures[0]
+	field := path + "." + lowerFirst(first.Field())
+	return &InvalidError{Field: field, Allowed: fmt.Sprintf("want %s %s", first.Tag(), first.Param())}
+}
+
+func lowerFirst(name string) string {
+	return string(name[0]|0x20) + name[1:]
+}
--- /dev/null
+++ b/decision/bundle/set_limits.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// SetLimits replaces the bounds that apply to every caller.
+type SetLimits struct {
+	Limits model.Limits
+}
+
+// Emergency implements Edit.
+func (e SetLimits) Emergency() bool { return false }
+
+// TakesOut implements Edit.
+func (e SetLimits) TakesOut() bool { return false }
+
+func (e SetLimits) apply(b *model.Bundle) {
+	b.Limits = e.Limits
+}
+
+func (e SetLimits) check(Rules) error {
+	return checkFields("limits", e.Limits)
+}
--- /dev/null
+++ b/decision/bundle/undrain_target.go
@@ -0,0 +1,22 @@
+package bundle
+
+import "github.com/figring/figring/model"
+
+// UndrainTarget lets a drained sidecar get work again.
+type UndrainTarget struct {
+	Target string
+}
+
+// Emergency implements Edit.
+func (e UndrainTarget) Emergency() bool { return true }
+
+// TakesOut implements Edit.
+func (e UndrainTarget) TakesOut() bool { return false }
+
+func (e UndrainTarget) apply(b *model.Bundle) {
+	b.DrainedTargets = without(b.DrainedTargets, e.Target)
+}
+
+func (e UndrainTarget) check(Rules) error {
+	return checkName("target", e.Target)
+}
--- /dev/null
+++ b/decision/bundle/view_test.go
@@ -0,0 +1,62 @@
+package bundle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/figring/figring/model"
+)
+
+func TestViewIsFreshForTheBundlesTime(t *testing.T) {
+	sent := time.Unix(100, 0)
+	view, dropped := View{}.Observe(model.Bundle{Version: 1}, sent)
+	must.False(t, dropped)
+	_, ok := view.Act(sent.Add(model.BundleTTL - 1))
+	must.True(t, ok)
+	_, ok = view.Act(sent.Add(model.BundleTTL))
+	must.False(t, ok)
+	_, ok = View{}.Act(sent)
+	must.False(t, ok)
+}
+
+// TestViewNeverActsOnAnOldVersionPastTheBound accepts versions at random times
+// and delivers reads of them in random order. A read returns a version that was
+// in force at some time after it was sent.
+func TestViewNeverActsOnAnOldVersionPastTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		accepted := []time.Time{start}
+		for range rapid.IntRange(1, 8).Draw(t, "versions") {
+			gap := time.Duration(rapid.IntRange(1, 3000).Draw(t, "gap")) * time.Millisecond
+			accepted = append(accepted, accepted[len(accepted)-1].Add(gap))
+		}
+		view := View{}
+		for range rapid.IntRange(1, 20).Draw(t, "reads") {
+			offset := rapid.IntRange(0, 12000).Draw(t, "sent")
+			sent := start.Add(time.Duration(offset) * time.Millisecond)
+			lag := time.Duration(rapid.IntRange(0, 2000).Draw(t, "lag")) * time.Millisecond
+			version := versionAt(accepted, sent.Add(lag))
+			before := view
+			view, _ = view.Observe(model.Bundle{Version: int64(version)}, sent)
+			must.GreaterEq(t, before.Bundle.Version, view.Bundle.Version)
+			must.False(t, view.FreshUntil.Before(before.FreshUntil))
+			if newer := int(view.Bundle.Version) + 1; newer < len(accepted) {
+				limit := accepted[newer].Add(model.BundleTTL)
+				must.False(t, view.FreshUntil.After(limit))
+			}
+		}
+	})
+}
+
+func versionAt(accepted []time.Time, at time.Time) int {
+	version := 0
+	for i, one := range accepted {
+		if !one.After(at) {
+			version = i
+		}
+	}
+	return version
+}
--- /dev/null
+++ b/rollout/attempt.go
@@ -0,0 +1,78 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/figring/figring/platform"
+)
+
+// settleWait is the pause between two tries to learn the outcome of a write.
+const settleWait = 100 * time.Millisecond
+
+// attempt is one transaction together with the way to recognise its effect.
+type attempt struct {
+	id  string
+	txn platform.Txn
+	// took reads whether this attempt's own write stands in the table.
+	took func(ctx context.Context) (bool, error)
+}
+
+// commit applies the transaction. After a lost reply it reads whether its own
+// write took effect. If not, the write may still be on its way, so commit sends
+// the same transaction again: its conditions let at most one of the two take
+// effect, and a failed condition followed by a read is a proof. It returns nil,
+// errLost or ErrUnavailable, which both mean that nothing was written, or an
+// UnknownError when ctx ended before the outcome was known.
+func (s store) commit(ctx context.Context, try attempt) error {
+	_, err := s.table.Commit(ctx, try.txn)
+	if !errors.Is(err, platform.ErrUnknownOutcome) {
+		return writeError(err)
+	}
+	for ctx.Err() == nil {
+		if took, readErr := try.took(ctx); readErr == nil && took {
+			return nil
+		}
+		_, err = s.table.Commit(ctx, try.txn)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			if took, readErr := try.took(ctx); readErr == nil {
+				return settled(took)
+			}
+		}
+		pause(ctx, settleWait)
+	}
+	return &UnknownError{Attempt: try.id, cause: errors.Join(err, ctx.Err())}
+}
+
+func settled(took bool) error {
+	if took {
+		return nil
+	}
+	return errLost
+}
+
+// writeError turns the error of a write whose outcome is known.
+func writeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		return errLost
+	default:
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/rollout/editor.go
@@ -0,0 +1,150 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// AnyVersion as the base of an edit means whatever version is in force.
+const AnyVersion int64 = -1
+
+// maxOvertaken is how often an edit without a base is tried again after
+// another change came first.
+const maxOvertaken = 16
+
+// Editor changes bundles on behalf of operators. Several editors in several
+// processes may race: the table decides.
+type Editor struct {
+	store   store
+	options EditorOptions
+}
+
+// NewEditor returns an editor of the bundles in table.
+func NewEditor(table platform.Table, options EditorOptions) *Editor {
+	return &Editor{store: store{table: table}, options: options.withDefaults()}
+}
+
+// Current returns the bundle in force as the table has it now.
+func (e *Editor) Current(ctx context.Context) (model.Bundle, error) {
+	current, _, err := e.store.current(ctx)
+	return current, err
+}
+
+// Edit puts an emergency edit in force. With a base other than AnyVersion, or
+// for an edit that puts something back into service, it fails with a
+// ConflictError when another change comes first; an edit that takes something
+// out is then tried again on top of the newer version.
+func (e *Editor) Edit(ctx context.Context, operator string, base int64, edit bundle.Edit) (Accepted, error) {
+	if operator == "" {
+		return Accepted{}, bundle.ErrOperator
+	}
+	if !edit.Emergency() {
+		return Accepted{}, ErrSignOffNeeded
+	}
+	seen := base
+	for range maxOvertaken {
+		current, row, err := e.store.current(ctx)
+		if err != nil {
+			return Accepted{}, err
+		}
+		if seen != AnyVersion && seen != current.Version {
+			return Accepted{}, &bundle.ConflictError{Base: seen, Current: current.Version}
+		}
+		if !edit.TakesOut() {
+			seen = current.Version
+		}
+		accepted, err := e.editOnce(ctx, operator, edit, current, row)
+		if !errors.Is(err, errLost) {
+			return accepted, err
+		}
+	}
+	return Accepted{}, ErrBusy
+}
+
+func (e *Editor) editOnce(ctx context.Context, operator string, edit bundle.Edit, current model.Bundle, row int64) (Accepted, error) {
+	next, changed, err := bundle.Next(current, edit, e.options.Rules)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if !changed {
+		return e.accepted(current.Version, ""), nil
+	}
+	entry := e.newEntry(operator, editName(edit), next)
+	return e.putInForce(ctx, row, entry)
+}
+
+// editName returns the name of the edit's type with its value.
+func editName(edit bundle.Edit) string {
+	return strings.TrimPrefix(fmt.Sprintf("%T%+v", edit, edit), "bundle.")
+}
+
+func (e *Editor) newEntry(operator, change string, next model.Bundle) HistoryEntry {
+	return HistoryEntry{
+		Version:  next.Version,
+		Attempt:  e.options.NewID(),
+		Operator: operator,
+		Change:   change,
+		At:       e.options.Now().UTC(),
+		Bundle:   next,
+	}
+}
+
+// putInForce writes the entry's bundle as the one in force, together with the
+// entry and the extra writes, on the condition that the row of the bundle in
+// force still has version row.
+func (e *Editor) putInForce(ctx context.Context, row int64, entry HistoryEntry, extra ...conditionalWrite) (Accepted, error) {
+	txn := platform.Txn{
+		Conditions: []platform.Condition{
+			{Key: CurrentKey, Version: row},
+			{Key: historyKey(entry.Version), Version: 0},
+		},
+		Writes: []platform.Write{
+			{Key: CurrentKey, Value: encode(entry.Bundle)},
+			{Key: historyKey(entry.Version), Value: encode(entry)},
+		},
+	}
+	for _, one := range extra {
+		txn.Conditions = append(txn.Conditions, one.condition)
+		txn.Writes = append(txn.Writes, one.write)
+	}
+	err := e.store.commit(ctx, attempt{id: entry.Attempt, txn: txn, took: e.entryTook(entry)})
+	if err != nil {
+		return Accepted{}, err
+	}
+	e.options.Announce(entry.Version)
+	return e.accepted(entry.Version, entry.Attempt), nil
+}
+
+// entryTook recognises the entry by its attempt. The entry of a version is
+// written once, so that it can't be lost again by a later change.
+func (e *Editor) entryTook(entry HistoryEntry) func(context.Context) (bool, error) {
+	return func(ctx context.Context) (bool, error) {
+		stored, err := e.store.entry(ctx, entry.Version)
+		if errors.Is(err, ErrNotFound) {
+			return false, nil
+		}
+		return stored.Attempt == entry.Attempt, err
+	}
+}
+
+func (e *Editor) accepted(version int64, attemptID string) Accepted {
+	return Accepted{
+		Version:   version,
+		Changed:   attemptID != "",
+		InForceBy: e.options.Now().Add(model.BundleTTL).Round(time.Millisecond),
+		Attempt:   attemptID,
+	}
+}
+
+// conditionalWrite is a write with the condition on the same row.
+type conditionalWrite struct {
+	condition platform.Condition
+	write     platform.Write
+}
--- /dev/null
+++ b/rollout/editor_list.go
@@ -0,0 +1,58 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/figring/figring/decision/bundle"
+)
+
+// MaxPage is the largest number of rows in one listing.
+const MaxPage = 200
+
+// Proposal returns one proposal.
+func (e *Editor) Proposal(ctx context.Context, id string) (bundle.Proposal, error) {
+	proposal, _, err := e.store.proposal(ctx, id)
+	return proposal, err
+}
+
+// List returns at most limit proposals whose identifiers are not less than
+// from, in order of identifier.
+func (e *Editor) List(ctx context.Context, from string, limit int) ([]bundle.Proposal, error) {
+	page, err := e.store.table.List(ctx, proposalPrefix, proposalKey(from), pageSize(limit))
+	if err != nil {
+		return nil, readError(err)
+	}
+	proposals := make([]bundle.Proposal, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		decoded, err := decodeProposal(row.Value)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", row.Key, err)
+		}
+		proposals = append(proposals, decoded)
+	}
+	return proposals, nil
+}
+
+// History returns at most limit accepted versions, from the version from on,
+// in ascending order.
+func (e *Editor) History(ctx context.Context, from int64, limit int) ([]HistoryEntry, error) {
+	page, err := e.store.table.List(ctx, historyPrefix, historyKey(max(from, 0)), pageSize(limit))
+	if err != nil {
+		return nil, readError(err)
+	}
+	entries := make([]HistoryEntry, len(page.Rows))
+	for i, row := range page.Rows {
+		if err := decodeRow(row.Value, &entries[i]); err != nil {
+			return nil, fmt.Errorf("%s: %w", row.Key, err)
+		}
+	}
+	return entries, nil
+}
+
+func pageSize(limit int) int {
+	if limit < 1 || limit > MaxPage {
+		return MaxPage
+	}
+	return limit
+}
--- /dev/null
+++ b/rollout/editor_options.go
@@ -0,0 +1,34 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/figring/figring/decision/bundle"
+)
+
+// EditorOptions configures an Editor.
+type EditorOptions struct {
+	// Rules holds the zones that exist.
+	Rules bundle.Rules
+	// Announce is called after each accepted change with its version, so that
+	// others read at once instead of at their next poll. It must not block.
+	Announce func(version int64)
+	// Now and NewID default to time.Now and random UUIDs.
+	Now   func() time.Time
+	NewID func() string
+}
+
+func (o EditorOptions) withDefaults() EditorOptions {
+	if o.Announce == nil {
+		o.Announce = func(int64) {}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = uuid.NewString
+	}
+	return o
+}
--- /dev/null
+++ b/rollout/editor_test.go
@@ -0,0 +1,233 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+var testRules = bundle.Rules{Zones: []string{"schwabing", "maxvorstadt", "garching"}}
+
+func newTestEditor(table *fakeTable, announced func(int64)) *Editor {
+	return NewEditor(table, EditorOptions{Rules: testRules, Announce: announced})
+}
+
+func signedOff(t *testing.T, e *Editor, base int64, next model.Bundle) string {
+	t.Helper()
+	proposal, err := e.Propose(t.Context(), "anna", base, next)
+	must.NoError(t, err)
+	_, err = e.SignOff(t.Context(), "bert", proposal.ID)
+	must.NoError(t, err)
+	return proposal.ID
+}
+
+func TestRacingRollOutsHaveOneWinner(t *testing.T) {
+	const operators = 8
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	ids := make([]string, operators)
+	for i := range ids {
+		ids[i] = signedOff(t, editor, 0, model.Bundle{Limits: model.Limits{QueuedTasks: i + 1}})
+	}
+	results := make([]error, operators)
+	var wait sync.WaitGroup
+	for i, id := range ids {
+		wait.Go(func() { _, results[i] = newTestEditor(table, nil).RollOut(t.Context(), "anna", id) })
+	}
+	wait.Wait()
+	winners := 0
+	for _, err := range results {
+		var conflict *bundle.ConflictError
+		if err == nil {
+			winners++
+			continue
+		}
+		must.ErrorAs[*bundle.ConflictError](t, err, &conflict)
+		must.EqOp(t, 1, conflict.Current)
+	}
+	must.EqOp(t, 1, winners)
+	current, err := editor.Current(t.Context())
+	must.NoError(t, err)
+	must.EqOp(t, 1, current.Version)
+}
+
+func TestRacingClosuresAreAllAccepted(t *testing.T) {
+	table := newFakeTable()
+	var wait sync.WaitGroup
+	for _, zone := range testRules.Zones {
+		wait.Go(func() {
+			_, err := newTestEditor(table, nil).Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: zone})
+			must.NoError(t, err)
+		})
+	}
+	wait.Wait()
+	current, err := newTestEditor(table, nil).Current(t.Context())
+	must.NoError(t, err)
+	must.SliceContainsAll(t, current.ClosedZones, testRules.Zones)
+	must.EqOp(t, int64(len(testRules.Zones)), current.Version)
+}
+
+func TestEditOnAnOldBaseConflicts(t *testing.T) {
+	editor := newTestEditor(newFakeTable(), nil)
+	_, err := editor.Edit(t.Context(), "anna", 0, bundle.CloseZone{Zone: "garching"})
+	must.NoError(t, err)
+	_, err = editor.Edit(t.Context(), "bert", 0, bundle.OpenZone{Zone: "garching"})
+	var conflict *bundle.ConflictError
+	must.ErrorAs[*bundle.ConflictError](t, err, &conflict)
+	must.EqOp(t, 1, conflict.Current)
+	_, err = editor.Edit(t.Context(), "bert", AnyVersion, bundle.SetLimits{})
+	must.ErrorIs(t, err, ErrSignOffNeeded)
+}
+
+func TestEditThatChangesNothingWritesNothing(t *testing.T) {
+	announced := 0
+	editor := newTestEditor(newFakeTable(), func(int64) { announced++ })
+	accepted, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.OpenZone{Zone: "garching"})
+	must.NoError(t, err)
+	must.False(t, accepted.Changed)
+	must.EqOp(t, 0, accepted.Version)
+	must.EqOp(t, 0, announced)
+}
+
+// TestLostReplies puts each fault on the last transaction of each step.
+func TestLostReplies(t *testing.T) {
+	steps := map[string]func(*Editor, *fakeTable, fault) error{
+		"edit": func(e *Editor, table *fakeTable, f fault) error {
+			table.commits = []fault{f}
+			_, err := e.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+			return err
+		},
+		"propose": func(e *Editor, table *fakeTable, f fault) error {
+			table.commits = []fault{f}
+			_, err := e.Propose(t.Context(), "anna", 0, model.Bundle{})
+			return err
+		},
+		"sign off": func(e *Editor, table *fakeTable, f fault) error {
+			table.commits = []fault{faultNone, f}
+			proposal, err := e.Propose(t.Context(), "anna", 0, model.Bundle{})
+			must.NoError(t, err)
+			_, err = e.SignOff(t.Context(), "bert", proposal.ID)
+			return err
+		},
+		"reject": func(e *Editor, table *fakeTable, f fault) error {
+			table.commits = []fault{faultNone, f}
+			proposal, err := e.Propose(t.Context(), "anna", 0, model.Bundle{})
+			must.NoError(t, err)
+			_, err = e.Reject(t.Context(), "bert", proposal.ID)
+			return err
+		},
+		"roll out": func(e *Editor, table *fakeTable, f fault) error {
+			table.commits = []fault{faultNone, faultNone, f}
+			_, err := e.RollOut(t.Context(), "anna", signedOff(t, e, 0, model.Bundle{}))
+			return err
+		},
+	}
+	for name, step := range steps {
+		for _, one := range []fault{faultLostReply, faultLostRequest, faultLate} {
+			t.Run(fmt.Sprintf("%s/%d", name, one), func(t *testing.T) {
+				table := newFakeTable()
+				must.NoError(t, step(newTestEditor(table, nil), table, one))
+				history, err := newTestEditor(table, nil).History(t.Context(), 0, 0)
+				must.NoError(t, err)
+				must.LessEq(t, 1, len(history))
+			})
+		}
+		t.Run(name+"/out", func(t *testing.T) {
+			table := newFakeTable()
+			err := step(newTestEditor(table, nil), table, faultOut)
+			must.ErrorIs(t, err, ErrUnavailable)
+			must.False(t, errors.Is(err, ErrOutcomeUnknown))
+		})
+	}
+}
+
+func TestUnknownOutcomeIsNeverCalledFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		editor := newTestEditor(table, nil)
+		table.commits = []fault{faultLostReply}
+		for range 100 {
+			table.commits = append(table.commits, faultOut)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		cut := &cutAfterCommit{fakeTable: table}
+		editor.store.table = cut
+		_, err := editor.Edit(ctx, "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+		var unknown *UnknownError
+		must.ErrorAs[*UnknownError](t, err, &unknown)
+		must.ErrorIs(t, err, ErrOutcomeUnknown)
+		must.False(t, errors.Is(err, ErrUnavailable))
+
+		table.setOut(false)
+		history, err := newTestEditor(table, nil).History(t.Context(), 0, 0)
+		must.NoError(t, err)
+		must.EqOp(t, unknown.Attempt, history[0].Attempt)
+	})
+}
+
+// cutAfterCommit loses the store with the first commit's reply.
+type cutAfterCommit struct {
+	*fakeTable
+}
+
+func (c *cutAfterCommit) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+	versions, err := c.fakeTable.Commit(ctx, txn)
+	c.setOut(true)
+	return versions, err
+}
+
+func TestLosingARaceAfterALostRequestIsAConflict(t *testing.T) {
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	id := signedOff(t, editor, 0, model.Bundle{})
+	table.commits = []fault{faultLostRequest, faultLostRequest}
+	rival := newTestEditor(table, nil)
+	editor.options.NewID = func() string { return "mine" }
+	other := signedOffQuietly(t, table, rival)
+	_, err := rival.RollOut(t.Context(), "anna", other)
+	must.NoError(t, err)
+	_, err = editor.RollOut(t.Context(), "anna", id)
+	var conflict *bundle.ConflictError
+	must.ErrorAs[*bundle.ConflictError](t, err, &conflict)
+	must.EqOp(t, 1, conflict.Current)
+}
+
+// signedOffQuietly makes a proposal without using up scripted faults.
+func signedOffQuietly(t *testing.T, table *fakeTable, e *Editor) string {
+	t.Helper()
+	script := table.commits
+	table.commits = nil
+	defer func() { table.commits = script }()
+	return signedOff(t, e, 0, model.Bundle{})
+}
+
+func TestAnnounceComesOncePerAcceptedVersion(t *testing.T) {
+	var announced []int64
+	table := newFakeTable()
+	editor := newTestEditor(table, func(version int64) { announced = append(announced, version) })
+	table.commits = []fault{faultLostReply}
+	_, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+	must.NoError(t, err)
+	_, err = editor.RollOut(t.Context(), "bert", signedOff(t, editor, 1, model.Bundle{}))
+	must.NoError(t, err)
+	must.Eq(t, []int64{1, 2}, announced)
+
+	history, err := editor.History(t.Context(), 0, 0)
+	must.NoError(t, err)
+	must.EqOp(t, "CloseZone{Zone:garching}", history[0].Change)
+	must.EqOp(t, "RollOut", history[1].Change)
+	list, err := editor.List(t.Context(), "", 0)
+	must.NoError(t, err)
+	must.EqOp(t, bundle.RolledOut, list[0].State)
+}
--- /dev/null
+++ b/rollout/errors.go
@@ -0,0 +1,47 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+)
+
+// The errors of this package, besides those of package decision/bundle.
+var (
+	// ErrUnavailable means that the store can't be reached and that nothing
+	// was changed.
+	ErrUnavailable = errors.New("bundle store unavailable")
+	// ErrOutcomeUnknown means that a change may have been accepted. The
+	// history tells once the store answers; see UnknownError.
+	ErrOutcomeUnknown = errors.New("outcome of the bundle change unknown")
+	// ErrNotFound means that no such proposal or version exists.
+	ErrNotFound = errors.New("bundle proposal not found")
+	// ErrCorrupt means that a row in the store isn't what this package writes.
+	ErrCorrupt = errors.New("bundle row corrupt")
+	// ErrSignOffNeeded means that the edit needs a second operator.
+	ErrSignOffNeeded = errors.New("the edit needs the sign-off of a second operator")
+	// ErrBusy means that other changes kept overtaking this one, which had no
+	// effect.
+	ErrBusy = errors.New("bundle changed by others at every attempt")
+
+	// errLost means that a condition of the transaction didn't hold and that
+	// nothing was written.
+	errLost = errors.New("condition of the bundle change did not hold")
+)
+
+// UnknownError names the write whose outcome is unknown.
+type UnknownError struct {
+	// Attempt stands in the row that the write would have made.
+	Attempt string
+	cause   error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%v (attempt %s): %v", ErrOutcomeUnknown, e.Attempt, e.cause)
+}
+
+// Is makes errors.Is(err, ErrOutcomeUnknown) hold.
+func (e *UnknownError) Is(target error) bool { return target == ErrOutcomeUnknown }
+
+// Unwrap returns the last error of the store or of the context.
+func (e *UnknownError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/rollout/fake_test.go
@@ -0,0 +1,164 @@
+package rollout
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figring/figring/platform"
+)
+
+// fault is what happens to one call of the fake table.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultOut refuses the call before any effect.
+	faultOut
+	// faultLostReply applies the write and reports an unknown outcome.
+	faultLostReply
+	// faultLostRequest drops the write and reports an unknown outcome.
+	faultLostRequest
+	// faultLate reports an unknown outcome and applies the write at the next
+	// commit, just before that one.
+	faultLate
+)
+
+// fakeTable is a table in memory with scripted delays and faults.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	version  int64
+	commits  []fault
+	out      bool
+	late     *platform.Txn
+	inFlight int
+	most     int
+	// latency delays the reply of the n-th read, counted from 0, after the
+	// read has taken its value.
+	latency func(n int) time.Duration
+	reads   int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{
+		rows:    make(map[string]platform.Row),
+		latency: func(int) time.Duration { return 0 },
+	}
+}
+
+func (f *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	row, found, out, latency := f.begin(key)
+	defer f.end()
+	if latency > 0 {
+		pause(ctx, latency)
+	}
+	switch {
+	case out || ctx.Err() != nil:
+		return platform.Row{}, platform.ErrUnavailable
+	case !found:
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) begin(key string) (platform.Row, bool, bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latency := f.latency(f.reads)
+	f.reads++
+	f.inFlight++
+	f.most = max(f.most, f.inFlight)
+	row, found := f.rows[key]
+	return row, found, f.out, latency
+}
+
+func (f *fakeTable) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight--
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (platform.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.out {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	var page platform.Page
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
+	page.Rows = page.Rows[:min(limit, len(page.Rows))]
+	return page, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late != nil {
+		_, _ = f.apply(*f.late)
+		f.late = nil
+	}
+	switch f.nextFault() {
+	case faultOut:
+		return nil, platform.ErrUnavailable
+	case faultLostReply:
+		_, _ = f.apply(txn)
+		return nil, platform.ErrUnknownOutcome
+	case faultLostRequest:
+		return nil, platform.ErrUnknownOutcome
+	case faultLate:
+		f.late = &txn
+		return nil, platform.ErrUnknownOutcome
+	}
+	return f.apply(txn)
+}
+
+func (f *fakeTable) nextFault() fault {
+	if f.out {
+		return faultOut
+	}
+	if len(f.commits) == 0 {
+		return faultNone
+	}
+	next := f.commits[0]
+	f.commits = f.commits[1:]
+	return next
+}
+
+func (f *fakeTable) apply(txn platform.Txn) ([]int64, error) {
+	for _, condition := range txn.Conditions {
+		if f.rows[condition.Key].Version != condition.Version {
+			return nil, platform.ErrConflict
+		}
+	}
+	versions := make([]int64, len(txn.Writes))
+	for i, write := range txn.Writes {
+		f.version++
+		versions[i] = f.version
+		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: f.version}
+	}
+	return versions, nil
+}
+
+func (f *fakeTable) setOut(out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.out = out
+}
+
+func row(value string) platform.Row {
+	return platform.Row{Key: CurrentKey, Value: []byte(value), Version: 1}
+}
+
+func (f *fakeTable) mostInFlight() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.most
+}
--- /dev/null
+++ b/rollout/history.go
@@ -0,0 +1,23 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/figring/figring/model"
+)
+
+// HistoryEntry is the audit record of one accepted version. It is written in
+// the transaction that puts the version in force, and never changed.
+type HistoryEntry struct {
+	Version int64 `json:"version"`
+	// Attempt names the write, so that its writer recognises it.
+	Attempt  string `json:"attempt"`
+	Operator string `json:"operator"`
+	// Change names the edit, or is "RollOut".
+	Change string `json:"change"`
+	// Proposal is the proposal that was rolled out, or empty.
+	Proposal string `json:"proposal,omitempty"`
+	// At is the wall-clock time of the editor just before the write.
+	At     time.Time    `json:"at"`
+	Bundle model.Bundle `json:"bundle"`
+}
--- /dev/null
+++ b/rollout/watcher.go
@@ -0,0 +1,179 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// maxReads bounds the reads in flight. With one read each model.BundlePoll they
+// cover a read time of 3 s, longer than any read is of use.
+const maxReads = 6
+
+// readTimeout ends a read that could no longer give a fresh view.
+const readTimeout = model.BundleTTL
+
+// Watcher polls the bundle in force and tells listeners of each new version. A
+// read starts at every poll, also while earlier ones are in flight, so that a
+// slow store delays the view but doesn't make it stale.
+type Watcher struct {
+	store   store
+	options Options
+	reads   chan struct{}
+
+	readCount, readErrors, skipped, older, versions tally.Counter
+
+	// order serialises the deliveries to listeners; it is taken before mu.
+	order     sync.Mutex
+	listeners []func(model.Bundle)
+
+	mu    sync.Mutex
+	known bool
+	view  bundle.View
+	fresh bool
+}
+
+// New returns a watcher of the bundle in table. Run starts it.
+func New(table platform.Table, options Options) *Watcher {
+	options = options.withDefaults()
+	return &Watcher{
+		store:      store{table: table},
+		options:    options,
+		reads:      make(chan struct{}, maxReads),
+		readCount:  options.Scope.Counter("bundle_reads"),
+		readErrors: options.Scope.Counter("bundle_read_errors"),
+		skipped:    options.Scope.Counter("bundle_reads_skipped"),
+		older:      options.Scope.Counter("bundle_older_dropped"),
+		versions:   options.Scope.Counter("bundle_versions"),
+	}
+}
+
+// Run polls until ctx ends and returns when its last read is over.
+func (w *Watcher) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	ticker := time.NewTicker(model.BundlePoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		w.poll(ctx, &wait)
+		w.noteFreshness()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// poll starts a read unless maxReads are in flight.
+func (w *Watcher) poll(ctx context.Context, wait *sync.WaitGroup) {
+	select {
+	case w.reads <- struct{}{}:
+	default:
+		w.skipped.Inc(1)
+		return
+	}
+	wait.Go(func() {
+		defer w.release()
+		_ = w.read(ctx)
+	})
+}
+
+func (w *Watcher) release() { <-w.reads }
+
+// ReadNow reads the table at once and returns the version that the process
+// acts on after it. Every listener has then been told of that version.
+func (w *Watcher) ReadNow(ctx context.Context) (int64, error) {
+	select {
+	case w.reads <- struct{}{}:
+	case <-ctx.Done():
+		return w.View().Bundle.Version, ctx.Err()
+	}
+	defer w.release()
+	err := w.read(ctx)
+	return w.View().Bundle.Version, err
+}
+
+// View returns the bundle in force as last read. Whoever acts on it asks
+// View.Act at the last step before the effect.
+func (w *Watcher) View() bundle.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+// Subscribe calls listener once for each new version that is read, in
+// ascending order, and at once for the one already known. Calls never overlap;
+// a listener must return quickly and must not call ReadNow or Subscribe.
+func (w *Watcher) Subscribe(listener func(model.Bundle)) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	w.listeners = append(w.listeners, listener)
+	w.mu.Lock()
+	known, current := w.known, w.view.Bundle
+	w.mu.Unlock()
+	if known {
+		listener(current)
+	}
+}
+
+// read reads the bundle once. Freshness counts from before the request.
+func (w *Watcher) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := w.options.Now()
+	w.readCount.Inc(1)
+	incoming, _, err := w.store.current(ctx)
+	if err != nil {
+		w.readErrors.Inc(1)
+		return err
+	}
+	w.accept(incoming, sent)
+	return nil
+}
+
+// accept takes a read into the view and tells the listeners of a new version.
+func (w *Watcher) accept(incoming model.Bundle, sent time.Time) {
+	w.order.Lock()
+	defer w.order.Unlock()
+	if !w.observe(incoming, sent) {
+		return
+	}
+	w.versions.Inc(1)
+	w.options.Logger.Info().Int64("version", incoming.Version).Msg("bundle in force")
+	for _, listener := range w.listeners {
+		listener(incoming)
+	}
+}
+
+// observe updates the view and reports whether incoming is a new version.
+func (w *Watcher) observe(incoming model.Bundle, sent time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next, dropped := w.view.Observe(incoming, sent)
+	if dropped {
+		w.older.Inc(1)
+		return false
+	}
+	isNew := !w.known || next.Bundle.Version > w.view.Bundle.Version
+	w.known = true
+	w.view = next
+	return isNew
+}
+
+// noteFreshness logs when the view becomes fresh or stale.
+func (w *Watcher) noteFreshness() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, fresh := w.view.Act(w.options.Now())
+	if fresh == w.fresh {
+		return
+	}
+	w.fresh = fresh
+	w.options.Logger.Info().Int64("version", w.view.Bundle.Version).Bool("fresh", fresh).Msg("bundle freshness changed")
+}
