Start-up settings as JSON with comments, and TLS from files

A wrong setting has to stop a process before it starts and say where it stands. encoding/json names no path for an unknown field or for a text that doesn't parse, so the decoded value is compared with the type first. Every error names the file, the path of the field and what is allowed.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// namePattern is what the name of a process, zone, rack or worker looks like.
+// Names stand in keys of the table and in paths of URLs.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+var fieldRules = newFieldRules()
+
+func newFieldRules() *validator.Validate {
+	rules := validator.New(validator.WithRequiredStructEnabled())
+	rules.RegisterTagNameFunc(jsonName)
+	mustRegister(rules.RegisterValidation("name", func(field validator.FieldLevel) bool {
+		return namePattern.MatchString(field.Field().String())
+	}))
+	mustRegister(rules.RegisterValidation("listen", func(field validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(field.Field().String())
+		return err == nil
+	}))
+	mustRegister(rules.RegisterValidation("address", func(field validator.FieldLevel) bool {
+		address, err := netip.ParseAddrPort(field.Field().String())
+		return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
+	}))
+	return rules
+}
+
+// mustRegister ends the program on a rule that can't be registered, which no input
+// causes.
+func mustRegister(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// checkFields checks each field by its own rule.
+func checkFields(target any) error {
+	err := fieldRules.Struct(target)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return err
+	}
+	first := failures[0]
+	_, path, _ := strings.Cut(first.Namespace(), ".")
+	return &Error{Field: path, Allowed: allowed(first)}
+}
+
+// allowed says what a rule allows.
+func allowed(failure validator.FieldError) string {
+	switch failure.Tag() {
+	case "required", "required_with":
+		return "must be set"
+	case "oneof":
+		return fmt.Sprintf("%q is not one of: %s", failure.Value(), failure.Param())
+	case "min":
+		return fmt.Sprintf("%v is too small, want at least %s", failure.Value(), failure.Param())
+	case "max":
+		return fmt.Sprintf("%v is too large, want at most %s", failure.Value(), failure.Param())
+	case "name":
+		return fmt.Sprintf("%q is not a name: 1 to 64 letters, digits, dots, dashes or underscores", failure.Value())
+	case "listen":
+		return fmt.Sprintf("%q is not an IP number with a port, such as \"127.0.0.1:8080\"", failure.Value())
+	case "address":
+		return fmt.Sprintf("%q is not an IP number with a port that others can dial", failure.Value())
+	case "unique":
+		return "an item stands twice"
+	default:
+		return fmt.Sprintf("%q breaks the rule %s %s", failure.Value(), failure.Tag(), failure.Param())
+	}
+}
--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"reflect"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxFileBytes bounds the size of a settings file.
+const MaxFileBytes = 8 << 20
+
+// load reads the file into target, which holds the defaults, and checks it.
+func load(path string, target any) error {
+	raw, err := readFile(path)
+	if err != nil {
+		return &Error{File: path, Allowed: err.Error()}
+	}
+	return inFile(path, decode(raw, target))
+}
+
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
+	if err == nil && len(raw) > MaxFileBytes {
+		err = errors.New("the file is larger than 8 MiB")
+	}
+	return raw, err
+}
+
+// inFile adds the file's name to an Error.
+func inFile(path string, err error) error {
+	var withField *Error
+	if errors.As(err, &withField) {
+		withField.File = path
+	}
+	return err
+}
+
+// decode reads JSON with comments into target. Its errors are of type *Error.
+func decode(raw []byte, target any) error {
+	standard, err := hujson.Standardize(raw)
+	if err != nil {
+		return &Error{Allowed: err.Error()}
+	}
+	var tree any
+	if err := json.Unmarshal(standard, &tree); err != nil {
+		return &Error{Allowed: err.Error()}
+	}
+	if err := checkShape("", tree, reflect.TypeOf(target).Elem()); err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return &Error{Allowed: err.Error()}
+	}
+	return checkFields(target)
+}
--- /dev/null
+++ b/settings/duration.go
@@ -0,0 +1,29 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a length of time, written as a string with its unit: "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"250ms\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the duration as the standard library's type.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+// The ways of writing claims.
+const (
+	// ClaimsGrouped writes the claims of many jobs in one transaction.
+	ClaimsGrouped = "grouped"
+	// ClaimsByRow writes one row for each job.
+	ClaimsByRow = "row"
+)
+
+// The ways of choosing a sidecar.
+const (
+	RoutingExpected         = "expected"
+	RoutingRandom           = "random"
+	RoutingRoundRobin       = "round_robin"
+	RoutingLeastOutstanding = "least_outstanding"
+)
+
+// EntrySettings are the start-up settings of an entry.
+type EntrySettings struct {
+	Name   string `json:"name" validate:"name"`
+	Zone   string `json:"zone" validate:"name"`
+	Region string `json:"region" validate:"name"`
+	// Zones lists every availability zone that exists.
+	Zones []string `json:"zones" validate:"min=1,max=64,unique,dive,name"`
+
+	CallersListen   string `json:"callersListen" validate:"listen"`
+	OperatorsListen string `json:"operatorsListen" validate:"listen"`
+	RPCListen       string `json:"rpcListen" validate:"listen"`
+	// RPCAdvertise is the address that others dial; RPCListen by default.
+	RPCAdvertise string `json:"rpcAdvertise" validate:"omitempty,address"`
+	StatusListen string `json:"statusListen" validate:"listen"`
+
+	PlatformURL string `json:"platformURL" validate:"url"`
+	// Secret is shared by all processes; after loading it is set also when it
+	// came from SecretFile.
+	Secret     string     `json:"secret"`
+	SecretFile string     `json:"secretFile"`
+	TLS        TLS        `json:"tls"`
+	Operators  []Operator `json:"operators" validate:"max=1000,unique=Name,unique=TokenHash,dive"`
+
+	ClaimMode string `json:"claimMode" validate:"oneof=grouped row"`
+	Routing   string `json:"routing" validate:"oneof=expected random round_robin least_outstanding"`
+	LogLevel  string `json:"logLevel" validate:"oneof=debug info warn error"`
+	// ShutdownTimeout bounds the drain of a planned stop.
+	ShutdownTimeout Duration `json:"shutdownTimeout"`
+	// ReadyDelay is the time between reporting not ready and closing the
+	// listeners, in which the balancer takes the entry out.
+	ReadyDelay Duration `json:"readyDelay"`
+	// MaxBodyBytes bounds the body of one caller's request.
+	MaxBodyBytes int64 `json:"maxBodyBytes" validate:"min=1024,max=1073741824"`
+}
+
+// DefaultEntry returns the settings of an entry before a file is read.
+func DefaultEntry() EntrySettings {
+	return EntrySettings{
+		ClaimMode:       ClaimsGrouped,
+		Routing:         RoutingExpected,
+		LogLevel:        "info",
+		ShutdownTimeout: Duration(30 * time.Second),
+		ReadyDelay:      Duration(2 * time.Second),
+		MaxBodyBytes:    16 << 20,
+	}
+}
+
+// LoadEntry reads and checks the settings of an entry. Its errors are of type
+// *Error.
+func LoadEntry(path string) (EntrySettings, error) {
+	loaded := DefaultEntry()
+	if err := load(path, &loaded); err != nil {
+		return EntrySettings{}, err
+	}
+	if err := loaded.complete(filepath.Dir(path)); err != nil {
+		return EntrySettings{}, inFile(path, err)
+	}
+	return loaded, nil
+}
+
+// complete checks the fields against each other and resolves the files.
+func (s *EntrySettings) complete(dir string) error {
+	if !slices.Contains(s.Zones, s.Zone) {
+		return &Error{Field: "zone", Allowed: "must be one of zones"}
+	}
+	if err := checkListeners(s.listeners()); err != nil {
+		return err
+	}
+	if err := checkAdvertise(s.RPCListen, s.RPCAdvertise); err != nil {
+		return err
+	}
+	if s.RPCAdvertise == "" {
+		s.RPCAdvertise = s.RPCListen
+	}
+	if err := checkStop(s.ShutdownTimeout); err != nil {
+		return err
+	}
+	if s.ReadyDelay < 0 || s.ReadyDelay >= s.ShutdownTimeout {
+		return &Error{Field: "readyDelay", Allowed: "want at least 0s and less than shutdownTimeout"}
+	}
+	secret, err := resolveSecret(dir, s.Secret, s.SecretFile)
+	if err != nil {
+		return err
+	}
+	s.Secret = secret
+	return s.TLS.resolve(dir)
+}
+
+func (s *EntrySettings) listeners() []listener {
+	return []listener{
+		{"callersListen", s.CallersListen},
+		{"operatorsListen", s.OperatorsListen},
+		{"rpcListen", s.RPCListen},
+		{"statusListen", s.StatusListen},
+	}
+}
--- /dev/null
+++ b/settings/shape.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// checkShape compares a decoded JSON value with the Go type that it is meant
+// for, because the decoder's own errors don't say where an unknown field or a
+// wrong value stands.
+func checkShape(path string, value any, want reflect.Type) error {
+	if reflect.PointerTo(want).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		return checkText(path, value, want)
+	}
+	switch want.Kind() {
+	case reflect.Struct:
+		return checkObject(path, value, want)
+	case reflect.Slice:
+		return checkList(path, value, want)
+	default:
+		return checkScalar(path, value, want)
+	}
+}
+
+func checkText(path string, value any, want reflect.Type) error {
+	text, ok := value.(string)
+	if !ok {
+		return &Error{Field: path, Allowed: "want a string"}
+	}
+	into := reflect.New(want).Interface().(encoding.TextUnmarshaler)
+	if err := into.UnmarshalText([]byte(text)); err != nil {
+		return &Error{Field: path, Allowed: err.Error()}
+	}
+	return nil
+}
+
+func checkObject(path string, value any, want reflect.Type) error {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return &Error{Field: path, Allowed: "want an object"}
+	}
+	known := fieldTypes(want)
+	for _, name := range slices.Sorted(maps.Keys(object)) {
+		field := join(path, name)
+		wanted, ok := known[name]
+		if !ok {
+			return &Error{Field: field, Allowed: fmt.Sprintf("unknown setting, want one of %q", slices.Sorted(maps.Keys(known)))}
+		}
+		if err := checkShape(field, object[name], wanted); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkList(path string, value any, want reflect.Type) error {
+	list, ok := value.([]any)
+	if !ok {
+		return &Error{Field: path, Allowed: "want a list"}
+	}
+	for i, item := range list {
+		if err := checkShape(fmt.Sprintf("%s[%d]", path, i), item, want.Elem()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkScalar(path string, value any, want reflect.Type) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return &Error{Field: path, Allowed: err.Error()}
+	}
+	if value != nil && json.Unmarshal(raw, reflect.New(want).Interface()) == nil {
+		return nil
+	}
+	return &Error{Field: path, Allowed: fmt.Sprintf("want a value of type %s, not %s", want.Kind(), raw)}
+}
+
+// fieldTypes returns the fields of a struct by their names in JSON.
+func fieldTypes(want reflect.Type) map[string]reflect.Type {
+	known := make(map[string]reflect.Type, want.NumField())
+	for i := range want.NumField() {
+		field := want.Field(i)
+		if name := jsonName(field); name != "" {
+			known[name] = field.Type
+		}
+	}
+	return known
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/settings/sidecar.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"path/filepath"
+	"time"
+)
+
+// SidecarSettings are the start-up settings of a sidecar.
+type SidecarSettings struct {
+	Name   string `json:"name" validate:"name"`
+	Zone   string `json:"zone" validate:"name"`
+	Rack   string `json:"rack" validate:"name"`
+	Worker string `json:"worker" validate:"name"`
+
+	RPCListen string `json:"rpcListen" validate:"listen"`
+	// RPCAdvertise is the address that others dial; RPCListen by default.
+	RPCAdvertise string `json:"rpcAdvertise" validate:"omitempty,address"`
+	// AnnounceListen is where the minion announces itself.
+	AnnounceListen string `json:"announceListen" validate:"listen"`
+	StatusListen   string `json:"statusListen" validate:"listen"`
+
+	PlatformURL string `json:"platformURL" validate:"url"`
+	// Secret is shared by all processes; after loading it is set also when it
+	// came from SecretFile.
+	Secret     string `json:"secret"`
+	SecretFile string `json:"secretFile"`
+	TLS        TLS    `json:"tls"`
+
+	// QueueCapacity bounds the tasks that wait for a slot of the minion.
+	QueueCapacity int `json:"queueCapacity" validate:"min=0,max=65536"`
+	// RecordLimit bounds the records of started tasks that are kept.
+	RecordLimit int `json:"recordLimit" validate:"min=1000,max=100000000"`
+	// ResultBytes bounds the memory for results that may be asked for again.
+	ResultBytes int64 `json:"resultBytes" validate:"min=0,max=1099511627776"`
+	// EntriesPerSidecar is the number of entries that the sidecar connects to.
+	EntriesPerSidecar int `json:"entriesPerSidecar" validate:"min=1,max=1000"`
+
+	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
+	// ShutdownTimeout bounds the drain of a planned stop.
+	ShutdownTimeout Duration `json:"shutdownTimeout"`
+}
+
+// DefaultSidecar returns the settings of a sidecar before a file is read.
+func DefaultSidecar() SidecarSettings {
+	return SidecarSettings{
+		QueueCapacity:     8,
+		RecordLimit:       1_000_000,
+		ResultBytes:       64 << 20,
+		EntriesPerSidecar: 3,
+		LogLevel:          "info",
+		ShutdownTimeout:   Duration(30 * time.Second),
+	}
+}
+
+// LoadSidecar reads and checks the settings of a sidecar. Its errors are of
+// type *Error.
+func LoadSidecar(path string) (SidecarSettings, error) {
+	loaded := DefaultSidecar()
+	if err := load(path, &loaded); err != nil {
+		return SidecarSettings{}, err
+	}
+	if err := loaded.complete(filepath.Dir(path)); err != nil {
+		return SidecarSettings{}, inFile(path, err)
+	}
+	return loaded, nil
+}
+
+// complete checks the fields against each other and resolves the files.
+func (s *SidecarSettings) complete(dir string) error {
+	if err := checkListeners(s.listeners()); err != nil {
+		return err
+	}
+	if err := checkAdvertise(s.RPCListen, s.RPCAdvertise); err != nil {
+		return err
+	}
+	if s.RPCAdvertise == "" {
+		s.RPCAdvertise = s.RPCListen
+	}
+	if err := checkStop(s.ShutdownTimeout); err != nil {
+		return err
+	}
+	secret, err := resolveSecret(dir, s.Secret, s.SecretFile)
+	if err != nil {
+		return err
+	}
+	s.Secret = secret
+	return s.TLS.resolve(dir)
+}
+
+func (s *SidecarSettings) listeners() []listener {
+	return []listener{
+		{"rpcListen", s.RPCListen},
+		{"announceListen", s.AnnounceListen},
+		{"statusListen", s.StatusListen},
+	}
+}
--- /dev/null
+++ b/settings/stop.go
@@ -0,0 +1,16 @@
+package settings
+
+import "time"
+
+// The range of the time that a planned stop may take.
+const (
+	minShutdownTimeout = Duration(1 * time.Second)
+	maxShutdownTimeout = Duration(1 * time.Hour)
+)
+
+func checkStop(timeout Duration) error {
+	if timeout < minShutdownTimeout || timeout > maxShutdownTimeout {
+		return &Error{Field: "shutdownTimeout", Allowed: "want 1s to 1h"}
+	}
+	return nil
+}
