--- a/decision/bundle/view_test.go
+++ b/decision/bundle/view_test.go
@@ -60,3 +60,15 @@
 	}
 	return version
 }
+
+func TestApplyKeepsTheNewerBundle(t *testing.T) {
+	current := model.Bundle{Version: 3, ClosedZones: []string{"garching"}}
+	for _, version := range []int64{0, 2, 3} {
+		kept, changed := Apply(current, model.Bundle{Version: version})
+		must.False(t, changed)
+		must.Eq(t, current, kept)
+	}
+	next, changed := Apply(current, model.Bundle{Version: 9})
+	must.True(t, changed)
+	must.EqOp(t, 9, next.Version)
+}
--- a/rollout/editor_test.go
+++ b/rollout/editor_test.go
@@ -231,3 +231,33 @@
 	must.NoError(t, err)
 	must.EqOp(t, bundle.RolledOut, list[0].State)
 }
+
+// TestStaleWriteNeverReverts sends a write that rests on an old row after newer
+// versions came in force, with and without the audit row that it would repeat.
+func TestStaleWriteNeverReverts(t *testing.T) {
+	for _, pruned := range []bool{false, true} {
+		table := newFakeTable()
+		editor := newTestEditor(table, nil)
+		stale := editor.newEntry("bert", "stale", model.Bundle{Version: 1})
+		for _, zone := range []string{"garching", "schwabing"} {
+			_, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: zone})
+			must.NoError(t, err)
+		}
+		if pruned {
+			delete(table.rows, historyKey(1))
+		}
+		_, err := editor.putInForce(t.Context(), 0, stale)
+		must.ErrorIs(t, err, errLost)
+	}
+}
+
+// TestLostRowOfTheBundleInForceIsNotTakenForAFreshStart deletes the row.
+func TestLostRowOfTheBundleInForceIsNotTakenForAFreshStart(t *testing.T) {
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	_, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+	must.NoError(t, err)
+	delete(table.rows, CurrentKey)
+	_, err = editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "schwabing"})
+	must.ErrorIs(t, err, ErrBusy)
+}
--- a/rollout/watcher.go
+++ b/rollout/watcher.go
@@ -37,6 +37,7 @@
 	known bool
 	view  bundle.View
 	fresh bool
+	seen  sightings
 }
 
 // New returns a watcher of the bundle in table. Run starts it.
@@ -51,6 +52,7 @@
 		skipped:    options.Scope.Counter("bundle_reads_skipped"),
 		older:      options.Scope.Counter("bundle_older_dropped"),
 		versions:   options.Scope.Counter("bundle_versions"),
+		seen:       sightings{settled: -1},
 	}
 }
 
@@ -107,6 +109,17 @@
 	return w.view
 }
 
+// InForceEverywhere reports whether it is known that nothing in the system
+// rests on a version older than version any more. It turns true at the latest
+// model.BundleTTL + model.ClockMargin after this process first read version,
+// with or without an answer from the others.
+func (w *Watcher) InForceEverywhere(version int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seen.settle(w.options.Now())
+	return version <= w.seen.settled
+}
+
 // Subscribe calls listener once for each new version that is read, in
 // ascending order, and at once for the one already known. Calls never overlap;
 // a listener must return quickly and must not call ReadNow or Subscribe.
@@ -163,6 +176,9 @@
 	isNew := !w.known || next.Bundle.Version > w.view.Bundle.Version
 	w.known = true
 	w.view = next
+	if isNew {
+		w.seen.add(next.Bundle.Version, w.options.Now())
+	}
 	return isNew
 }
 
--- a/rollout/watcher_test.go
+++ b/rollout/watcher_test.go
@@ -193,3 +193,22 @@
 		must.False(t, fresh(w))
 	}
 }
+
+func TestVersionIsInForceEverywhereAfterTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(newFakeTable(), Options{})
+		must.False(t, w.InForceEverywhere(0))
+		w.accept(model.Bundle{Version: 4}, time.Now())
+		time.Sleep(time.Second)
+		w.accept(model.Bundle{Version: 5}, time.Now())
+		time.Sleep(inForceAfter - time.Second - 1)
+		must.False(t, w.InForceEverywhere(4))
+		time.Sleep(time.Nanosecond)
+		must.True(t, w.InForceEverywhere(3))
+		must.True(t, w.InForceEverywhere(4))
+		must.False(t, w.InForceEverywhere(5))
+		time.Sleep(time.Second)
+		must.True(t, w.InForceEverywhere(5))
+		must.False(t, w.InForceEverywhere(6))
+	})
+}
