Choose targets in decision/routing and eject failing ones in decision/ejection

No two racks match and declared run times lie, so the choice goes by measured speed and the tasks known to be at a target. A worker that fails every task looks the least loaded; it is taken out by comparison with the others at the same class, so that a job that fails everywhere ejects nobody.

--- /dev/null
+++ b/decision/ejection/state.go
@@ -0,0 +1,13 @@
+package ejection
+
+// State says whether a target may get work.
+type State uint8
+
+const (
+	// Open means that the target gets work as any other.
+	Open State = iota
+	// Ejected means that the target gets no work.
+	Ejected
+	// Probing means that the target may get one task at a time.
+	Probing
+)
--- /dev/null
+++ b/decision/routing/bench_test.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPick measures Pick alone over fleets of several sizes, with one
+// target ejected in the second group.
+func BenchmarkPick(b *testing.B) {
+	for _, ejected := range []bool{false, true} {
+		for _, size := range []int{11, 64, 1800} {
+			b.Run(fmt.Sprintf("ejected=%v/targets=%d", ejected, size), func(b *testing.B) {
+				router := NewExpected(source())
+				fill(router, size)
+				for i := range size {
+					teach(router, i, testRun+time.Duration(i)*time.Millisecond)
+				}
+				if ejected {
+					failed := done(time.Millisecond)
+					failed.TaskStatus = 500
+					for range 20 {
+						router.Finished(testTarget(0).Incarnation, failed, testStart)
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					router.Pick(testRequest, testStart)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkTask measures all three calls that a task costs.
+func BenchmarkTask(b *testing.B) {
+	router := NewExpected(source())
+	fill(router, 11)
+	report := done(testRun)
+	b.ReportAllocs()
+	for b.Loop() {
+		choice, _ := router.Pick(testRequest, testStart)
+		router.Dispatched(choice.Incarnation, testStart)
+		router.Finished(choice.Incarnation, report, testStart)
+	}
+}
--- /dev/null
+++ b/decision/routing/report.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/figring/figring/wire"
+)
+
+// firstErrorStatus is the lowest task status that counts as failed.
+const firstErrorStatus = 400
+
+// Report tells what became of a dispatch.
+type Report struct {
+	Caller string
+	Class  string
+	Status wire.RunStatus
+	Reason wire.NotStartedReason
+	// TaskStatus is the minion's status code when Status is RunDone.
+	TaskStatus int
+	RunTime    time.Duration
+	QueueWait  time.Duration
+	// Elapsed is the time from sending to the reply; zero if unknown.
+	Elapsed time.Duration
+	// Load is the sidecar's load in the reply; a Sequence of zero means none.
+	Load wire.Load
+}
+
+// verdict is what a report says about its target's health.
+type verdict uint8
+
+const (
+	verdictNone verdict = iota
+	verdictGood
+	verdictBad
+)
+
+func (r Report) verdict() verdict {
+	switch r.Status {
+	case wire.RunDone:
+		if r.TaskStatus >= firstErrorStatus {
+			return verdictBad
+		}
+		return verdictGood
+	case wire.RunUnknown:
+		return verdictBad
+	case wire.RunNotStarted:
+		if r.Reason == wire.ReasonMinionRefused || r.Reason == wire.ReasonNoMinion {
+			return verdictBad
+		}
+	}
+	return verdictNone
+}
