--- /dev/null
+++ b/decision/admission/admit_test.go
@@ -0,0 +1,164 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/model"
+)
+
+func TestRefusals(t *testing.T) {
+	big := spec("a", 1, 1)
+	big.Tasks[0].DeclaredSize = 101
+	late := spec("a", 1, 1)
+	late.Timeout = 0
+	long := spec("a", 1, 1)
+	long.Timeout = DefaultMaxTimeout + 1
+	capacity := Capacity{Targets: 1, LargestMemoryBytes: 100, TasksPerSecond: 10}
+	quotas := func(one model.Caller) func(*Queue) {
+		return func(q *Queue) { q.ApplyBundle(bundle(model.Limits{}, one), 2, testStart) }
+	}
+	cases := []struct {
+		name  string
+		setup func(*Queue)
+		spec  model.JobSpec
+		code  model.Code
+		retry time.Duration
+	}{
+		{"no tasks", nil, spec("a", 1, 0), model.CodeInvalid, 0},
+		{"too many tasks", nil, spec("a", 1, model.MaxTasksPerJob+1), model.CodeTooLarge, 0},
+		{"timeout over", nil, late, model.CodeUnrunnable, 0},
+		{"timeout too long", nil, long, model.CodeInvalid, 0},
+		{"larger than any target", func(q *Queue) { q.SetCapacity(capacity) }, big, model.CodeUnrunnable, 0},
+		{"no target", func(q *Queue) { q.SetCapacity(Capacity{}) }, spec("a", 1, 1), model.CodeNoCapacity, unknownRetryAfter},
+		{"rate", func(q *Queue) {
+			quotas(model.Caller{Name: "a", TasksPerSecond: 20, Burst: 200})(q)
+			q.Admit(spec("a", 2, 200), testStart)
+		}, spec("a", 1, 1), model.CodeQuota, 100 * time.Millisecond},
+		{"larger than the burst", quotas(model.Caller{Name: "a", TasksPerSecond: 20, Burst: 200}), spec("a", 1, 201), model.CodeQuota, 0},
+		{"concurrency", func(q *Queue) {
+			quotas(model.Caller{Name: "a", Concurrency: 20})(q)
+			q.Admit(spec("a", 2, 10), testStart)
+		}, spec("a", 1, 1), model.CodeQuota, unknownRetryAfter},
+		{"bound", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{QueuedTasks: 10}), 1, testStart)
+			q.Admit(spec("b", 2, 10), testStart)
+		}, spec("a", 1, 1), model.CodeOverloaded, unknownRetryAfter},
+		{"share under pressure", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{QueuedTasks: 100}), 1, testStart)
+			q.Admit(spec("a", 2, 50), testStart)
+		}, spec("a", 1, 1), model.CodeOverloaded, unknownRetryAfter},
+		{"expected wait", func(q *Queue) {
+			q.SetCapacity(capacity)
+			q.Admit(spec("a", 2, 460), testStart)
+		}, spec("a", 1, 190), model.CodeOverloaded, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			queue := NewQueue()
+			if c.setup != nil {
+				c.setup(queue)
+			}
+			before := queue.Waiting()
+			refusal := queue.Admit(c.spec, testStart)
+			must.NotNil(t, refusal)
+			must.Eq(t, c.code, refusal.Code)
+			must.Eq(t, model.NotRun, refusal.Outcome)
+			must.Eq(t, c.retry, refusal.RetryAfter.Round(time.Millisecond))
+			must.Eq(t, before, queue.Waiting())
+		})
+	}
+}
+
+func TestAdmitted(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(*Queue)
+		spec  model.JobSpec
+	}{
+		{"largest job in a divided burst", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 10}), 8, testStart)
+		}, spec("a", 1, model.MaxTasksPerJob)},
+		{"one job above the concurrency", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", Concurrency: 4}), 2, testStart)
+		}, spec("a", 1, 10)},
+		{"concurrency freed by ends", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", Concurrency: 4}), 1, testStart)
+			submit(q, "a", 2, 4, testStart)
+			q.TaskEnded(testKey("a", 2))
+		}, spec("a", 1, 1)},
+		{"concurrency freed by removal", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", Concurrency: 4}), 1, testStart)
+			submit(q, "a", 2, 4, testStart)
+			q.Remove(testKey("a", 2), testStart)
+		}, spec("a", 1, 4)},
+		{"newcomer under pressure", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{QueuedTasks: 100}), 1, testStart)
+			for i := range 200 {
+				q.Admit(spec("b", i, 1), testStart)
+			}
+		}, spec("a", 1, 50)},
+		{"small share despite a long queue", func(q *Queue) {
+			q.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 10})
+			q.Admit(spec("b", 2, 460), testStart)
+			q.Admit(spec("b", 3, 130), testStart)
+		}, spec("a", 1, 20)},
+		{"quota of a caller that left the bundle", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 1, Burst: 1}), 1, testStart)
+			q.ApplyBundle(bundle(model.Limits{}), 1, testStart)
+		}, spec("a", 1, 5)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			queue := NewQueue()
+			c.setup(queue)
+			must.Nil(t, queue.Admit(c.spec, testStart))
+		})
+	}
+}
+
+func TestKnownJobIsNotCalledNotRun(t *testing.T) {
+	queue := NewQueue()
+	must.Nil(t, queue.Admit(spec("a", 1, 1), testStart))
+	refusal := queue.Admit(spec("a", 1, 1), testStart)
+	must.NotNil(t, refusal)
+	must.Eq(t, model.InProgress, refusal.Outcome)
+}
+
+func TestRefusedJobUsesNoQuota(t *testing.T) {
+	queue := NewQueue()
+	queue.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 10, Burst: 100}), 1, testStart)
+	must.Nil(t, queue.Admit(spec("a", 1, 90), testStart))
+	for i := range 10 {
+		must.NotNil(t, queue.Admit(spec("a", 2+i, 11), testStart))
+	}
+	must.Nil(t, queue.Admit(spec("a", 20, 10), testStart))
+}
+
+func TestBundleKeepsWhatWasUsed(t *testing.T) {
+	queue := NewQueue()
+	limited := bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 10, Burst: 100})
+	queue.ApplyBundle(limited, 1, testStart)
+	must.Nil(t, queue.Admit(spec("a", 1, 100), testStart))
+	queue.ApplyBundle(limited, 1, testStart)
+	must.NotNil(t, queue.Admit(spec("a", 2, 1), testStart))
+	must.Nil(t, queue.Admit(spec("a", 2, 10), testStart.Add(time.Second)))
+}
+
+// TestMeasuredRateReplacesHint checks that a backlog that drains slower than
+// the router says is believed.
+func TestMeasuredRateReplacesHint(t *testing.T) {
+	queue := NewQueue()
+	queue.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 1000})
+	submit(queue, "a", 1, 400, testStart)
+	now := testStart
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		queue.Next(now)
+	}
+	must.Between(t, 9.5, queue.drain.current(1000, now), 15)
+	must.Eq(t, 1000, queue.drain.current(1000, now.Add(drainFresh+1)))
+	must.NotNil(t, queue.Admit(spec("a", 2, 400), now))
+}
--- /dev/null
+++ b/decision/admission/helpers_test.go
@@ -0,0 +1,44 @@
+package admission
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/figring/figring/model"
+)
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+func testKey(caller string, number int) model.JobKey {
+	id := uuid.UUID{6: 0x70, 8: 0x80}
+	binary.BigEndian.PutUint32(id[12:], uint32(number))
+	return model.JobKey{Caller: caller, ID: id}
+}
+
+func spec(caller string, number, tasks int) model.JobSpec {
+	return model.JobSpec{Key: testKey(caller, number), Tasks: make([]model.TaskSpec, tasks), Timeout: time.Minute}
+}
+
+func indexes(count int) []int {
+	list := make([]int, count)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// submit admits a job and makes its tasks ready.
+func submit(q *Queue, caller string, number, tasks int, now time.Time) *model.Refusal {
+	one := spec(caller, number, tasks)
+	if refusal := q.Admit(one, now); refusal != nil {
+		return refusal
+	}
+	q.Enqueue(one.Key, indexes(tasks), now)
+	return nil
+}
+
+func bundle(limits model.Limits, callers ...model.Caller) model.Bundle {
+	return model.Bundle{Callers: callers, Limits: limits}
+}
--- /dev/null
+++ b/decision/admission/jobheap.go
@@ -0,0 +1,43 @@
+package admission
+
+import "container/heap"
+
+// jobHeap orders the jobs of one caller that have ready tasks by their place.
+type jobHeap []*job
+
+var _ heap.Interface = (*jobHeap)(nil)
+
+// Len implements heap.Interface.
+func (h jobHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface. Keys break ties, so that the order is fixed.
+func (h jobHeap) Less(i, k int) bool {
+	a, b := h[i].place(), h[k].place()
+	if a != b {
+		return a < b
+	}
+	return string(h[i].key.ID[:]) < string(h[k].key.ID[:])
+}
+
+// Swap implements heap.Interface.
+func (h jobHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].heapIndex, h[k].heapIndex = i, k
+}
+
+// Push implements heap.Interface.
+func (h *jobHeap) Push(item any) {
+	added := item.(*job)
+	added.heapIndex = len(*h)
+	*h = append(*h, added)
+}
+
+// Pop implements heap.Interface.
+func (h *jobHeap) Pop() any {
+	last := len(*h) - 1
+	removed := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	removed.heapIndex = -1
+	return removed
+}
