--- /dev/null
+++ b/callerapi/server.go
@@ -0,0 +1,231 @@
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/figring/figring/api"
+	"github.com/figring/figring/common/problem"
+	"github.com/figring/figring/common/strictjson"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// server holds the handlers.
+type server struct {
+	options Options
+}
+
+// New returns the handler of the callers' interface.
+func New(options Options) (http.Handler, error) {
+	if options.MaxBodyBytes == 0 {
+		options.MaxBodyBytes = api.MaxBodyBytes
+	}
+	s := &server{options: options}
+	app := iris.New()
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBanner, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.Logger().SetLevel("disable")
+	app.OnAnyErrorCode(s.unrouted)
+	v1 := app.Party("/v1")
+	v1.Post("/jobs", s.submit)
+	v1.Get("/jobs/{key:string}", s.show)
+	v1.Delete("/jobs/{key:string}", s.cancel)
+	v1.Post("/requests", s.request)
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return app, nil
+}
+
+// unrouted answers paths and methods that the interface does not have.
+func (s *server) unrouted(ctx iris.Context) {
+	refusal := model.NewRefusal(model.CodeNotFound, 0, "no such path or method: %s %s", ctx.Method(), ctx.Path())
+	problem.Write(ctx.ResponseWriter(), refusal)
+}
+
+func (s *server) submit(ctx iris.Context) {
+	started := time.Now()
+	caller, ok := s.authenticate(ctx, started)
+	if !ok {
+		return
+	}
+	var body api.JobRequest
+	if refusal := s.decode(ctx, &body); refusal != nil {
+		s.refuse(ctx, Observation{Caller: caller}, started, refusal)
+		return
+	}
+	spec, refusal := body.Spec(caller)
+	if refusal != nil {
+		s.refuse(ctx, Observation{Caller: caller}, started, refusal)
+		return
+	}
+	s.run(ctx, spec, started, s.options.Jobs.Submit)
+}
+
+func (s *server) request(ctx iris.Context) {
+	started := time.Now()
+	caller, ok := s.authenticate(ctx, started)
+	if !ok {
+		return
+	}
+	var body api.SingleRequest
+	if refusal := s.decode(ctx, &body); refusal != nil {
+		s.refuse(ctx, Observation{Caller: caller}, started, refusal)
+		return
+	}
+	job := body.Job(caller)
+	spec, refusal := job.Spec(caller)
+	if refusal != nil {
+		s.refuse(ctx, Observation{Caller: caller}, started, refusal)
+		return
+	}
+	if body.Key == "" {
+		s.run(ctx, spec, started, s.options.Jobs.Request)
+		return
+	}
+	s.run(ctx, spec, started, s.options.Jobs.Submit)
+}
+
+// run hands work to the entry and writes the answer.
+func (s *server) run(ctx iris.Context, spec model.JobSpec, started time.Time, do func(context.Context, model.JobSpec) wire.JobReply) {
+	waitCtx, cancel := context.WithTimeout(ctx.Request().Context(), spec.Timeout+waitSlack)
+	defer cancel()
+	observation := Observation{Caller: spec.Key.Caller, Class: spec.Tasks[0].Class}
+	s.reply(ctx, observation, started, do(waitCtx, spec))
+}
+
+func (s *server) show(ctx iris.Context) {
+	started := time.Now()
+	key, ok := s.key(ctx, started)
+	if !ok {
+		return
+	}
+	wait, refusal := waitOf(ctx.URLParam("wait"))
+	if refusal != nil {
+		s.refuse(ctx, Observation{Caller: key.Caller}, started, refusal)
+		return
+	}
+	waitCtx, cancel := context.WithTimeout(ctx.Request().Context(), wait+waitSlack)
+	defer cancel()
+	reply := s.options.Jobs.Join(waitCtx, key, wait > 0)
+	if reply.Refusal != nil && reply.Refusal.Code == model.CodeInProgress {
+		s.write(ctx, http.StatusOK, api.JobResponse{Key: key.ID.String(), State: api.JobRunning, Outcome: model.InProgress})
+		return
+	}
+	if reply.Answer != nil {
+		s.write(ctx, http.StatusOK, api.NewJobResponse(reply.Answer))
+		return
+	}
+	s.reply(ctx, Observation{Caller: key.Caller}, started, reply)
+}
+
+func (s *server) cancel(ctx iris.Context) {
+	started := time.Now()
+	key, ok := s.key(ctx, started)
+	if !ok {
+		return
+	}
+	waitCtx, cancel := context.WithTimeout(ctx.Request().Context(), waitSlack)
+	defer cancel()
+	s.reply(ctx, Observation{Caller: key.Caller}, started, s.options.Jobs.Cancel(waitCtx, key))
+}
+
+func (s *server) key(ctx iris.Context, started time.Time) (model.JobKey, bool) {
+	caller, ok := s.authenticate(ctx, started)
+	if !ok {
+		return model.JobKey{}, false
+	}
+	key, err := model.ParseJobKey(caller, ctx.Params().Get("key"))
+	if err != nil {
+		refusal := model.NewRefusal(model.CodeInvalid, 0, "key: %v", err)
+		s.refuse(ctx, Observation{Caller: caller}, started, refusal)
+		return model.JobKey{}, false
+	}
+	return key, true
+}
+
+func waitOf(param string) (time.Duration, *model.Refusal) {
+	if param == "" {
+		return 0, nil
+	}
+	millis, err := strconv.ParseInt(param, 10, 64)
+	if err != nil || millis < 0 || millis > maxWait.Milliseconds() {
+		return 0, model.NewRefusal(model.CodeInvalid, 0, "wait: must be 0 to %d milliseconds", maxWait.Milliseconds())
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+func (s *server) authenticate(ctx iris.Context, started time.Time) (string, bool) {
+	token, found := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	if found {
+		if caller, ok := s.options.Authenticate(token); ok {
+			return caller, true
+		}
+	}
+	ctx.Header("WWW-Authenticate", "Bearer")
+	s.refuse(ctx, Observation{}, started, model.NewRefusal(model.CodeUnauthenticated, 0, "no valid bearer token"))
+	return "", false
+}
+
+func (s *server) decode(ctx iris.Context, v any) *model.Refusal {
+	err := strictjson.Decode(ctx.Request().Body, s.options.MaxBodyBytes, v)
+	switch {
+	case err == nil:
+		return nil
+	case isTooLarge(err):
+		return model.NewRefusal(model.CodeTooLarge, 0, "body: %v", err)
+	default:
+		return model.NewRefusal(model.CodeInvalid, 0, "body: %v", err)
+	}
+}
+
+func (s *server) reply(ctx iris.Context, observation Observation, started time.Time, reply wire.JobReply) {
+	switch {
+	case reply.Refusal != nil:
+		s.refuse(ctx, observation, started, reply.Refusal)
+	case reply.Answer == nil:
+		s.refuse(ctx, observation, started, &model.Refusal{Code: model.CodeInternal, Outcome: model.Unknown, Detail: "empty answer"})
+	case reply.Answer.State == model.Complete:
+		s.observe(observation, started, "")
+		s.write(ctx, http.StatusOK, api.NewJobResponse(reply.Answer))
+	default:
+		s.refuse(ctx, observation, started, failure(reply.Answer))
+	}
+}
+
+// failure tells a failed job in the shape of every other error.
+func failure(answer *model.Answer) *model.Refusal {
+	return &model.Refusal{Code: answer.Code, Outcome: answer.Outcome, Detail: answer.Detail}
+}
+
+func (s *server) refuse(ctx iris.Context, observation Observation, started time.Time, refusal *model.Refusal) {
+	s.observe(observation, started, refusal.Code)
+	s.closeWhenDraining(ctx)
+	problem.Write(ctx.ResponseWriter(), refusal)
+}
+
+func (s *server) observe(observation Observation, started time.Time, code model.Code) {
+	if s.options.Observe == nil {
+		return
+	}
+	observation.Code = string(code)
+	observation.Elapsed = time.Since(started)
+	s.options.Observe(observation)
+}
+
+func (s *server) write(ctx iris.Context, status int, body any) {
+	s.closeWhenDraining(ctx)
+	ctx.StatusCode(status)
+	_ = ctx.JSON(body)
+}
+
+func (s *server) closeWhenDraining(ctx iris.Context) {
+	if s.options.Draining != nil && s.options.Draining() {
+		ctx.Header("Connection", "close")
+	}
+}
--- a/command/register.go
+++ b/command/register.go
@@ -14,9 +14,10 @@
 func subcommands(streams *IO) []subcommand {
 	return []subcommand{
 		{"version", "Print the version", "Prints the version of the binary.\n\nExample: figring version", &versionCommand{streams: streams}},
+		{"entry", "Run an entry", entryHelp, &entryCommand{streams: streams}},
+		{"sidecar", "Run the sidecar beside a minion", sidecarHelp, &sidecarCommand{streams: streams}},
 		{"standin-platform", "Serve a stand-in for the platform", standinPlatformHelp, &standinPlatformCommand{streams: streams}},
 		{"standin-minion", "Serve a stand-in for a minion", standinMinionHelp, &standinMinionCommand{streams: streams}},
-		{"sidecar", "Run the sidecar beside a minion", "Runs the only process that starts tasks on its minion.\n\nExample: figring sidecar --name s1 --zone a --worker w1 --rpc-listen 127.0.0.1:7201 --announce-listen 127.0.0.1:7202 --platform http://127.0.0.1:7000", &sidecarCommand{streams: streams}},
 	}
 }
 
--- /dev/null
+++ b/command/role.go
@@ -0,0 +1,18 @@
+package command
+
+import (
+	"strings"
+	"time"
+)
+
+// platformTimeout bounds one request to the platform.
+const platformTimeout = 10 * time.Second
+
+// advertised returns the configured address for others, or nothing when its
+// port is only known once the listener is open.
+func advertised(address string) string {
+	if strings.HasSuffix(address, ":0") {
+		return ""
+	}
+	return address
+}
--- a/command/run.go
+++ b/command/run.go
@@ -71,3 +71,8 @@
 	}
 	return ExitFailed
 }
+
+// usageError marks an error of the command line or the settings.
+func usageError(err error) error {
+	return &exitError{code: ExitUsage, err: err}
+}
--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -1,95 +1,66 @@
 package command
 
 import (
-	"context"
-	"errors"
-	"os/signal"
-	"syscall"
-
-	"github.com/go-playground/validator/v10"
-
 	"github.com/figring/figring/common/metrics"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/platform/remote"
+	"github.com/figring/figring/settings"
 	"github.com/figring/figring/sidecar"
 )
 
-// errNoPlatform means that this build has no client for the platform.
-var errNoPlatform = errors.New("sidecar: no client for the platform in this build")
+const sidecarHelp = `Runs the sidecar beside a minion, the only process that starts tasks on it. SIGTERM makes it drain: what waits is handed back, what runs is finished and answered, and it exits 0.
 
-// openPlatform connects to the platform at url. It is set where the client of
-// the platform is linked in.
-var openPlatform func(url string) (platform.Table, error)
-
-// openAnnouncements returns what the minion announces itself to. It is set
-// where the receiver is linked in.
-var openAnnouncements func() announceReceiver
+Example:
+  figring sidecar --settings examples/settings/sidecar.jsonc`
 
 type sidecarCommand struct {
-	Name           string `long:"name" description:"name of the sidecar, kept over restarts" required:"true"`
-	Zone           string `long:"zone" description:"availability zone" required:"true"`
-	Rack           string `long:"rack" description:"rack of the worker"`
-	Worker         string `long:"worker" description:"name of the worker" required:"true"`
-	RPCListen      string `long:"rpc-listen" description:"ip:port for calls of entries" required:"true"`
-	RPCAdvertise   string `long:"rpc-advertise" description:"ip:port that entries dial, if it is another one"`
-	AnnounceListen string `long:"announce-listen" description:"ip:port where the minion announces itself" required:"true"`
-	StatusListen   string `long:"status-listen" description:"ip:port of /livez, /readyz and /metrics"`
-	PlatformURL    string `long:"platform" description:"URL of the platform" required:"true"`
-	Secret         string `long:"secret" env:"FIGRING_SECRET" description:"secret shared by figring's processes" required:"true"`
-	QueueCapacity  int    `long:"queue" description:"tasks that may wait; 0 means the number of slots"`
-	RecordLimit    int    `long:"records" description:"records of started tasks; 0 means 100000"`
-	ResultBytes    int    `long:"result-bytes" description:"bytes of kept results; 0 means 8 MiB"`
-
-	streams *IO
+	streams  *IO
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"start-up settings, JSON with comments"`
 }
 
 // Execute implements flags.Commander.
 func (c *sidecarCommand) Execute([]string) error {
-	settings := c.settings()
-	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(settings); err != nil {
-		return &exitError{code: ExitUsage, err: err}
-	}
-	if openPlatform == nil || openAnnouncements == nil {
-		return &exitError{code: ExitUsage, err: errNoPlatform}
-	}
-	table, err := openPlatform(settings.PlatformURL)
+	loaded, err := settings.LoadSidecar(c.Settings)
 	if err != nil {
-		return &exitError{code: ExitUsage, err: err}
+		return usageError(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return serveSidecar(ctx, settings, table, openAnnouncements())
-}
-
-func serveSidecar(ctx context.Context, settings sidecar.Settings, table platform.Table, receiver announceReceiver) error {
 	root := metrics.NewRoot()
 	defer func() { _ = root.Close() }()
-	role, err := sidecar.New(settings, sidecar.Parts{
-		Table:         table,
+	receiver := announce.NewReceiver()
+	logger := newLogger(c.streams)
+	role, err := sidecar.New(sidecarSettings(&loaded), sidecar.Parts{
+		Table:         remote.New(loaded.PlatformURL, platformTimeout).Table(),
 		Announcements: receiver,
 		Announce:      receiver,
 		Metrics:       root.Handler,
 		Scope:         root.Scope,
+		Logger:        logger,
 	})
 	if err != nil {
-		return err
+		return usageError(err)
 	}
+	logger.Info().Str("role", "sidecar").Str("name", loaded.Name).Str("rpc", role.Address()).
+		Str("announce", role.AnnounceAddress()).Str("status", role.StatusAddress()).Msg("listening")
+	ctx, cancel := untilSignal()
+	defer cancel()
 	return role.Run(ctx)
 }
 
-func (c *sidecarCommand) settings() sidecar.Settings {
+func sidecarSettings(loaded *settings.SidecarSettings) sidecar.Settings {
 	return sidecar.Settings{
-		Name:           c.Name,
-		Zone:           c.Zone,
-		Rack:           c.Rack,
-		Worker:         c.Worker,
-		RPCListen:      c.RPCListen,
-		RPCAdvertise:   c.RPCAdvertise,
-		AnnounceListen: c.AnnounceListen,
-		StatusListen:   c.StatusListen,
-		PlatformURL:    c.PlatformURL,
-		Secret:         c.Secret,
-		QueueCapacity:  c.QueueCapacity,
-		RecordLimit:    c.RecordLimit,
-		ResultBytes:    c.ResultBytes,
+		Name:           loaded.Name,
+		Zone:           loaded.Zone,
+		Rack:           loaded.Rack,
+		Worker:         loaded.Worker,
+		RPCListen:      loaded.RPCListen,
+		RPCAdvertise:   advertised(loaded.RPCAdvertise),
+		AnnounceListen: loaded.AnnounceListen,
+		StatusListen:   loaded.StatusListen,
+		PlatformURL:    loaded.PlatformURL,
+		Secret:         loaded.Secret,
+		QueueCapacity:  loaded.QueueCapacity,
+		RecordLimit:    loaded.RecordLimit,
+		ResultBytes:    int(loaded.ResultBytes),
+		DrainLimit:     loaded.ShutdownTimeout.Std(),
 	}
 }
--- a/common/problem/status.go
+++ b/common/problem/status.go
@@ -30,6 +30,7 @@
 	model.CodeOwnerUnreachable: http.StatusServiceUnavailable,
 	model.CodeVersionConflict:  http.StatusConflict,
 	model.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	model.CodeAnswerGone:       http.StatusGone,
 	model.CodeInternal:         http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,257 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/api"
+	"github.com/figring/figring/client"
+	"github.com/figring/figring/common/identity"
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/minion"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform/remote"
+	"github.com/figring/figring/rollout"
+)
+
+const (
+	secret      = "a-secret-for-the-tests"
+	deskToken   = "desk-token"
+	deskCaller  = "nomination-desk"
+	readyLimit  = 20 * time.Second
+	minionSlots = 8
+)
+
+var zones = []string{"schwabing", "maxvorstadt", "garching"}
+
+// cluster is a whole system of separate processes.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	platform *process
+	entries  []*process
+	sidecars []*process
+	minions  []*process
+	editor   *rollout.Editor
+}
+
+// layout says how many processes of each role a cluster has.
+type layout struct {
+	entries int
+	minions int
+	// entrySettings is merged into the settings of every entry.
+	entrySettings map[string]any
+	// platformArgs are further arguments of the platform's stand-in.
+	platformArgs []string
+}
+
+// newCluster starts the processes and waits until every entry is ready and
+// knows every sidecar.
+func newCluster(t *testing.T, l layout) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	c.platform = start(t, "platform", append([]string{"standin-platform", "--listen", "127.0.0.1:0"}, l.platformArgs...)...)
+	c.rollOutCallers()
+	for i := range l.entries {
+		c.entries = append(c.entries, c.startEntry(i, l.entrySettings))
+	}
+	for i := range l.minions {
+		c.startSidecar(i)
+	}
+	for i := range c.entries {
+		c.awaitTargets(i, l.minions)
+	}
+	return c
+}
+
+func (c *cluster) rollOutCallers() {
+	c.t.Helper()
+	table := remote.New(c.platformURL(), 0).Table()
+	c.editor = rollout.NewEditor(table, rollout.EditorOptions{Rules: bundle.Rules{Zones: zones}})
+	ctx := c.t.Context()
+	next := model.Bundle{Callers: []model.Caller{{Name: deskCaller, TokenHash: identity.Hash(deskToken)}}}
+	proposal, err := c.editor.Propose(ctx, "anna", 0, next)
+	must.NoError(c.t, err)
+	_, err = c.editor.SignOff(ctx, "bert", proposal.ID)
+	must.NoError(c.t, err)
+	_, err = c.editor.RollOut(ctx, "anna", proposal.ID)
+	must.NoError(c.t, err)
+}
+
+func (c *cluster) platformURL() string {
+	return "http://" + c.platform.addresses["address"]
+}
+
+func (c *cluster) startEntry(index int, extra map[string]any) *process {
+	c.t.Helper()
+	name := fmt.Sprintf("entry-%d", index+1)
+	values := map[string]any{
+		"name": name, "region": "munich", "zone": zones[index%len(zones)], "zones": zones,
+		"callersListen": "127.0.0.1:0", "operatorsListen": "127.0.0.1:0",
+		"rpcListen": "127.0.0.1:0", "statusListen": "127.0.0.1:0",
+		"platformURL": c.platformURL(), "secret": secret, "readyDelay": "50ms",
+		"operators": []map[string]string{
+			{"name": "anna", "tokenHash": identity.Hash("anna-token")},
+			{"name": "bert", "tokenHash": identity.Hash("bert-token")},
+		},
+	}
+	for key, value := range extra {
+		values[key] = value
+	}
+	return start(c.t, name, "entry", "--settings", c.writeSettings(name, values))
+}
+
+func (c *cluster) startSidecar(index int) {
+	c.t.Helper()
+	name := fmt.Sprintf("sidecar-%d", index+1)
+	worker := fmt.Sprintf("worker-%d", index+1)
+	zone := zones[index%len(zones)]
+	sidecar := start(c.t, name, "sidecar", "--settings", c.writeSettings(name, map[string]any{
+		"name": name, "zone": zone, "rack": fmt.Sprintf("rack-%d", index/3), "worker": worker,
+		"rpcListen": "127.0.0.1:0", "announceListen": "127.0.0.1:0", "statusListen": "127.0.0.1:0",
+		"platformURL": c.platformURL(), "secret": secret,
+	}))
+	c.sidecars = append(c.sidecars, sidecar)
+	c.minions = append(c.minions, start(c.t, "minion-"+worker, "standin-minion", "--listen", "127.0.0.1:0",
+		"--name", "minion-"+worker, "--worker", worker, "--zone", zone, "--slots", fmt.Sprint(minionSlots),
+		"--announce", "http://"+sidecar.addresses["announce"]))
+}
+
+func (c *cluster) writeSettings(name string, values map[string]any) string {
+	c.t.Helper()
+	content, err := json.Marshal(values)
+	must.NoError(c.t, err)
+	path := filepath.Join(c.dir, name+".jsonc")
+	must.NoError(c.t, os.WriteFile(path, content, 0o600))
+	return path
+}
+
+// entryStatus is the part of an entry's status that the tests look at.
+type entryStatus struct {
+	Ready         bool
+	BundleVersion int64
+	Partitions    int
+	Owner         struct {
+		Jobs    int
+		Targets []struct {
+			Sidecar string
+			State   string
+			Open    bool
+		}
+	}
+}
+
+func (c *cluster) status(entry int) (entryStatus, error) {
+	var status entryStatus
+	response, err := http.Get("http://" + c.entries[entry].addresses["status"] + "/status")
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// awaitTargets waits until an entry is ready and that many sidecars are.
+func (c *cluster) awaitTargets(entry, targets int) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("entry %d to know %d targets", entry, targets), func() bool {
+		status, err := c.status(entry)
+		ready := 0
+		for _, target := range status.Owner.Targets {
+			if target.State == "ready" {
+				ready++
+			}
+		}
+		return err == nil && status.Ready && ready >= targets
+	})
+}
+
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(readyLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// client returns a client of one entry, or of all when entry is negative.
+func (c *cluster) client(entry int) *client.Client {
+	c.t.Helper()
+	var urls []string
+	for i, process := range c.entries {
+		if entry < 0 || i == entry {
+			urls = append(urls, "http://"+process.addresses["callers"])
+		}
+	}
+	one, err := client.New(client.Options{BaseURLs: urls, Token: deskToken})
+	must.NoError(c.t, err)
+	c.t.Cleanup(one.Close)
+	return one
+}
+
+// ledger returns every start that the minions recorded.
+func (c *cluster) ledger() []minion.Start {
+	c.t.Helper()
+	var all []minion.Start
+	for _, one := range c.minions {
+		response, err := http.Get("http://" + one.addresses["address"] + "/ledger")
+		must.NoError(c.t, err)
+		lines := json.NewDecoder(response.Body)
+		for lines.More() {
+			var start minion.Start
+			must.NoError(c.t, lines.Decode(&start))
+			all = append(all, start)
+		}
+		must.NoError(c.t, response.Body.Close())
+	}
+	return all
+}
+
+// startsOf counts the starts of each task of a job.
+func (c *cluster) startsOf(key string) map[int]int {
+	c.t.Helper()
+	counts := make(map[int]int)
+	for _, start := range c.ledger() {
+		if strings.HasSuffix(start.Job, key) {
+			counts[start.Task]++
+		}
+	}
+	return counts
+}
+
+// fault sets the faults of the platform's stand-in.
+func (c *cluster) fault(body string) {
+	c.t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPut,
+		c.platformURL()+"/control/faults", bytes.NewBufferString(body))
+	must.NoError(c.t, err)
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(c.t, err)
+	must.NoError(c.t, response.Body.Close())
+	must.EqOp(c.t, http.StatusOK, response.StatusCode)
+}
+
+// newJob returns a job of tasks that each run for runMs.
+func newJob(tasks, runMs int) *api.JobRequest {
+	job := &api.JobRequest{Key: model.NewJobKey(deskCaller).ID.String(), TimeoutMs: 20_000}
+	for i := range tasks {
+		job.Tasks = append(job.Tasks, api.TaskRequest{
+			Class:   "eligibility",
+			Payload: json.RawMessage(fmt.Sprintf(`{"runMs":%d,"output":"result %d"}`, runMs, i)),
+		})
+	}
+	return job
+}
--- /dev/null
+++ b/entry/adopter.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// adoptionGather is how long keys are gathered into one question.
+	adoptionGather = 10 * time.Millisecond
+	// adoptionTimeout bounds the wait for one sidecar's answer.
+	adoptionTimeout = 1500 * time.Millisecond
+	// adoptionParallel bounds the open questions.
+	adoptionParallel = 64
+	// adoptionBacklog bounds the keys that wait to be asked for.
+	adoptionBacklog = 4096
+)
+
+// adoption is what was found out about a job of a former owner.
+type adoption struct {
+	key   model.JobKey
+	event jobstate.Adopted
+	// err is set when the list of sidecars could not be read: nothing was
+	// decided, and the question can be asked again.
+	err error
+}
+
+// adopter asks every sidecar what it knows of jobs whose owner is gone. Keys
+// that arrive together share the questions.
+type adopter struct {
+	self   model.Incarnation
+	table  platform.Table
+	pool   rpcCaller
+	keys   chan model.JobKey
+	report func(adoption)
+}
+
+func newAdopter(self model.Incarnation, table platform.Table, pool rpcCaller, report func(adoption)) *adopter {
+	return &adopter{
+		self:   self,
+		table:  table,
+		pool:   pool,
+		keys:   make(chan model.JobKey, adoptionBacklog),
+		report: report,
+	}
+}
+
+// ask queues a key. It reports false when too many are waiting.
+func (a *adopter) ask(key model.JobKey) bool {
+	select {
+	case a.keys <- key:
+		return true
+	default:
+		return false
+	}
+}
+
+// run answers queued keys until ctx ends.
+func (a *adopter) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-a.keys:
+			a.answer(ctx, a.gather(ctx, first))
+		}
+	}
+}
+
+func (a *adopter) gather(ctx context.Context, first model.JobKey) []model.JobKey {
+	keys := []model.JobKey{first}
+	timer := time.NewTimer(adoptionGather)
+	defer timer.Stop()
+	for {
+		select {
+		case key := <-a.keys:
+			keys = append(keys, key)
+		case <-timer.C:
+			return keys
+		case <-ctx.Done():
+			return keys
+		}
+	}
+}
+
+func (a *adopter) answer(ctx context.Context, keys []model.JobKey) {
+	rows, err := listSidecars(ctx, a.table)
+	if err != nil {
+		for _, key := range keys {
+			a.report(adoption{key: key, err: err})
+		}
+		return
+	}
+	replies := a.lookupAll(ctx, rows, keys)
+	for _, key := range keys {
+		a.report(adoption{key: key, event: account(key, rows, replies)})
+	}
+}
+
+// lookupAll asks every sidecar at once. The element of a sidecar that did not
+// answer is nil.
+func (a *adopter) lookupAll(ctx context.Context, rows []sidecarRow, keys []model.JobKey) []*wire.LookupReply {
+	replies := make([]*wire.LookupReply, len(rows))
+	slots := make(chan struct{}, adoptionParallel)
+	var wait sync.WaitGroup
+	for index := range rows {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			replies[index] = a.lookup(ctx, rows[index].Target.Address, keys)
+		})
+	}
+	wait.Wait()
+	return replies
+}
+
+func (a *adopter) lookup(ctx context.Context, address string, keys []model.JobKey) *wire.LookupReply {
+	ctx, cancel := context.WithTimeout(ctx, adoptionTimeout)
+	defer cancel()
+	var reply wire.LookupReply
+	request := &wire.LookupRequest{Entry: a.self, Keys: keys}
+	if err := a.pool.Call(ctx, address, wire.MethodLookup, request, &reply); err != nil {
+		return nil
+	}
+	return &reply
+}
+
+// account sums up what the sidecars know of one job. The absence of a record
+// proves that a task was not started only when every sidecar answered and has
+// kept all its records since before the job can have been claimed.
+func account(key model.JobKey, rows []sidecarRow, replies []*wire.LookupReply) jobstate.Adopted {
+	event := jobstate.Adopted{AbsentProved: true}
+	since := claimFloor(key)
+	for index, reply := range replies {
+		if reply == nil || !accounts(reply, since) {
+			event.AbsentProved = event.AbsentProved && startedNothing(rows[index], reply, since)
+		}
+		event.Tasks = append(event.Tasks, recordsOf(key, reply)...)
+	}
+	return event
+}
+
+func recordsOf(key model.JobKey, reply *wire.LookupReply) []jobstate.AdoptedTask {
+	var tasks []jobstate.AdoptedTask
+	if reply == nil {
+		return tasks
+	}
+	for _, record := range reply.Records {
+		if record.Ref.Key == key {
+			tasks = append(tasks, jobstate.AdoptedTask{Sidecar: reply.Sidecar, Record: record})
+		}
+	}
+	return tasks
+}
+
+// startedNothing reports whether a sidecar that can't account for itself still
+// provably started nothing of the job: it left in order before the job can
+// have been claimed.
+func startedNothing(row sidecarRow, reply *wire.LookupReply, since time.Time) bool {
+	return reply == nil && row.Left && row.LeftAt > 0 && time.UnixMilli(row.LeftAt).Before(since)
+}
--- /dev/null
+++ b/entry/drain.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// retireAfter is how long a replaced incarnation is kept, so that what is
+	// on its way to it is answered.
+	retireAfter = 30 * time.Second
+	// drainPoll is the interval at which a drain looks whether work is left.
+	drainPoll = 20 * time.Millisecond
+)
+
+// drain is the ordered stop. Readiness goes first, so that the balancer sends
+// callers elsewhere; then the partitions, so that new jobs are decided
+// elsewhere; then what is held is answered; then the session ends.
+func (e *Entry) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), e.options.ShutdownTimeout)
+	defer cancel()
+	e.draining.Store(true)
+	e.options.Log.Info().Str("entry", e.self.Name).Msg("draining")
+	pause(ctx, e.options.ReadyDelay)
+	e.mu.Lock()
+	e.stopped = true
+	c := e.core.Load()
+	e.mu.Unlock()
+	leaveError := c.members.Leave(ctx)
+	e.callers.shutdown(ctx)
+	if e.operators != nil {
+		e.operators.shutdown(ctx)
+	}
+	e.awaitIdle(ctx, c)
+	drainError := e.rpc.Drain(ctx)
+	closeError := c.members.Close(ctx)
+	c.stop()
+	e.options.Log.Info().Str("entry", e.self.Name).Msg("drained")
+	return firstError(drainError, leaveError, closeError)
+}
+
+func (e *Entry) awaitIdle(ctx context.Context, c *core) {
+	for ctx.Err() == nil && !c.owner.Idle(ctx) {
+		pause(ctx, drainPoll)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func firstError(list ...error) error {
+	for _, err := range list {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/figring/figring/callerapi"
+	"github.com/figring/figring/common/identity"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/wire"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	options Options
+	self    wire.EntryInfo
+	pool    *wire.Pool
+	rpc     *wire.Server
+	bundles *rollout.Watcher
+	front   *Front
+	metrics *Metrics
+	// identities knows the callers of the bundle.
+	identities *identity.Callers
+	draining   atomic.Bool
+
+	mu   sync.Mutex
+	core atomic.Pointer[core]
+	// stopped is set once no further incarnation may start.
+	stopped bool
+
+	callers   *httpServer
+	operators *httpServer
+	status    *httpServer
+}
+
+// New opens the listeners of an entry and builds its parts. Nothing runs yet.
+func New(options Options) (*Entry, error) {
+	e := &Entry{options: options.withDefaults()}
+	e.metrics = NewMetrics(options.Metrics.Scope)
+	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, options.Dialer)
+	e.bundles = rollout.New(options.Table, rollout.Options{Logger: options.Log})
+	e.identities = identity.NewCallers(e.bundles.View().Bundle)
+	e.bundles.Subscribe(e.bundleChanged)
+	e.front = &Front{current: e.current, pool: e.pool, metrics: e.metrics}
+	if err := e.listen(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	return e, nil
+}
+
+// current returns the present incarnation.
+func (e *Entry) current() *core { return e.core.Load() }
+
+// Front returns the part that takes jobs in.
+func (e *Entry) Front() *Front { return e.front }
+
+// Bundles returns the watcher of the rolled-out bundle.
+func (e *Entry) Bundles() *rollout.Watcher { return e.bundles }
+
+// CallersAddress returns the address at which callers are served.
+func (e *Entry) CallersAddress() string { return e.callers.address() }
+
+// OperatorsAddress returns the address at which operators are served.
+func (e *Entry) OperatorsAddress() string {
+	if e.operators == nil {
+		return ""
+	}
+	return e.operators.address()
+}
+
+// StatusAddress returns the address of liveness, readiness and metrics.
+func (e *Entry) StatusAddress() string { return e.status.address() }
+
+// RPCAddress returns the address that other processes dial.
+func (e *Entry) RPCAddress() string { return e.self.Address }
+
+func (e *Entry) listen() error {
+	listener, err := net.Listen("tcp", e.options.RPCListen)
+	if err != nil {
+		return errListen.Wrap(err)
+	}
+	e.self = wire.EntryInfo{Name: e.options.Name, Zone: e.options.Zone, Address: listener.Addr().String()}
+	if e.options.RPCAdvertise != "" {
+		e.self.Address = e.options.RPCAdvertise
+	}
+	e.rpc = wire.NewServer(e.options.Secret, e.options.RPCServerTLS)
+	if err := e.rpc.Register("Entry", &Endpoint{entry: e}); err != nil {
+		return errListen.Wrap(err)
+	}
+	e.core.Store(e.newCore())
+	go func() { _ = e.rpc.Serve(listener) }()
+	return e.listenHTTP()
+}
+
+func (e *Entry) listenHTTP() error {
+	callers, err := callerapi.New(callerapi.Options{
+		Jobs:         e.front,
+		Authenticate: e.authenticate,
+		Draining:     e.draining.Load,
+		Observe:      e.observe,
+		MaxBodyBytes: e.options.MaxBodyBytes,
+	})
+	if err != nil {
+		return errListen.Wrap(err)
+	}
+	if e.callers, err = newHTTPServer(e.options.CallersListen, callers, e.options.CallersTLS); err != nil {
+		return err
+	}
+	if e.status, err = newHTTPServer(e.options.StatusListen, e.statusHandler(), nil); err != nil {
+		return err
+	}
+	if e.options.Operators == nil {
+		return nil
+	}
+	operators, err := e.options.Operators(e)
+	if err != nil {
+		return errListen.Wrap(err)
+	}
+	e.operators, err = newHTTPServer(e.options.OperatorsListen, operators, e.options.OperatorsTLS)
+	return err
+}
+
+func (e *Entry) authenticate(token string) (string, bool) {
+	caller, ok := e.identities.Authenticate(token)
+	return caller.Name, ok
+}
+
+func (e *Entry) observe(o callerapi.Observation) {
+	if o.Class != "" {
+		e.metrics.Responded(o.Caller, o.Class, o.Elapsed)
+	}
+	if o.Class == "" && o.Code != "" {
+		e.metrics.Refused(model.Code(o.Code))
+	}
+}
+
+func (e *Entry) bundleChanged(bundle model.Bundle) {
+	e.identities.Update(bundle)
+	if c := e.current(); c != nil {
+		c.owner.post(bundleChanged{bundle})
+	}
+}
+
+// Run serves until ctx ends, then drains, and returns when all that was taken
+// in has been answered.
+func (e *Entry) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wait sync.WaitGroup
+	wait.Go(func() { e.bundles.Run(background) })
+	e.current().start()
+	for _, server := range e.servers() {
+		wait.Go(server.serve)
+	}
+	e.options.Log.Info().Str("role", "entry").Str("name", e.self.Name).Str("operators", e.OperatorsAddress()).Str("callers", e.CallersAddress()).
+		Str("rpc", e.self.Address).Str("status", e.StatusAddress()).Msg("listening")
+	<-ctx.Done()
+	err := e.drain()
+	cancel()
+	e.closeListeners()
+	wait.Wait()
+	return err
+}
+
+func (e *Entry) servers() []*httpServer {
+	var list []*httpServer
+	for _, server := range []*httpServer{e.callers, e.operators, e.status} {
+		if server != nil {
+			list = append(list, server)
+		}
+	}
+	return list
+}
+
+// replaceCore goes on with a new incarnation after the session of old was
+// taken over.
+func (e *Entry) replaceCore(old *core) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped || e.core.Load() != old {
+		return
+	}
+	e.options.Log.Warn().Str("incarnation", string(old.self.Incarnation)).Msg("session was taken over")
+	fresh := e.newCore()
+	e.core.Store(fresh)
+	fresh.start()
+	old.owner.post(fenced{})
+	time.AfterFunc(retireAfter, old.stop)
+}
+
+// Ready reports whether the balancer should send callers here.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && e.current().members.Ready() && e.current().admitting(time.Now())
+}
+
+// Status sums up the entry.
+func (e *Entry) Status(ctx context.Context) Status {
+	c := e.current()
+	now := time.Now()
+	view := c.bundles.View()
+	owned := 0
+	for partition := range model.Partitions {
+		if c.members.Owns(partition) {
+			owned++
+		}
+	}
+	return Status{
+		Name:          c.self.Name,
+		Incarnation:   c.self.Incarnation,
+		Zone:          c.self.Zone,
+		Ready:         e.Ready(),
+		Draining:      e.draining.Load(),
+		LeaseMs:       max(0, c.members.Lease().Sub(now).Milliseconds()),
+		BundleVersion: view.Bundle.Version,
+		BundleFreshMs: max(0, view.FreshUntil.Sub(now).Milliseconds()),
+		Partitions:    owned,
+		Owner:         c.owner.Status(ctx),
+	}
+}
+
+func (e *Entry) closeListeners() {
+	for _, server := range e.servers() {
+		server.close()
+	}
+	if e.rpc != nil {
+		e.rpc.Close()
+	}
+	e.pool.Close()
+}
--- /dev/null
+++ b/entry/membership.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// Membership is what an entry knows of the other entries and of the partition
+// assignment. membership.Manager implements it.
+type Membership interface {
+	// Lease returns the end of this entry's own lease, zero when it has none.
+	Lease() time.Time
+	// Owns reports whether this entry may decide about the partition's keys.
+	Owns(partition int) bool
+	// Owner returns the owner of the partition as last read from the table.
+	Owner(partition int) (wire.EntryInfo, bool)
+	// Live returns the entry of that incarnation while its session exists.
+	Live(incarnation model.Incarnation) (wire.EntryInfo, bool)
+	// Entries returns the live entries and the version of the list.
+	Entries() ([]wire.EntryInfo, int64)
+	// Refresh asks for an early read of the table.
+	Refresh()
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// maxSeries bounds the pairs of caller and class that have histograms of
+	// their own; callers choose the names of classes.
+	maxSeries = 2048
+	// otherClass stands for the classes beyond maxSeries.
+	otherClass = "other"
+	// codeComplete is the code of a complete job.
+	codeComplete = "complete"
+)
+
+// Metrics holds an entry's counters and histograms.
+type Metrics struct {
+	Forwarded    tally.Counter
+	OwnerLost    tally.Counter
+	Renewals     tally.Counter
+	Resubmitted  tally.Counter
+	Adoptions    tally.Counter
+	Dispatches   tally.Counter
+	Redispatched tally.Counter
+	Unknown      tally.Counter
+	LateResults  tally.Counter
+	Withdrawals  tally.Counter
+	Revocations  tally.Counter
+
+	scope tally.Scope
+
+	mu       sync.Mutex
+	response map[series]tally.Histogram
+	runTime  map[series]tally.Histogram
+	counters map[counterKey]tally.Counter
+}
+
+// series names a histogram.
+type series struct{ caller, class string }
+
+// counterKey names a counter with a tag or two.
+type counterKey struct{ name, caller, tag string }
+
+// NewMetrics returns the metrics of an entry that reports to scope.
+func NewMetrics(scope tally.Scope) *Metrics {
+	return &Metrics{
+		Forwarded:    scope.Counter(metrics.EntryForwarded),
+		OwnerLost:    scope.Counter(metrics.EntryOwnerLost),
+		Renewals:     scope.Counter(metrics.EntryRenewals),
+		Resubmitted:  scope.Counter(metrics.EntryResubmitted),
+		Adoptions:    scope.Counter(metrics.EntryAdoptions),
+		Dispatches:   scope.Counter(metrics.EntryDispatches),
+		Redispatched: scope.Counter(metrics.EntryRedispatched),
+		Unknown:      scope.Counter(metrics.EntryUnknown),
+		LateResults:  scope.Counter(metrics.EntryLateResults),
+		Withdrawals:  scope.Counter(metrics.EntryWithdrawals),
+		Revocations:  scope.Counter(metrics.EntryRevocations),
+		scope:        scope,
+		response:     make(map[series]tally.Histogram),
+		runTime:      make(map[series]tally.Histogram),
+		counters:     make(map[counterKey]tally.Counter),
+	}
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(code model.Code) {
+	m.counter(metrics.EntryRefused, metrics.TagCode, string(code), "").Inc(1)
+}
+
+// HandedBack counts a task that a sidecar did not start.
+func (m *Metrics) HandedBack(reason wire.NotStartedReason) {
+	m.counter(metrics.EntryHandedBack, metrics.TagReason, string(reason), "").Inc(1)
+}
+
+// Finished counts an answered job.
+func (m *Metrics) Finished(caller string, answer *model.Answer) {
+	code := string(answer.Code)
+	if answer.State == model.Complete {
+		code = codeComplete
+	}
+	m.counter(metrics.EntryJobs, metrics.TagCode, code, caller).Inc(1)
+}
+
+// Responded records the time from a request to its answer at the front.
+func (m *Metrics) Responded(caller, class string, elapsed time.Duration) {
+	m.histogram(m.response, metrics.EntryResponse, caller, class).RecordDuration(elapsed)
+}
+
+// Ran records a task's run time.
+func (m *Metrics) Ran(caller, class string, elapsed time.Duration) {
+	m.histogram(m.runTime, metrics.EntryRunTime, caller, class).RecordDuration(elapsed)
+}
+
+func (m *Metrics) counter(name, tag, value, caller string) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := counterKey{name, caller, value}
+	counter, ok := m.counters[key]
+	if !ok {
+		tags := map[string]string{tag: value}
+		if caller != "" {
+			tags[metrics.TagCaller] = caller
+		}
+		counter = m.scope.Tagged(tags).Counter(name)
+		m.counters[key] = counter
+	}
+	return counter
+}
+
+func (m *Metrics) histogram(known map[series]tally.Histogram, name, caller, class string) tally.Histogram {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := series{caller, class}
+	if histogram, ok := known[key]; ok {
+		return histogram
+	}
+	if len(known) >= maxSeries {
+		key.class = otherClass
+		if histogram, ok := known[key]; ok {
+			return histogram
+		}
+	}
+	tags := map[string]string{metrics.TagCaller: key.caller, metrics.TagClass: key.class}
+	histogram := m.scope.Tagged(tags).Histogram(name, metrics.DurationBuckets())
+	known[key] = histogram
+	return histogram
+}
+
+// noteEnd counts the end of a dispatch.
+func (m *Metrics) noteEnd(end dispatchEnd) {
+	switch end.reply.Status {
+	case wire.RunDone:
+		m.Ran(end.order.ref.Key.Caller, end.order.class, end.reply.Result.RunTime)
+	case wire.RunNotStarted:
+		m.HandedBack(end.reply.Reason)
+	default:
+		m.Unknown.Inc(1)
+	}
+}
+
+// noteLate counts a result whose job had ended.
+func (m *Metrics) noteLate(end dispatchEnd) {
+	if end.reply.Status != wire.RunNotStarted {
+		m.LateResults.Inc(1)
+	}
+}
--- /dev/null
+++ b/entry/owner_dispatch.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/admission"
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/decision/routing"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// targetSilence is how long a sidecar may be silent before its open calls
+	// are given up. A permit lasts at most model.BundleTTL, so that a sidecar
+	// that lives renews several times in it.
+	targetSilence = 10 * time.Second
+	// targetStale is how long a sidecar may be silent before it gets no more
+	// work: its permit is about to end.
+	targetStale = 2 * time.Second
+	// expireInterval is the interval between two sweeps over old keys.
+	expireInterval = 10 * time.Second
+	// capacityInterval is the interval at which the queue learns what the
+	// targets can take.
+	capacityInterval = 100 * time.Millisecond
+	// minTaskTimeout is the least time that a dispatched task is given.
+	minTaskTimeout = 10 * time.Millisecond
+)
+
+// dispatch sends queued tasks for as long as targets have room.
+func (o *Owner) dispatch() {
+	if !o.admitting(o.now) {
+		return
+	}
+	for {
+		ref, ok := o.queue.Peek()
+		if !ok {
+			return
+		}
+		job, running := o.jobs[ref.Key]
+		if !running {
+			o.queue.Remove(ref.Key, o.now)
+			continue
+		}
+		choice, ok := o.router.Pick(o.routingRequest(job, ref.Index), o.now)
+		if !ok {
+			return
+		}
+		o.queue.Next(o.now)
+		o.send(job, ref.Index, choice)
+	}
+}
+
+func (o *Owner) routingRequest(job *runningJob, index int) routing.Request {
+	task := &job.spec.Tasks[index]
+	return routing.Request{
+		Caller:   job.spec.Key.Caller,
+		Class:    task.Class,
+		Declared: task.DeclaredRun,
+		Size:     task.DeclaredSize,
+		Zone:     o.self.Zone,
+	}
+}
+
+func (o *Owner) send(job *runningJob, index int, choice routing.Choice) {
+	target, known := o.targets[choice.Incarnation]
+	attempt, allowed := job.state.Attempt(index)
+	if !known || !allowed {
+		return
+	}
+	o.apply(job, jobstate.Dispatched{Index: index, Attempt: attempt, Sidecar: choice.Incarnation})
+	o.router.Dispatched(choice.Incarnation, o.now)
+	order := o.order(job, index, attempt, target)
+	order.maxQueue = choice.MaxQueue
+	if attempt > 1 {
+		o.metrics.Redispatched.Inc(1)
+	}
+	o.inFlight++
+	go o.dispatcher.send(o.ctx, order)
+}
+
+func (o *Owner) order(job *runningJob, index, attempt int, target *knownTarget) dispatchOrder {
+	task := &job.spec.Tasks[index]
+	return dispatchOrder{
+		target:  target.info,
+		ref:     model.TaskRef{Key: job.spec.Key, Index: index},
+		attempt: attempt,
+		class:   task.Class,
+		payload: task.Payload,
+		timeout: max(job.state.Deadline().Sub(o.now), minTaskTimeout),
+	}
+}
+
+// attach waits at the sidecars for tasks that a former owner sent there.
+func (o *Owner) attach(job *runningJob, tasks []jobstate.Placement) {
+	for _, task := range tasks {
+		target, known := o.targets[task.Sidecar]
+		if !known {
+			ref := model.TaskRef{Key: job.spec.Key, Index: task.Index}
+			o.apply(job, jobstate.Unknown{Ref: ref, Attempt: task.Attempt})
+			continue
+		}
+		order := o.order(job, task.Index, task.Attempt, target)
+		order.attach = true
+		o.router.Dispatched(task.Sidecar, o.now)
+		o.inFlight++
+		go o.dispatcher.send(o.ctx, order)
+	}
+}
+
+// taskEnded takes in the end of a dispatch.
+func (o *Owner) taskEnded(end dispatchEnd) {
+	o.inFlight--
+	o.heard(end)
+	o.metrics.noteEnd(end)
+	job, running := o.jobs[end.order.ref.Key]
+	o.router.Finished(end.order.target.Incarnation, o.report(end), o.now)
+	if !running {
+		o.metrics.noteLate(end)
+		return
+	}
+	switch end.reply.Status {
+	case wire.RunDone:
+		o.queue.TaskEnded(end.order.ref.Key)
+		o.apply(job, jobstate.Done{Ref: end.order.ref, Attempt: end.order.attempt, Result: end.reply.Result})
+	case wire.RunNotStarted:
+		o.noteHandBack(end)
+		o.apply(job, jobstate.HandedBack{Ref: end.order.ref, Attempt: end.order.attempt, Reason: end.reply.Reason})
+	default:
+		o.queue.TaskEnded(end.order.ref.Key)
+		o.apply(job, jobstate.Unknown{Ref: end.order.ref, Attempt: end.order.attempt})
+	}
+}
+
+func (o *Owner) report(end dispatchEnd) routing.Report {
+	return routing.Report{
+		Caller:     end.order.ref.Key.Caller,
+		Class:      end.order.class,
+		Status:     end.reply.Status,
+		Reason:     end.reply.Reason,
+		TaskStatus: end.reply.Result.Status,
+		RunTime:    end.reply.Result.RunTime,
+		QueueWait:  end.reply.QueueWait,
+		Elapsed:    end.elapsed,
+		Load:       end.reply.Load,
+	}
+}
+
+// heard notes that a sidecar answered.
+func (o *Owner) heard(end dispatchEnd) {
+	target, known := o.targets[end.order.target.Incarnation]
+	if known && end.reply.Message > 0 {
+		target.heardAt = o.now
+		o.router.SetReady(end.order.target.Incarnation, true)
+	}
+}
+
+// noteHandBack keeps work from a target that can't take any, until it reports.
+func (o *Owner) noteHandBack(end dispatchEnd) {
+	switch end.reply.Reason {
+	case wire.ReasonNoPermit, wire.ReasonWrongIncarnation, wire.ReasonDraining, wire.ReasonNoMinion, wire.ReasonUnreachable:
+		o.router.SetReady(end.order.target.Incarnation, false)
+	}
+}
+
+// targetRenewed takes in what a sidecar says of itself.
+func (o *Owner) targetRenewed(e renewed) {
+	target, known := o.targets[e.target.Incarnation]
+	if !known {
+		target = &knownTarget{}
+		o.targets[e.target.Incarnation] = target
+	}
+	target.info = e.target
+	target.heardAt = o.now
+	target.open = o.bundle.ZoneOpen(e.target.Zone) && o.bundle.TargetOpen(e.target.Sidecar)
+	o.router.Upsert(e.target, e.load, o.now)
+	o.router.SetReady(e.target.Incarnation, true)
+}
+
+// reviewCapacity tells the queue what the targets can take, and its share of
+// the callers' quotas when the number of entries has changed.
+func (o *Owner) reviewCapacity() {
+	capacity := o.router.Capacity(o.now)
+	o.queue.SetCapacity(admission.Capacity{
+		Targets:            capacity.Targets,
+		LargestMemoryBytes: capacity.LargestMemoryBytes,
+		TasksPerSecond:     capacity.TasksPerSecond,
+	})
+	entries, _ := o.members.Entries()
+	if len(entries) != o.entries {
+		o.entries = len(entries)
+		o.queue.ApplyBundle(o.bundle, max(1, o.entries), o.now)
+	}
+}
+
+// dropSilentTargets stops sending to sidecars that are silent, and gives up
+// the open calls to those that are silent for long.
+func (o *Owner) dropSilentTargets() {
+	for incarnation, target := range o.targets {
+		silent := o.now.Sub(target.heardAt)
+		if silent > targetStale {
+			o.router.SetReady(incarnation, false)
+		}
+		if silent > targetSilence {
+			delete(o.targets, incarnation)
+			o.router.Remove(incarnation)
+			o.peers.forget(incarnation)
+			o.forgetConnection(target.info.Address)
+		}
+	}
+}
+
+// forgetConnection closes the connection to an address at which no known
+// sidecar lives, which ends the open calls there.
+func (o *Owner) forgetConnection(address string) {
+	for _, target := range o.targets {
+		if target.info.Address == address {
+			return
+		}
+	}
+	go o.dispatcher.forget(address)
+}
--- /dev/null
+++ b/entry/owner_partitions.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"github.com/figring/figring/decision/dedup"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// acquire takes a partition over together with the claims in it.
+func (o *Owner) acquire(e acquired) {
+	o.keys.BeginLoad(e.partition)
+	for _, stored := range e.claims {
+		o.keys.LoadClaim(stored.Key, stored.Digest, stored.Claimer)
+	}
+	o.keys.Serve(e.partition)
+	close(e.done)
+}
+
+// release stops deciding about new keys of a partition. Jobs in progress go on
+// here, and the new owner joins them.
+func (o *Owner) release(e released) {
+	o.keys.DropPartition(e.partition)
+	close(e.done)
+}
+
+// fence ends this incarnation: another entry decides about its jobs now. Those
+// who wait are sent there.
+func (o *Owner) fence() {
+	o.isFenced = true
+	for partition := range model.Partitions {
+		o.keys.DropPartition(partition)
+	}
+	for _, job := range o.jobs {
+		if job.keyless {
+			continue
+		}
+		o.forget(job)
+		job.reply(refused(ownerHasMoved()))
+	}
+}
+
+// adopt answers a submission whose key another entry claimed. While the
+// claimer's session lives the job is its own.
+func (o *Owner) adopt(e submitted, record dedup.Record) {
+	if claimer, alive := o.members.Live(record.Claimer); alive {
+		o.askClaimer(claimer, joined{request: o.joinRequest(e.spec.Key, true), answer: e.answer})
+		return
+	}
+	if !o.admitting(o.now) || !o.adopter.ask(e.spec.Key) {
+		e.answer <- refused(adoptLater())
+		return
+	}
+	o.metrics.Adoptions.Inc(1)
+	o.keys.Adopted(e.spec.Key)
+	job := o.newJob(e)
+	job.adopted = true
+}
+
+// adoptLater refuses a resubmission that can't be looked into now. The job may
+// have been run.
+func adoptLater() *model.Refusal {
+	return &model.Refusal{
+		Code:       model.CodeStoreUnavailable,
+		Outcome:    model.Unknown,
+		Detail:     "the entry that had the job is gone and the job can't be looked into now; resubmit with the same key",
+		RetryAfter: storeRetryAfter,
+	}
+}
+
+// jobAdopted takes in what the sidecars know of a job.
+func (o *Owner) jobAdopted(result adoption) {
+	job, running := o.jobs[result.key]
+	if !running {
+		return
+	}
+	if result.err != nil {
+		o.keys.Released(result.key)
+		o.forget(job)
+		job.reply(refused(adoptLater()))
+		return
+	}
+	found := make(map[int]bool)
+	for _, task := range result.event.Tasks {
+		found[task.Record.Ref.Index] = true
+	}
+	o.queue.Adopt(result.key, max(0, len(job.spec.Tasks)-len(found)), o.now)
+	o.apply(job, result.event)
+}
+
+func (o *Owner) joinRequest(key model.JobKey, wait bool) wire.JoinRequest {
+	return wire.JoinRequest{From: o.self.Incarnation, Key: key, Wait: wait}
+}
+
+// joinClaimer answers a question about a job that another entry claimed.
+func (o *Owner) joinClaimer(e joined, claimer model.Incarnation) {
+	info, alive := o.members.Live(claimer)
+	if alive {
+		e.request.From = o.self.Incarnation
+		o.askClaimer(info, e)
+		return
+	}
+	e.answer <- refused(&model.Refusal{
+		Code:       model.CodeInProgress,
+		Outcome:    model.Unknown,
+		Detail:     "the entry that had the job is gone; resubmit it with the same key to have it looked into",
+		RetryAfter: ownerRetry,
+	})
+}
+
+// askClaimer joins the job at the entry that claimed it, beside the loop.
+func (o *Owner) askClaimer(claimer wire.EntryInfo, e joined) {
+	go func() {
+		ctx, release := o.watch.bind(o.ctx, claimer.Incarnation)
+		defer release()
+		var reply wire.JobReply
+		err := o.pool.Call(ctx, claimer.Address, wire.MethodJoin, &e.request, &reply)
+		if err != nil || (reply.Refusal != nil && reply.Refusal.Code == model.CodeNotFound) {
+			reply = refused(ownerHasMoved())
+		}
+		e.answer <- reply
+	}()
+}
+
+// applyBundle takes a new bundle into force: routing at once, and permits of
+// targets that are closed by it are revoked so that their queues come back
+// without waiting for the permits' end.
+func (o *Owner) applyBundle(bundle model.Bundle) {
+	if bundle.Version < o.bundle.Version {
+		return
+	}
+	o.bundle = bundle
+	entries, _ := o.members.Entries()
+	o.queue.ApplyBundle(bundle, max(1, len(entries)), o.now)
+	o.router.SetEjectionShare(bundle.Limits.EjectionShare)
+	o.router.SetOpen(func(target wire.Target) bool {
+		return bundle.ZoneOpen(target.Zone) && bundle.TargetOpen(target.Sidecar)
+	})
+	for _, target := range o.targets {
+		open := bundle.ZoneOpen(target.info.Zone) && bundle.TargetOpen(target.info.Sidecar)
+		if target.open && !open {
+			o.metrics.Revocations.Inc(1)
+			go o.dispatcher.revoke(o.ctx, target.info.Address, bundle.Version)
+		}
+		target.open = open
+	}
+}
+
+// status sums up the loop's state.
+func (o *Owner) status() OwnerStatus {
+	status := OwnerStatus{Jobs: len(o.jobs), Queued: o.queue.Waiting(), Running: o.inFlight, Keys: o.keys.Len()}
+	for _, target := range o.targets {
+		status.Targets = append(status.Targets, TargetStatus{
+			Sidecar:     target.info.Sidecar,
+			Incarnation: target.info.Incarnation,
+			Zone:        target.info.Zone,
+			Worker:      target.info.Worker,
+			State:       string(target.info.State),
+			Open:        target.open,
+			Slots:       target.info.Slots,
+			HeardMsAgo:  o.now.Sub(target.heardAt).Milliseconds(),
+		})
+	}
+	return status
+}
--- /dev/null
+++ b/entry/running_job.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+// runningJob is a job in progress at its owner.
+type runningJob struct {
+	spec     model.JobSpec
+	state    *jobstate.Job
+	received time.Time
+	// keyless is set for requests that nobody can submit again: they have no
+	// claim and no record in the table of keys.
+	keyless bool
+	// adopted is set for a job that another entry claimed.
+	adopted bool
+	// waiters get the answer, each once.
+	waiters []chan<- wire.JobReply
+}
+
+// reply answers everyone who waits and forgets them.
+func (j *runningJob) reply(reply wire.JobReply) {
+	for _, waiter := range j.waiters {
+		waiter <- reply
+	}
+	j.waiters = nil
+}
--- /dev/null
+++ b/entry/sidecar_row.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+const (
+	// sidecarPrefix is the prefix of the rows that sidecars write at their start.
+	sidecarPrefix = "sidecars/"
+	// sidecarPage is the number of rows in one page of a listing.
+	sidecarPage = 1000
+)
+
+// sidecarRow is the value of a sidecar's row.
+type sidecarRow struct {
+	Target wire.Target
+	// Started is the Unix time of the incarnation's start in milliseconds.
+	Started int64
+	// First is true when no incarnation of that name came before.
+	First bool
+	// Left is set by a sidecar that stopped in order.
+	Left bool
+	// LeftAt is the Unix time of that stop in milliseconds.
+	LeftAt int64
+	// Unreleased says that a sidecar left with results that nobody took.
+	Unreleased bool
+}
+
+// listSidecars reads the rows of every sidecar that started within the last
+// retention time or has not been removed since.
+func listSidecars(ctx context.Context, table platform.Table) ([]sidecarRow, error) {
+	var rows []sidecarRow
+	from := ""
+	for {
+		page, err := table.List(ctx, sidecarPrefix, from, sidecarPage)
+		if err != nil {
+			return nil, errStore.Wrap(err)
+		}
+		for _, stored := range page.Rows {
+			var row sidecarRow
+			if err := json.Unmarshal(stored.Value, &row); err != nil {
+				return nil, errStore.New("row %q: %v", stored.Key, err)
+			}
+			if row.Target.Sidecar == "" {
+				row.Target.Sidecar = strings.TrimPrefix(stored.Key, sidecarPrefix)
+			}
+			rows = append(rows, row)
+		}
+		if page.Next == "" {
+			return rows, nil
+		}
+		from = page.Next
+	}
+}
+
+// accounts reports whether this incarnation would know of a task that was
+// handed to a sidecar of its name at or after the given time.
+func accounts(reply *wire.LookupReply, since time.Time) bool {
+	if reply.RecordsSince.After(since) && !(reply.First && reply.RecordsSince.Equal(reply.Started)) {
+		return false
+	}
+	return reply.First || !reply.Started.After(since)
+}
+
+// claimFloor returns the earliest time at which a job of that key can have been
+// claimed. Callers' clocks may be ahead by model.KeySkew.
+func claimFloor(key model.JobKey) time.Time {
+	return key.Created().Add(-model.KeySkew)
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,40 @@
+package entry
+
+import "github.com/figring/figring/model"
+
+// OwnerStatus sums up an owner's state.
+type OwnerStatus struct {
+	Jobs    int            `json:"jobs"`
+	Queued  int            `json:"queuedTasks"`
+	Running int            `json:"dispatchedTasks"`
+	Keys    int            `json:"knownKeys"`
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus sums up what an entry knows of one sidecar.
+type TargetStatus struct {
+	Sidecar     string            `json:"sidecar"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Zone        string            `json:"zone"`
+	Worker      string            `json:"worker"`
+	State       string            `json:"state"`
+	Open        bool              `json:"open"`
+	Slots       int               `json:"slots"`
+	Outstanding int               `json:"outstanding"`
+	HeardMsAgo  int64             `json:"heardMsAgo"`
+	PermitMs    int64             `json:"permitMs"`
+}
+
+// Status sums up one entry.
+type Status struct {
+	Name          string            `json:"name"`
+	Incarnation   model.Incarnation `json:"incarnation"`
+	Zone          string            `json:"zone"`
+	Ready         bool              `json:"ready"`
+	Draining      bool              `json:"draining"`
+	LeaseMs       int64             `json:"leaseMs"`
+	BundleVersion int64             `json:"bundleVersion"`
+	BundleFreshMs int64             `json:"bundleFreshMs"`
+	Partitions    int               `json:"partitions"`
+	Owner         OwnerStatus       `json:"owner"`
+}
--- a/model/refusal.go
+++ b/model/refusal.go
@@ -31,6 +31,7 @@
 	CodeOwnerUnreachable Code = "owner_unreachable"
 	CodeVersionConflict  Code = "version_conflict"
 	CodeTooLarge         Code = "too_large"
+	CodeAnswerGone       Code = "answer_gone"
 	CodeInternal         Code = "internal"
 )
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -63,7 +63,7 @@
 		ClaimMode:       ClaimsGrouped,
 		Routing:         RoutingExpected,
 		LogLevel:        "info",
-		ShutdownTimeout: Duration(30 * time.Second),
+		ShutdownTimeout: Duration(6 * time.Minute),
 		ReadyDelay:      Duration(2 * time.Second),
 		MaxBodyBytes:    16 << 20,
 	}
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -44,11 +44,11 @@
 func DefaultSidecar() SidecarSettings {
 	return SidecarSettings{
 		QueueCapacity:     8,
-		RecordLimit:       1_000_000,
-		ResultBytes:       64 << 20,
+		RecordLimit:       100_000,
+		ResultBytes:       8 << 20,
 		EntriesPerSidecar: 3,
 		LogLevel:          "info",
-		ShutdownTimeout:   Duration(30 * time.Second),
+		ShutdownTimeout:   Duration(6 * time.Minute),
 	}
 }
 
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -15,6 +15,9 @@
 	sessionPrefix = "sessions/"
 	// listInterval is the least time between two reads of the session rows.
 	listInterval = 2 * time.Second
+	// goneAfter is how long an entry that is no longer listed may be silent
+	// before its permit is no longer renewed.
+	goneAfter = model.SessionTTL
 	// listPage is the number of rows in one read of the table.
 	listPage = 100
 )
@@ -29,15 +32,21 @@
 }
 
 // renewal is the duty of one entry's permit.
-type renewal struct{ cancel context.CancelFunc }
+type renewal struct {
+	cancel  context.CancelFunc
+	renewer *renewer
+}
 
 // directory keeps the list of live entries and one renewal for each.
 type directory struct {
 	sidecar  *Sidecar
 	lists    chan entryList
 	renewals map[model.Incarnation]renewal
+	// listed is the last list.
+	listed map[model.Incarnation]bool
 	// known is the version of the list, and answered the last time in Unix
-	// nanoseconds at which any entry answered.
+	// nanoseconds at which any entry answered. Versions of different lists
+	// differ; they have no order.
 	known    atomic.Int64
 	answered atomic.Int64
 	read     time.Time
@@ -64,6 +73,7 @@
 		case entry := <-d.sidecar.strangers:
 			d.meet(ctx, entry)
 		case <-ticker.C:
+			d.prune()
 			if d.silent() {
 				d.refresh(ctx)
 			}
@@ -120,27 +130,31 @@
 	}
 }
 
-// take takes a list from an entry unless it has a newer one.
+// take takes a list from an entry.
 func (d *directory) take(ctx context.Context, list entryList) {
-	if list.version <= d.known.Load() {
-		return
-	}
 	d.known.Store(list.version)
 	d.settle(ctx, list.entries)
 }
 
-// settle starts the renewals of new entries and ends those of gone ones. The
-// permits of the latter end by themselves.
+// settle starts the renewals of new entries. An entry that is missing from a
+// list may have been left out because the one that gave the list had not read
+// of it yet, so that absence alone ends nothing; see prune.
 func (d *directory) settle(ctx context.Context, entries []wire.EntryInfo) {
-	listed := make(map[model.Incarnation]bool, len(entries))
+	d.listed = make(map[model.Incarnation]bool, len(entries))
 	for _, entry := range entries {
-		listed[entry.Incarnation] = true
+		d.listed[entry.Incarnation] = true
 		if _, known := d.renewals[entry.Incarnation]; !known {
 			d.begin(ctx, entry)
 		}
 	}
+	d.sidecar.entries.Update(float64(len(d.renewals)))
+}
+
+// prune ends the renewals of entries that are no longer listed and no longer
+// answer. Their permits end by themselves.
+func (d *directory) prune() {
 	for incarnation, one := range d.renewals {
-		if !listed[incarnation] {
+		if !d.listed[incarnation] && one.renewer.silentFor() > goneAfter {
 			one.cancel()
 			delete(d.renewals, incarnation)
 		}
@@ -150,9 +164,10 @@
 
 func (d *directory) begin(ctx context.Context, entry wire.EntryInfo) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.renewals[entry.Incarnation] = renewal{cancel: cancel}
+	renewer := newRenewer(d, entry)
+	d.renewals[entry.Incarnation] = renewal{cancel: cancel, renewer: renewer}
 	d.sidecar.duties.Go(func() {
 		defer cancel()
-		newRenewer(d, entry).run(ctx)
+		renewer.run(ctx)
 	})
 }
--- a/sidecar/renewer.go
+++ b/sidecar/renewer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/figring/figring/wire"
@@ -34,15 +35,25 @@
 	// told is the state that the entry has heard of, plus one.
 	told  uint64
 	retry *backoff
+	// answered is the last time in Unix nanoseconds at which the entry answered,
+	// or at which the duty began.
+	answered atomic.Int64
 }
 
 func newRenewer(directory *directory, entry wire.EntryInfo) *renewer {
-	return &renewer{
+	r := &renewer{
 		directory: directory,
 		sidecar:   directory.sidecar,
 		entry:     entry,
 		retry:     newBackoff(renewRetryFirst, renewRetryLast),
 	}
+	r.answered.Store(time.Now().UnixNano())
+	return r
+}
+
+// silentFor returns the time since the entry last answered.
+func (r *renewer) silentFor() time.Duration {
+	return time.Since(time.Unix(0, r.answered.Load()))
 }
 
 func (r *renewer) run(ctx context.Context) {
@@ -83,7 +94,8 @@
 	}
 	r.retry.reset()
 	r.told = state + 1
-	r.directory.answered.Store(time.Now().UnixNano())
+	r.answered.Store(time.Now().UnixNano())
+	r.directory.answered.Store(r.answered.Load())
 	r.pass(ctx, reply)
 	if reply.Permit.TTL <= 0 {
 		return max(reply.RetryAfter, refusedPause/2+rand.N(refusedPause))
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -116,3 +116,21 @@
 	}
 	t.Fatal("no connection arrived")
 }
+
+func TestServerDrainWaitsForOpenCalls(t *testing.T) {
+	service := &echoService{hold: make(chan struct{})}
+	server, address := startServer(t, "s", service)
+	defer server.Close()
+	pool := NewPool("s", nil, nil)
+	defer pool.Close()
+	result := make(chan error, 1)
+	go func() { result <- pool.Call(context.Background(), address, MethodRun, &RunRequest{}, &RunReply{}) }()
+	waitForConn(t, server)
+
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	must.ErrorIs(t, server.Drain(short), context.DeadlineExceeded)
+	close(service.hold)
+	must.NoError(t, server.Drain(t.Context()))
+	must.NoError(t, <-result)
+}
--- a/wire/run.go
+++ b/wire/run.go
@@ -67,6 +67,8 @@
 	ReasonWithdrawn        NotStartedReason = "withdrawn"
 	ReasonDeadline         NotStartedReason = "deadline"
 	ReasonMinionRefused    NotStartedReason = "minion_refused"
+	// ReasonUnreachable is set by an entry that could not send the task.
+	ReasonUnreachable NotStartedReason = "unreachable"
 )
 
 // RunReply ends a Run or Attach call.
--- a/wire/server.go
+++ b/wire/server.go
@@ -1,14 +1,20 @@
 package wire
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
 )
 
+// drainPoll is the interval at which Drain looks at the open calls.
+const drainPoll = 5 * time.Millisecond
+
 // Server serves net/rpc with MessagePack on connections that present the
 // shared secret.
 type Server struct {
@@ -21,6 +27,9 @@
 	conns    map[net.Conn]struct{}
 	closed   bool
 	wait     sync.WaitGroup
+
+	// open counts the calls that were read and not yet answered.
+	open atomic.Int64
 }
 
 // NewServer returns a server. tlsConfig may be nil for plain TCP.
@@ -92,7 +101,7 @@
 	if admit(conn, s.secret) != nil {
 		return
 	}
-	s.rpc.ServeCodec(msgpackrpc.NewCodec(true, true, conn))
+	s.rpc.ServeCodec(countingCodec{ServerCodec: msgpackrpc.NewCodec(true, true, conn), open: &s.open})
 }
 
 func (s *Server) untrack(conn net.Conn) {
@@ -102,6 +111,22 @@
 	delete(s.conns, conn)
 }
 
+// Drain waits until every call that was read has been answered. New calls are
+// still taken: whoever drains refuses them. It returns the context's error when
+// that ends first.
+func (s *Server) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // Close stops accepting, closes every connection and waits for their calls.
 // Whoever wants open calls to be answered waits for them before Close.
 func (s *Server) Close() {
--- /dev/null
+++ b/wire/server_codec.go
@@ -0,0 +1,29 @@
+package wire
+
+import (
+	"net/rpc"
+	"sync/atomic"
+)
+
+// countingCodec counts the calls that were read and not yet answered, so that
+// a server can stop without cutting an answer off.
+type countingCodec struct {
+	rpc.ServerCodec
+	open *atomic.Int64
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c countingCodec) ReadRequestHeader(request *rpc.Request) error {
+	err := c.ServerCodec.ReadRequestHeader(request)
+	if err == nil {
+		c.open.Add(1)
+	}
+	return err
+}
+
+// WriteResponse implements rpc.ServerCodec. net/rpc calls it once for each
+// request whose header was read.
+func (c countingCodec) WriteResponse(response *rpc.Response, body any) error {
+	defer c.open.Add(-1)
+	return c.ServerCodec.WriteResponse(response, body)
+}
