--- a/minion/serve_test.go
+++ b/minion/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -102,6 +103,26 @@
 	must.Error(t, err)
 }
 
+func TestServe_RunsOnWithoutItsClient(t *testing.T) {
+	s := serve(t, options())
+	conn, err := net.Dial("tcp", s.address)
+	must.NoError(t, err)
+	const body = `{"runMs":100}`
+	_, err = fmt.Fprintf(conn, "POST /run HTTP/1.1\r\nHost: m\r\nFigring-Job: j1\r\nFigring-Task: 0\r\n"+
+		"Content-Length: %d\r\n\r\n%s", len(body), body)
+	must.NoError(t, err)
+	for s.minion.Counts().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.NoError(t, conn.Close())
+	s.leave()
+	must.NoError(t, <-s.ended)
+	must.SliceLen(t, 1, s.minion.Ledger())
+	start := s.minion.Ledger()[0]
+	must.Eq(t, 200, start.Status)
+	must.GreaterEq(t, int64(100*time.Millisecond), start.EndNs-start.StartNs)
+}
+
 func TestServe_LimitsConnections(t *testing.T) {
 	s := serve(t, options())
 	var open []net.Conn
