Operators' HTTP interface

Bodies are strict: a proposed bundle has to name every field, since one that was left out would empty a list that its proposer never saw.

--- /dev/null
+++ b/operator/decode.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/figring/figring/model"
+)
+
+// bundleFields are the fields that a proposed bundle must name. A field that
+// was left out would otherwise empty a list that the proposer never saw.
+var bundleFields = []string{"version", "closedZones", "drainedTargets", "drainedEntries", "callers", "limits"}
+
+// readBody reads the whole body within its bound.
+func readBody(r *http.Request) ([]byte, error) {
+	raw, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, model.NewRefusal(model.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, invalidRequest("the body could not be read: %v", err)
+	}
+	return raw, nil
+}
+
+// decodeStrict decodes exactly one JSON value without unknown fields.
+func decodeStrict(raw []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return invalidRequest("the body is not the JSON that is wanted: %v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return invalidRequest("the body goes on after the JSON value")
+	}
+	return nil
+}
+
+// decodeBundle decodes a proposed bundle, whose version is its base.
+func decodeBundle(raw []byte) (model.Bundle, error) {
+	var decoded model.Bundle
+	if err := decodeStrict(raw, &decoded); err != nil {
+		return model.Bundle{}, err
+	}
+	var named map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &named); err != nil {
+		return model.Bundle{}, invalidRequest("the body is not an object: %v", err)
+	}
+	for _, field := range bundleFields {
+		if value, ok := named[field]; !ok || string(value) == "null" {
+			return model.Bundle{}, invalidRequest("%s: must be set", field)
+		}
+	}
+	return decoded, nil
+}
+
+// editBody is the optional body of an emergency edit.
+type editBody struct {
+	// Base is the version that the operator saw; without it the edit applies
+	// to whatever is in force.
+	Base *int64 `json:"base"`
+}
+
+func decodeEdit(raw []byte) (editBody, error) {
+	var decoded editBody
+	if len(raw) == 0 {
+		return decoded, nil
+	}
+	if err := decodeStrict(raw, &decoded); err != nil {
+		return editBody{}, err
+	}
+	if decoded.Base != nil && *decoded.Base < 0 {
+		return editBody{}, invalidRequest("base: want at least 0")
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/operator/endpoint.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+)
+
+// answer is what an endpoint returns when it doesn't refuse.
+type answer struct {
+	status int
+	// location is the path of what was made, or empty.
+	location string
+	body     any
+}
+
+func ok(body any) answer {
+	return answer{status: http.StatusOK, body: body}
+}
+
+// endpoint does the work of one route.
+type endpoint func(ctx iris.Context) (answer, error)
+
+// handle writes the answer of an endpoint or its refusal.
+func (a *api) handle(work endpoint) iris.Handler {
+	return func(ctx iris.Context) {
+		result, err := work(ctx)
+		if err != nil {
+			detailsOf(err).Write(ctx.ResponseWriter())
+			return
+		}
+		result.write(ctx.ResponseWriter())
+	}
+}
+
+func (r answer) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Cache-Control", "no-store")
+	if r.location != "" {
+		header.Set("Location", r.location)
+	}
+	w.WriteHeader(r.status)
+	_ = json.NewEncoder(w).Encode(r.body)
+}
--- /dev/null
+++ b/operator/fake_test.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/common/identity"
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/settings"
+)
+
+// fakeTable is a table in memory; fail is returned by every call when set.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version int64
+	fail    error
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, found := f.rows[key]
+	if !found && f.fail == nil {
+		return row, platform.ErrNotFound
+	}
+	return row, f.fail
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (platform.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var page platform.Page
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
+	page.Rows = page.Rows[:min(limit, len(page.Rows))]
+	return page, f.fail
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail != nil {
+		return nil, f.fail
+	}
+	for _, condition := range txn.Conditions {
+		if f.rows[condition.Key].Version != condition.Version {
+			return nil, platform.ErrConflict
+		}
+	}
+	versions := make([]int64, len(txn.Writes))
+	for i, write := range txn.Writes {
+		f.version++
+		versions[i] = f.version
+		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: f.version}
+	}
+	return versions, nil
+}
+
+// rig is the interface on a fake table with the operators anna and bert, whose
+// tokens are their names.
+type rig struct {
+	t       *testing.T
+	table   *fakeTable
+	watcher *rollout.Watcher
+	handler http.Handler
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	table := &fakeTable{rows: make(map[string]platform.Row)}
+	watcher := rollout.New(table, rollout.Options{})
+	_, err := watcher.ReadNow(t.Context())
+	must.NoError(t, err)
+	announce := func(int64) { _, _ = watcher.ReadNow(context.Background()) }
+	handler, err := New(Options{
+		Editor: rollout.NewEditor(table, rollout.EditorOptions{
+			Rules:    bundle.Rules{Zones: []string{"schwabing", "garching"}},
+			Announce: announce,
+		}),
+		Watcher: watcher,
+		Operators: identity.NewOperators([]settings.Operator{
+			{Name: "anna", TokenHash: identity.Hash("anna")},
+			{Name: "bert", TokenHash: identity.Hash("bert")},
+		}),
+		Status:       func(context.Context) any { return map[string]int{"jobs": 3} },
+		MaxBodyBytes: 8 << 10,
+	})
+	must.NoError(t, err)
+	return &rig{t: t, table: table, watcher: watcher, handler: handler}
+}
+
+// send makes a request as operator and decodes the answer into into.
+func (r *rig) send(operator, method, path, body string, into any) *http.Response {
+	r.t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if operator != "" {
+		request.Header.Set("Authorization", "Bearer "+operator)
+	}
+	recorder := httptest.NewRecorder()
+	r.handler.ServeHTTP(recorder, request)
+	response := recorder.Result()
+	raw, err := io.ReadAll(response.Body)
+	must.NoError(r.t, err)
+	must.NoError(r.t, json.Unmarshal(raw, into), must.Sprintf("%s %s: %s", method, path, raw))
+	return response
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,28 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+)
+
+// The bounds of a connection of the operators' listener.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 10 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 32 << 10
+)
+
+// NewServer returns an HTTP server for the handler with every bound set, so
+// that a slow or endless request ends by itself.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
