--- a/command/register.go
+++ b/command/register.go
@@ -1,6 +1,10 @@
 package command
 
-import flags "github.com/jessevdk/go-flags"
+import (
+	"os"
+
+	flags "github.com/jessevdk/go-flags"
+)
 
 // subcommand describes one entry of the command line.
 type subcommand struct {
@@ -14,6 +18,8 @@
 func subcommands(streams *IO) []subcommand {
 	return []subcommand{
 		{"version", "Print the version", "Prints the version of the binary.\n\nExample: figring version", &versionCommand{streams: streams}},
+		{"validate", "Check settings files", validateLong, &validateCommand{streams: streams}},
+		{"token", "Print the hash of a bearer token", tokenLong, &tokenCommand{streams: streams, in: os.Stdin}},
 	}
 }
 
