--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -26,6 +28,8 @@
 	rows    map[string]platform.Row
 	version int64
 	fail    error
+	// failWrites is returned by every commit when set.
+	failWrites error
 }
 
 func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
@@ -55,8 +59,8 @@
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fail != nil {
-		return nil, f.fail
+	if f.fail != nil || f.failWrites != nil {
+		return nil, errors.Join(f.fail, f.failWrites)
 	}
 	for _, condition := range txn.Conditions {
 		if f.rows[condition.Key].Version != condition.Version {
@@ -82,6 +86,11 @@
 }
 
 func newRig(t *testing.T) *rig {
+	t.Helper()
+	return newRigWithTimeout(t, DefaultTimeout)
+}
+
+func newRigWithTimeout(t *testing.T, timeout time.Duration) *rig {
 	t.Helper()
 	table := &fakeTable{rows: make(map[string]platform.Row)}
 	watcher := rollout.New(table, rollout.Options{})
@@ -100,6 +109,7 @@
 		}),
 		Status:       func(context.Context) any { return map[string]int{"jobs": 3} },
 		MaxBodyBytes: 8 << 10,
+		Timeout:      timeout,
 	})
 	must.NoError(t, err)
 	return &rig{t: t, table: table, watcher: watcher, handler: handler}
--- a/rollout/editor.go
+++ b/rollout/editor.go
@@ -138,7 +138,7 @@
 	return Accepted{
 		Version:   version,
 		Changed:   attemptID != "",
-		InForceBy: e.options.Now().Add(model.BundleTTL).Round(time.Millisecond),
+		InForceBy: e.options.Now().Add(inForceAfter).Round(time.Millisecond).UTC(),
 		Attempt:   attemptID,
 	}
 }
--- a/rollout/editor_options.go
+++ b/rollout/editor_options.go
@@ -15,7 +15,8 @@
 	// Announce is called after each accepted change with its version, so that
 	// others read at once instead of at their next poll. It must not block.
 	Announce func(version int64)
-	// Now and NewID default to time.Now and random UUIDs.
+	// Now and NewID default to time.Now and UUIDs of version 7, by
+	// which proposals are listed in order of time.
 	Now   func() time.Time
 	NewID func() string
 }
@@ -28,7 +29,9 @@
 		o.Now = time.Now
 	}
 	if o.NewID == nil {
-		o.NewID = uuid.NewString
+		o.NewID = newID
 	}
 	return o
 }
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
--- a/rollout/editor_test.go
+++ b/rollout/editor_test.go
@@ -244,7 +244,7 @@
 			must.NoError(t, err)
 		}
 		if pruned {
-			delete(table.rows, historyKey(1))
+			table.remove(historyKey(1))
 		}
 		_, err := editor.putInForce(t.Context(), 0, stale)
 		must.ErrorIs(t, err, errLost)
@@ -257,7 +257,7 @@
 	editor := newTestEditor(table, nil)
 	_, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
 	must.NoError(t, err)
-	delete(table.rows, CurrentKey)
+	table.remove(CurrentKey)
 	_, err = editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "schwabing"})
 	must.ErrorIs(t, err, ErrBusy)
 }
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -162,3 +162,9 @@
 	defer f.mu.Unlock()
 	return f.most
 }
+
+func (f *fakeTable) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.rows, key)
+}
--- /dev/null
+++ b/rollout/main_test.go
@@ -0,0 +1,11 @@
+package rollout
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/rollout/watcher_test.go
+++ b/rollout/watcher_test.go
@@ -212,3 +212,20 @@
 		must.False(t, w.InForceEverywhere(6))
 	})
 }
+
+func TestDeletedRowEndsFreshnessAndNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		_, err := newTestEditor(table, nil).Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+		must.NoError(t, err)
+		w := New(table, Options{})
+		stop := watch(t, w)
+		defer stop()
+		time.Sleep(time.Millisecond)
+		must.EqOp(t, 1, w.View().Bundle.Version)
+		table.remove(CurrentKey)
+		time.Sleep(model.BundleTTL)
+		must.EqOp(t, 1, w.View().Bundle.Version)
+		must.False(t, fresh(w))
+	})
+}
