--- a/command/entry.go
+++ b/command/entry.go
@@ -1,11 +1,18 @@
 package command
 
 import (
+	"context"
+	"net/http"
+
 	"github.com/figring/figring/claims"
+	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/common/tlsconf"
+	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/entry"
+	"github.com/figring/figring/operator"
 	"github.com/figring/figring/platform/remote"
+	"github.com/figring/figring/rollout"
 	"github.com/figring/figring/settings"
 )
 
@@ -59,10 +66,26 @@
 		ShutdownTimeout: loaded.ShutdownTimeout.Std(),
 		MaxBodyBytes:    loaded.MaxBodyBytes,
 		Metrics:         metrics.NewRoot(),
+		Operators:       operatorInterface(loaded),
 	}
 	return options, entryTLS(loaded, &options)
 }
 
+// operatorInterface returns a builder of the operators' interface of an entry.
+func operatorInterface(loaded *settings.EntrySettings) func(*entry.Entry) (http.Handler, error) {
+	return func(role *entry.Entry) (http.Handler, error) {
+		return operator.New(operator.Options{
+			Editor: rollout.NewEditor(role.Table(), rollout.EditorOptions{
+				Rules:    bundle.Rules{Zones: loaded.Zones},
+				Announce: role.AnnounceBundle,
+			}),
+			Watcher:   role.Bundles(),
+			Operators: identity.NewOperators(loaded.Operators),
+			Status:    func(ctx context.Context) any { return role.SystemStatus(ctx) },
+		})
+	}
+}
+
 func entryTLS(loaded *settings.EntrySettings, options *entry.Options) (err error) {
 	if options.RPCServerTLS, err = tlsconf.Server(loaded.TLS.RPC); err != nil {
 		return err
--- a/command/register.go
+++ b/command/register.go
@@ -1,6 +1,10 @@
 package command
 
-import flags "github.com/jessevdk/go-flags"
+import (
+	"os"
+
+	flags "github.com/jessevdk/go-flags"
+)
 
 // subcommand describes one entry of the command line.
 type subcommand struct {
@@ -18,6 +22,8 @@
 		{"sidecar", "Run the sidecar beside a minion", sidecarHelp, &sidecarCommand{streams: streams}},
 		{"standin-platform", "Serve a stand-in for the platform", standinPlatformHelp, &standinPlatformCommand{streams: streams}},
 		{"standin-minion", "Serve a stand-in for a minion", standinMinionHelp, &standinMinionCommand{streams: streams}},
+		{"validate", "Check settings files", validateLong, &validateCommand{streams: streams}},
+		{"token", "Print the hash of a bearer token", tokenLong, &tokenCommand{streams: streams, in: os.Stdin}},
 	}
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -38,3 +38,16 @@
 	Partitions    int               `json:"partitions"`
 	Owner         OwnerStatus       `json:"owner"`
 }
+
+// EntryReport is what one entry said of itself, or why it said nothing.
+type EntryReport struct {
+	Name        string            `json:"name"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Status      *Status           `json:"status,omitempty"`
+	Error       string            `json:"error,omitempty"`
+}
+
+// SystemStatus sums up the living entries.
+type SystemStatus struct {
+	Entries []EntryReport `json:"entries"`
+}
