--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"net/http"
 	"os/signal"
 	"syscall"
 
@@ -10,20 +10,11 @@
 
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/sidecar"
 )
 
-// errNoPlatform means that this build has no client for the platform.
-var errNoPlatform = errors.New("sidecar: no client for the platform in this build")
-
-// openPlatform connects to the platform at url. It is set where the client of
-// the platform is linked in.
-var openPlatform func(url string) (platform.Table, error)
-
-// openAnnouncements returns what the minion announces itself to. It is set
-// where the receiver is linked in.
-var openAnnouncements func() announceReceiver
-
 type sidecarCommand struct {
 	Name           string `long:"name" description:"name of the sidecar, kept over restarts" required:"true"`
 	Zone           string `long:"zone" description:"availability zone" required:"true"`
@@ -48,25 +39,23 @@
 	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(settings); err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
-	if openPlatform == nil || openAnnouncements == nil {
-		return &exitError{code: ExitUsage, err: errNoPlatform}
-	}
-	table, err := openPlatform(settings.PlatformURL)
-	if err != nil {
-		return &exitError{code: ExitUsage, err: err}
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return serveSidecar(ctx, settings, table, openAnnouncements())
+	store := remote.New(settings.PlatformURL, 0)
+	defer store.Close()
+	return serveSidecar(ctx, settings, store.Table())
 }
 
-func serveSidecar(ctx context.Context, settings sidecar.Settings, table platform.Table, receiver announceReceiver) error {
+func serveSidecar(ctx context.Context, settings sidecar.Settings, table platform.Table) error {
+	receiver := announce.NewReceiver()
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, receiver)
 	root := metrics.NewRoot()
 	defer func() { _ = root.Close() }()
 	role, err := sidecar.New(settings, sidecar.Parts{
 		Table:         table,
 		Announcements: receiver,
-		Announce:      receiver,
+		Announce:      mux,
 		Metrics:       root.Handler,
 		Scope:         root.Scope,
 	})
