Say not run, and decide failures, only under a valid lease

Cause: an entry that was paused past its lease has a table of keys that its successor has added to. Woken, it refused a resubmission as not run and failed jobs by their timeout, while the successor may have run them. Refusals now weaken to unknown without the lease, and a failure waits for it; a complete answer is a fact and is given at once. The outage test saw not_run before and unknown after the lease's end now.

--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -31,6 +31,12 @@
 	must.Less(t, time.Second, time.Since(begun))
 	must.MapEmpty(t, c.startsOf(job.Key))
 
+	// Once the lease is over, another entry may have run an earlier submission.
+	time.Sleep(model.SessionTTL + 500*time.Millisecond - model.BundleTTL)
+	_, err = one.SubmitOnce(t.Context(), job)
+	must.True(t, errors.As(err, &refusal), must.Sprint(err))
+	must.EqOp(t, model.Unknown, refusal.Outcome)
+
 	c.fault(`{}`)
 	answer, err := one.Submit(t.Context(), job)
 	must.NoError(t, err)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -65,6 +65,8 @@
 	targets   map[model.Incarnation]*knownTarget
 	bundle    model.Bundle
 	isFenced  bool
+	// undecided holds failures that wait for a valid lease.
+	undecided []*model.Answer
 	inFlight  int
 	lastSweep time.Time
 	// entries is the number of entries that quotas were divided by.
--- a/entry/owner_jobs.go
+++ b/entry/owner_jobs.go
@@ -34,8 +34,14 @@
 	}
 }
 
-// finish stores the terminal answer and tells everyone who waits.
+// finish stores the terminal answer and tells everyone who waits. A complete
+// answer is a fact. A failure is a decision, and only the holder of the lease
+// takes it: another entry may have adopted the job and be running it.
 func (o *Owner) finish(job *runningJob, answer model.Answer) {
+	if answer.State == model.Failed && !job.keyless && !o.holdsLease() {
+		o.postpone(job, &answer)
+		return
+	}
 	if !job.keyless {
 		o.keys.Answered(job.spec.Key, &answer)
 	}
@@ -44,6 +50,31 @@
 	job.reply(wire.JobReply{Answer: &answer})
 }
 
+// postpone keeps a failure until the lease is valid again. Those who wait are
+// told at once that the outcome is unknown.
+func (o *Owner) postpone(job *runningJob, answer *model.Answer) {
+	o.undecided = append(o.undecided, answer)
+	o.forget(job)
+	job.reply(refused(&model.Refusal{
+		Code:       answer.Code,
+		Outcome:    model.Unknown,
+		Detail:     "the store can't be reached, so the job's end can't be decided here; resubmit with the same key",
+		RetryAfter: storeRetryAfter,
+	}))
+}
+
+// decide takes the postponed failures once the lease is valid again.
+func (o *Owner) decide() {
+	if len(o.undecided) == 0 || !o.holdsLease() {
+		return
+	}
+	for _, answer := range o.undecided {
+		o.keys.Answered(answer.Key, answer)
+		o.metrics.Finished(answer.Key.Caller, answer)
+	}
+	o.undecided = nil
+}
+
 func (o *Owner) forget(job *runningJob) {
 	delete(o.jobs, job.spec.Key)
 	o.queue.Remove(job.spec.Key, o.now)
@@ -75,6 +106,7 @@
 			o.apply(job, jobstate.DeadlinePassed{})
 		}
 	}
+	o.decide()
 	o.dropSilentTargets()
 	if o.now.Sub(o.lastCapacity) > capacityInterval {
 		o.lastCapacity = o.now
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -27,6 +27,7 @@
 // who wait are sent there.
 func (o *Owner) fence() {
 	o.isFenced = true
+	o.undecided = nil
 	for partition := range model.Partitions {
 		o.keys.DropPartition(partition)
 	}
--- a/entry/owner_submit.go
+++ b/entry/owner_submit.go
@@ -57,6 +57,7 @@
 	if refusal := o.admit(e); refusal != nil {
 		if !e.keyless {
 			o.keys.ClaimFailed(e.spec.Key)
+			refusal = o.truthful(refusal)
 		}
 		o.metrics.Refused(refusal.Code)
 		e.answer <- refused(refusal)
@@ -145,7 +146,26 @@
 	o.keys.ClaimFailed(job.spec.Key)
 	o.forget(job)
 	o.metrics.Refused(refusal.Code)
-	job.reply(refused(refusal))
+	job.reply(refused(o.truthful(refusal)))
+}
+
+// truthful weakens a refusal that says "not run" while this entry's lease is
+// over: another entry may own the partition by now and may have run the key.
+func (o *Owner) truthful(refusal *model.Refusal) *model.Refusal {
+	if refusal.Outcome != model.NotRun || o.holdsLease() {
+		return refusal
+	}
+	weaker := *refusal
+	weaker.Outcome = model.Unknown
+	weaker.Detail = "this submission was not run, an earlier one of the key may have been: " + refusal.Detail
+	return &weaker
+}
+
+// holdsLease reports whether this entry decides about its partitions at this
+// very moment. It reads the clock anew: the loop's time may be from before a
+// pause of the process.
+func (o *Owner) holdsLease() bool {
+	return !o.isFenced && o.members.Lease().After(time.Now())
 }
 
 func claimUnknown() *model.Refusal {
@@ -180,7 +200,7 @@
 	if o.now.Sub(key.Created()) > model.Retention {
 		return expiredKey()
 	}
-	return model.NewRefusal(model.CodeNotFound, 0, "no job of that key was accepted")
+	return o.truthful(model.NewRefusal(model.CodeNotFound, 0, "no job of that key was accepted"))
 }
 
 // joinKnown answers from a record of this process.
