--- /dev/null
+++ b/answers/answers_test.go
@@ -0,0 +1,145 @@
+package answers
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/fault"
+	"github.com/figring/figring/platform/memory"
+)
+
+const writer = model.Incarnation("entry-1.a")
+
+// store is a platform with faults.
+type store struct {
+	table   platform.Table
+	objects platform.Objects
+	faults  *fault.Injector
+}
+
+func newStore() store {
+	faults := fault.New(fault.Settings{ReadMillis: 1, WriteMillis: 5}, 1, nil)
+	return store{
+		table:   fault.NewTable(memory.NewTable(), faults),
+		objects: fault.NewObjects(memory.NewObjects(), faults),
+		faults:  faults,
+	}
+}
+
+// keyAt returns a version 7 key that was made at a time.
+func keyAt(at time.Time, last byte) model.JobKey {
+	var id uuid.UUID
+	millis := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (8 * (5 - i)))
+	}
+	id[6], id[8], id[15] = 0x70, 0x80, last
+	return model.JobKey{Caller: "desk", ID: id}
+}
+
+func answerOf(key model.JobKey, body string) *model.Answer {
+	return &model.Answer{Key: key, State: model.Complete, Outcome: model.Run,
+		Results: []model.TaskResult{{Status: 200, Body: []byte(body), RunTime: time.Second}}}
+}
+
+// TestKeptAnswersAreFound covers a calm store and each fault that may strike
+// while the groups are written.
+func TestKeptAnswersAreFound(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fault.Settings
+	}{
+		{"calm", fault.Settings{}},
+		{"lost replies", fault.Settings{ReplyLoss: 0.5}},
+		{"lost writes", fault.Settings{WriteLoss: 0.5}},
+		{"out for a time", fault.Settings{Outage: true}},
+		{"slow", fault.Settings{AfterMillis: 900}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				dropped := 0
+				keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(n int) { dropped += n }})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { keeper.Run(ctx); close(done) }()
+
+				s.faults.Set(c.faults)
+				var keys []model.JobKey
+				for i := range 50 {
+					key := keyAt(time.Now(), byte(i))
+					keys = append(keys, key)
+					keeper.Keep(answerOf(key, string(rune('a'+i))))
+					time.Sleep(100 * time.Millisecond)
+				}
+				s.faults.Set(fault.Settings{})
+				time.Sleep(10 * time.Second)
+				cancel()
+				<-done
+
+				must.Zero(t, dropped)
+				for i, key := range keys {
+					found, err := Find(t.Context(), s.table, s.objects, writer, key)
+					must.NoError(t, err)
+					must.Eq(t, answerOf(key, string(rune('a'+i))), found)
+				}
+				_, err := Find(t.Context(), s.table, s.objects, writer, keyAt(time.Now(), 99))
+				must.ErrorIs(t, err, ErrNotKept)
+			})
+		})
+	}
+}
+
+func TestKeeperWritesGroupsAndTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(int) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { keeper.Run(ctx); close(done) }()
+		last := keyAt(time.Now(), 0)
+		for i := range 200 {
+			last = keyAt(time.Now(), byte(i))
+			keeper.Keep(answerOf(last, "x"))
+		}
+		synctest.Wait()
+		cancel()
+		<-done
+		names, err := s.objects.List(t.Context(), Prefix, "", 100)
+		must.NoError(t, err)
+		must.Len(t, 1, names)
+		_, err = Find(t.Context(), s.table, s.objects, writer, last)
+		must.NoError(t, err)
+	})
+}
+
+func TestSweepDeletesOnlyWhatIsOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(int) {}})
+		old := answerOf(keyAt(time.Now(), 1), "old")
+		keeper.write(t.Context(), []*model.Answer{old}, 1)
+		time.Sleep(time.Hour)
+		fresh := answerOf(keyAt(time.Now(), 2), "fresh")
+		keeper.write(t.Context(), []*model.Answer{fresh}, 1)
+
+		deleted, err := Sweep(t.Context(), s.table, s.objects, writer, time.Now().Add(-time.Minute))
+		must.NoError(t, err)
+		must.EqOp(t, 1, deleted)
+		_, err = Find(t.Context(), s.table, s.objects, writer, old.Key)
+		must.ErrorIs(t, err, ErrNotKept)
+		_, err = Find(t.Context(), s.table, s.objects, writer, fresh.Key)
+		must.NoError(t, err)
+		names, err := s.objects.List(t.Context(), Prefix, "", 100)
+		must.NoError(t, err)
+		must.Len(t, 1, names)
+	})
+}
--- /dev/null
+++ b/answers/finder.go
@@ -0,0 +1,54 @@
+package answers
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// pageRows is the number of index rows in one read.
+const pageRows = 500
+
+// Find returns the answer of a key that the entry of that incarnation wrote, or
+// ErrNotKept. It reads the index rows from the key's creation on, less
+// model.KeySkew, for which callers' clocks may be ahead.
+func Find(ctx context.Context, table platform.Table, objects platform.Objects, writer model.Incarnation, key model.JobKey) (*model.Answer, error) {
+	from := namesFrom(writer, key.Created().Add(-model.KeySkew))
+	for from != "" {
+		page, err := table.List(ctx, prefixOf(writer), from, pageRows)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRead, err)
+		}
+		for _, row := range page.Rows {
+			if !indexHas(row.Value, key.Hash()) {
+				continue
+			}
+			found, err := read(ctx, objects, row.Key, key)
+			if found != nil || err != nil {
+				return found, err
+			}
+		}
+		from = page.Next
+	}
+	return nil, ErrNotKept
+}
+
+// read looks for the key in one group. Another key may have the same hash.
+func read(ctx context.Context, objects platform.Objects, name string, key model.JobKey) (*model.Answer, error) {
+	body, err := objects.Get(ctx, name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRead, err)
+	}
+	group, err := decode(body)
+	if err != nil {
+		return nil, err
+	}
+	for _, answer := range group {
+		if answer.Key == key {
+			return answer, nil
+		}
+	}
+	return nil, nil
+}
--- a/command/entry.go
+++ b/command/entry.go
@@ -49,6 +49,7 @@
 
 // entryOptions turns settings into the options of an entry.
 func entryOptions(loaded *settings.EntrySettings) (entry.Options, error) {
+	store := remote.New(loaded.PlatformURL, platformTimeout)
 	options := entry.Options{
 		Name:            loaded.Name,
 		Zone:            loaded.Zone,
@@ -59,7 +60,8 @@
 		OperatorsListen: loaded.OperatorsListen,
 		StatusListen:    loaded.StatusListen,
 		Secret:          loaded.Secret,
-		Table:           remote.New(loaded.PlatformURL, platformTimeout).Table(),
+		Table:           store.Table(),
+		Objects:         store.Objects(),
 		ClaimMode:       claims.Mode(loaded.ClaimMode),
 		Routing:         loaded.Routing,
 		ReadyDelay:      loaded.ReadyDelay.Std(),
--- a/common/metrics/entry_names.go
+++ b/common/metrics/entry_names.go
@@ -32,6 +32,8 @@
 	EntryWithdrawals = "entry_withdrawals"
 	// EntryRevocations counts messages that end a permit early.
 	EntryRevocations = "entry_revocations"
+	// EntryAnswersDropped counts answers that were not stored behind.
+	EntryAnswersDropped = "entry_answers_dropped"
 	// EntryRefused counts refusals by code.
 	EntryRefused = "entry_refused"
 	// EntryJobs counts answered jobs by caller and code; the code of a complete
--- a/entry/adopter.go
+++ b/entry/adopter.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/figring/figring/answers"
 	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/platform"
@@ -24,37 +26,49 @@
 
 // adoption is what was found out about a job of a former owner.
 type adoption struct {
-	key   model.JobKey
-	event jobstate.Adopted
-	// err is set when the list of sidecars could not be read: nothing was
-	// decided, and the question can be asked again.
+	key model.JobKey
+	// answer is the terminal answer that the former owner stored, if any.
+	answer *model.Answer
+	event  jobstate.Adopted
+	// err is set when the platform could not be read: nothing was decided, and
+	// the question can be asked again.
 	err error
 }
 
-// adopter asks every sidecar what it knows of jobs whose owner is gone. Keys
-// that arrive together share the questions.
+// orphan is a job whose owner is gone.
+type orphan struct {
+	key model.JobKey
+	// claimer is the entry that claimed it.
+	claimer model.Incarnation
+}
+
+// adopter looks into jobs whose owner is gone: first whether their answer was
+// stored, then what the sidecars know of them. Jobs that arrive together share
+// the questions.
 type adopter struct {
-	self   model.Incarnation
-	table  platform.Table
-	pool   rpcCaller
-	keys   chan model.JobKey
-	report func(adoption)
+	self    model.Incarnation
+	table   platform.Table
+	objects platform.Objects
+	pool    rpcCaller
+	orphans chan orphan
+	report  func(adoption)
 }
 
-func newAdopter(self model.Incarnation, table platform.Table, pool rpcCaller, report func(adoption)) *adopter {
+func newAdopter(self model.Incarnation, table platform.Table, objects platform.Objects, pool rpcCaller, report func(adoption)) *adopter {
 	return &adopter{
-		self:   self,
-		table:  table,
-		pool:   pool,
-		keys:   make(chan model.JobKey, adoptionBacklog),
-		report: report,
+		self:    self,
+		table:   table,
+		objects: objects,
+		pool:    pool,
+		orphans: make(chan orphan, adoptionBacklog),
+		report:  report,
 	}
 }
 
-// ask queues a key. It reports false when too many are waiting.
-func (a *adopter) ask(key model.JobKey) bool {
+// ask queues a job. It reports false when too many are waiting.
+func (a *adopter) ask(job orphan) bool {
 	select {
-	case a.keys <- key:
+	case a.orphans <- job:
 		return true
 	default:
 		return false
@@ -67,29 +81,33 @@
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-a.keys:
+		case first := <-a.orphans:
 			a.answer(ctx, a.gather(ctx, first))
 		}
 	}
 }
 
-func (a *adopter) gather(ctx context.Context, first model.JobKey) []model.JobKey {
-	keys := []model.JobKey{first}
+func (a *adopter) gather(ctx context.Context, first orphan) []orphan {
+	jobs := []orphan{first}
 	timer := time.NewTimer(adoptionGather)
 	defer timer.Stop()
 	for {
 		select {
-		case key := <-a.keys:
-			keys = append(keys, key)
+		case job := <-a.orphans:
+			jobs = append(jobs, job)
 		case <-timer.C:
-			return keys
+			return jobs
 		case <-ctx.Done():
-			return keys
+			return jobs
 		}
 	}
 }
 
-func (a *adopter) answer(ctx context.Context, keys []model.JobKey) {
+func (a *adopter) answer(ctx context.Context, jobs []orphan) {
+	keys := a.withoutAnswer(ctx, jobs)
+	if len(keys) == 0 {
+		return
+	}
 	rows, err := listSidecars(ctx, a.table)
 	if err != nil {
 		for _, key := range keys {
@@ -103,6 +121,45 @@
 	}
 }
 
+// withoutAnswer reports the jobs whose answer is stored and returns the rest.
+func (a *adopter) withoutAnswer(ctx context.Context, jobs []orphan) []model.JobKey {
+	found := make([]*model.Answer, len(jobs))
+	failed := make([]error, len(jobs))
+	slots := make(chan struct{}, adoptionParallel)
+	var wait sync.WaitGroup
+	for index, job := range jobs {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			found[index], failed[index] = a.stored(ctx, job)
+		})
+	}
+	wait.Wait()
+	var rest []model.JobKey
+	for index, job := range jobs {
+		switch {
+		case failed[index] != nil:
+			a.report(adoption{key: job.key, err: failed[index]})
+		case found[index] != nil:
+			a.report(adoption{key: job.key, answer: found[index]})
+		default:
+			rest = append(rest, job.key)
+		}
+	}
+	return rest
+}
+
+// stored returns the stored answer of a job, or nil when there is none.
+func (a *adopter) stored(ctx context.Context, job orphan) (*model.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, adoptionTimeout)
+	defer cancel()
+	answer, err := answers.Find(ctx, a.table, a.objects, job.claimer, job.key)
+	if errors.Is(err, answers.ErrNotKept) {
+		return nil, nil
+	}
+	return answer, err
+}
+
 // lookupAll asks every sidecar at once. The element of a sidecar that did not
 // answer is nil.
 func (a *adopter) lookupAll(ctx context.Context, rows []sidecarRow, keys []model.JobKey) []*wire.LookupReply {
--- a/entry/core.go
+++ b/entry/core.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/decision/permit"
 	"github.com/figring/figring/decision/routing"
@@ -29,14 +30,22 @@
 	watch   *ownerWatch
 	owner   *Owner
 	adopter *adopter
+	keeper  *answers.Keeper
+	// keepCtx ends with endKeeping; kept is closed when the keeper has written
+	// its last group after that.
+	keepCtx    context.Context
+	endKeeping context.CancelFunc
+	kept       chan struct{}
+	sweeper    *sweeper
 }
 
 // newCore builds an incarnation; nothing of it runs yet.
 func (e *Entry) newCore() *core {
 	self := e.self
 	self.Incarnation = model.NewIncarnation(self.Name)
-	c := &core{self: self, bundles: e.bundles, peers: newPeers()}
+	c := &core{self: self, bundles: e.bundles, peers: newPeers(), kept: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.keepCtx, c.endKeeping = context.WithCancel(context.Background())
 	c.members = membership.New(membership.Options{
 		Table:     e.options.Table,
 		Self:      self,
@@ -51,13 +60,21 @@
 		MinInterval: c.claimInterval,
 		Resolved:    func(resolved []claims.Claim, err error) { c.owner.claimResolved(resolved, err) },
 	})
-	c.adopter = newAdopter(self.Incarnation, e.options.Table, e.pool, func(result adoption) { c.owner.post(adopted{result}) })
+	c.adopter = newAdopter(self.Incarnation, e.options.Table, e.options.Objects, e.pool, func(result adoption) { c.owner.post(adopted{result}) })
+	c.keeper = answers.NewKeeper(answers.Options{
+		Table:   e.options.Table,
+		Objects: e.options.Objects,
+		Self:    self.Incarnation,
+		Dropped: func(count int) { e.metrics.AnswersDropped.Inc(int64(count)) },
+	})
+	c.sweeper = newSweeper(e.options.Table, e.options.Objects, self.Incarnation, c.members)
 	c.owner = newOwner(c.ctx, ownerDeps{
 		self:       self,
 		members:    c.members,
 		writer:     c.writer,
 		dispatcher: c.newDispatcher(e.pool),
 		adopter:    c.adopter,
+		keeper:     c.keeper,
 		pool:       e.pool,
 		peers:      c.peers,
 		watch:      c.watch,
@@ -83,12 +100,28 @@
 	go c.owner.run()
 	go c.adopter.run(c.ctx)
 	go c.watch.run(c.ctx)
+	go c.sweeper.run(c.ctx)
+	go c.keep()
 	go func() { _ = c.members.Run(c.ctx) }()
 	c.owner.post(bundleChanged{c.bundles.View().Bundle})
 }
 
+func (c *core) keep() {
+	defer close(c.kept)
+	c.keeper.Run(c.keepCtx)
+}
+
+// storeAnswers writes the answers that wait to be stored. It is called once no
+// job is in progress, and before the session ends: whoever takes the keys over
+// then finds them.
+func (c *core) storeAnswers() {
+	c.endKeeping()
+	<-c.kept
+}
+
 // stop ends the duties.
 func (c *core) stop() {
+	c.storeAnswers()
 	c.cancel()
 	c.writer.Close()
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -33,6 +33,7 @@
 	}
 	e.awaitIdle(ctx, c)
 	drainError := e.rpc.Drain(ctx)
+	c.storeAnswers()
 	closeError := c.members.Close(ctx)
 	c.stop()
 	e.options.Log.Info().Str("entry", e.self.Name).Msg("drained")
--- a/entry/options.go
+++ b/entry/options.go
@@ -39,6 +39,8 @@
 	// Secret is shared by all processes of the system.
 	Secret string
 	Table  platform.Table
+	// Objects keeps the answers of jobs beyond the entry's life.
+	Objects platform.Objects
 	// ClaimMode and Routing choose baselines to measure against.
 	ClaimMode claims.Mode
 	Routing   string
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/decision/admission"
 	"github.com/figring/figring/decision/dedup"
@@ -38,6 +39,7 @@
 	writer     *claims.Writer
 	dispatcher *dispatcher
 	adopter    *adopter
+	keeper     *answers.Keeper
 	pool       rpcCaller
 	peers      *peers
 	watch      *ownerWatch
--- a/entry/owner_jobs.go
+++ b/entry/owner_jobs.go
@@ -43,13 +43,20 @@
 		return
 	}
 	if !job.keyless {
-		o.keys.Answered(job.spec.Key, &answer)
+		o.answered(&answer)
 	}
 	o.forget(job)
 	o.metrics.Finished(job.spec.Key.Caller, &answer)
 	job.reply(wire.JobReply{Answer: &answer})
 }
 
+// answered stores a terminal answer, here and behind in the platform's store.
+func (o *Owner) answered(answer *model.Answer) {
+	if o.keys.Answered(answer.Key, answer) {
+		o.keeper.Keep(answer)
+	}
+}
+
 // postpone keeps a failure until the lease is valid again. Those who wait are
 // told at once that the outcome is unknown.
 func (o *Owner) postpone(job *runningJob, answer *model.Answer) {
@@ -69,7 +76,7 @@
 		return
 	}
 	for _, answer := range o.undecided {
-		o.keys.Answered(answer.Key, answer)
+		o.answered(answer)
 		o.metrics.Finished(answer.Key.Caller, answer)
 	}
 	o.undecided = nil
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -47,7 +47,7 @@
 		o.askClaimer(claimer, joined{request: o.joinRequest(e.spec.Key, true), answer: e.answer})
 		return
 	}
-	if !o.admitting(o.now) || !o.adopter.ask(e.spec.Key) {
+	if !o.admitting(o.now) || !o.adopter.ask(orphan{e.spec.Key, record.Claimer}) {
 		e.answer <- refused(adoptLater())
 		return
 	}
@@ -80,6 +80,12 @@
 		job.reply(refused(adoptLater()))
 		return
 	}
+	if result.answer != nil {
+		o.keys.Answered(result.key, result.answer)
+		o.forget(job)
+		job.reply(wire.JobReply{Answer: result.answer})
+		return
+	}
 	found := make(map[int]bool)
 	for _, task := range result.event.Tasks {
 		found[task.Record.Ref.Index] = true
@@ -100,7 +106,7 @@
 		o.askClaimer(info, e)
 		return
 	}
-	e.answer <- refused(&model.Refusal{
+	o.findStored(orphan{e.request.Key, claimer}, e.answer, &model.Refusal{
 		Code:       model.CodeInProgress,
 		Outcome:    model.Unknown,
 		Detail:     "the entry that had the job is gone; resubmit it with the same key to have it looked into",
@@ -108,6 +114,19 @@
 	})
 }
 
+// findStored answers with a job's stored answer, or else with the refusal. It
+// reads beside the loop.
+func (o *Owner) findStored(job orphan, answer chan<- wire.JobReply, otherwise *model.Refusal) {
+	go func() {
+		stored, err := o.adopter.stored(o.ctx, job)
+		if err != nil || stored == nil {
+			answer <- refused(otherwise)
+			return
+		}
+		answer <- wire.JobReply{Answer: stored}
+	}()
+}
+
 // askClaimer joins the job at the entry that claimed it, beside the loop.
 func (o *Owner) askClaimer(claimer wire.EntryInfo, e joined) {
 	go func() {
