Tighten the tests of the decision packages

Each rule of the packages was removed in turn on a copy; the tests did not notice the loss of seven of them: the floor that never falls, the cleared window after an ejection, the end of a reported load, the start tag of a newcomer, the division of a rate, another attempt's dispatch, and the whole backlog as a bound of the wait. Each now has a case that fails without it.

--- a/decision/admission/admit_test.go
+++ b/decision/admission/admit_test.go
@@ -36,7 +36,7 @@
 		{"rate", func(q *Queue) {
 			quotas(model.Caller{Name: "a", TasksPerSecond: 20, Burst: 200})(q)
 			q.Admit(spec("a", 2, 200), testStart)
-		}, spec("a", 1, 1), model.CodeQuota, 100 * time.Millisecond},
+		}, spec("a", 1, 5), model.CodeQuota, 500 * time.Millisecond},
 		{"larger than the burst", quotas(model.Caller{Name: "a", TasksPerSecond: 20, Burst: 200}), spec("a", 1, 201), model.CodeQuota, 0},
 		{"concurrency", func(q *Queue) {
 			quotas(model.Caller{Name: "a", Concurrency: 20})(q)
@@ -105,6 +105,11 @@
 			q.Admit(spec("b", 2, 460), testStart)
 			q.Admit(spec("b", 3, 130), testStart)
 		}, spec("a", 1, 20)},
+		{"little weight but a short queue", func(q *Queue) {
+			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "b", Weight: 9}), 1, testStart)
+			q.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 10})
+			q.Admit(spec("b", 2, 10), testStart)
+		}, spec("a", 1, 100)},
 		{"quota of a caller that left the bundle", func(q *Queue) {
 			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 1, Burst: 1}), 1, testStart)
 			q.ApplyBundle(bundle(model.Limits{}), 1, testStart)
--- a/decision/admission/queue_test.go
+++ b/decision/admission/queue_test.go
@@ -93,6 +93,16 @@
 	must.Eq(t, []int{1, 2, 1, 2}, order(queue, 4, testStart))
 }
 
+// TestNewcomerGetsNoCredit checks that a caller that had no work does not make
+// up for the time without it.
+func TestNewcomerGetsNoCredit(t *testing.T) {
+	queue := NewQueue()
+	submit(queue, "a", 1, 60, testStart)
+	order(queue, 50, testStart)
+	submit(queue, "b", 2, 10, testStart)
+	must.Eq(t, []int{2, 1, 2, 1, 2, 1}, order(queue, 6, testStart))
+}
+
 func TestNothingReadyBeforeClaim(t *testing.T) {
 	queue := NewQueue()
 	must.Nil(t, queue.Admit(spec("a", 1, 2), testStart))
--- a/decision/dedup/table_test.go
+++ b/decision/dedup/table_test.go
@@ -61,6 +61,10 @@
 		{"at skew", func(*Table) {}, testStart.Add(-model.KeySkew), New},
 		{"beyond skew", func(*Table) {}, testStart.Add(-model.KeySkew - 1), Invalid},
 		{"clock set back", func(s *Table) { s.Expire(testStart.Add(2 * model.Retention)) }, testStart, Expired},
+		{"clock set back between expiries", func(s *Table) {
+			s.Expire(testStart.Add(2 * model.Retention))
+			s.Expire(testStart)
+		}, testStart, Expired},
 		{"loading", func(s *Table) { s.BeginLoad(part) }, testStart, Loading},
 		{"dropped", func(s *Table) { s.DropPartition(part) }, testStart, NotOwned},
 		{"drop forgets loaded", func(s *Table) { s.LoadClaim(key, 7, "e.1"); s.DropPartition(part); s.Serve(part) }, testStart, New},
--- a/decision/ejection/detector_test.go
+++ b/decision/ejection/detector_test.go
@@ -115,6 +115,8 @@
 	}
 	must.Eq(t, Open, d.State(0, now))
 	must.Eq(t, 0, d.Ejected())
+	d.Result(0, testClass, true, now)
+	must.Eq(t, Open, d.State(0, now), must.Sprint("failures before the ejection still count"))
 }
 
 func TestLateResultsDoNotProlongEjection(t *testing.T) {
--- a/decision/jobstate/job_test.go
+++ b/decision/jobstate/job_test.go
@@ -60,6 +60,7 @@
 		ClaimFailed{},
 		Adopted{},
 		Dispatched{Index: 0, Attempt: 2},
+		Dispatched{Index: 1, Attempt: 2},
 		Dispatched{Index: 5, Attempt: 1},
 		Dispatched{Index: -1, Attempt: 1},
 		Done{model.TaskRef{Key: otherKey, Index: 0}, 1, result(0, 200)},
--- a/decision/retry/budget_test.go
+++ b/decision/retry/budget_test.go
@@ -12,7 +12,7 @@
 
 func allowedRetries(budget *Budget, now time.Time) int {
 	count := 0
-	for budget.Retry(now) {
+	for count < 10_000 && budget.Retry(now) {
 		count++
 	}
 	return count
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -162,6 +162,7 @@
 	must.False(t, ok)
 	_, ok = router.Pick(testRequest, testStart.Add(loadGone))
 	must.True(t, ok)
+	must.Eq(t, 0, router.list[0].busy(testStart.Add(10*loadGone)))
 	must.Eq(t, 5, router.list[0].busy(testStart.Add((loadFresh+loadGone)/2)))
 }
 
