Probe an ejected target only when nothing else is in progress there

The result of a task that was sent before the ejection could pass for the probe's, and so could restore a failing target or eject a sound one for longer. A target on probation is now probed only once its older tasks have ended or are given up.

--- a/decision/ejection/config.go
+++ b/decision/ejection/config.go
@@ -22,7 +22,8 @@
 	maxEjection = 60 * time.Second
 	// probesToRestore is the number of probes in a row that must succeed.
 	probesToRestore = 3
-	// probeTimeout frees the place of a probe that never ended.
+	// probeTimeout is how long tasks in progress keep an ejected target from
+	// being probed.
 	probeTimeout = 30 * time.Second
 	// maxClasses bounds the classes remembered; callers choose their names.
 	maxClasses = 4096
--- a/decision/ejection/detector.go
+++ b/decision/ejection/detector.go
@@ -82,22 +82,27 @@
 // this is its one probe.
 func (d *Detector[ID, Class]) Started(id ID, now time.Time) {
 	known := d.targets[id]
-	if known == nil || known.state(now) != Probing {
+	if known == nil {
 		return
 	}
-	known.probing = true
-	known.probeStart = now
+	if known.state(now) == Probing {
+		known.probing = true
+		known.outstanding = 0
+	}
+	known.outstanding++
+	known.lastStart = now
 }
 
 // Abandoned notes that a task sent to a target ended without a result that
 // says anything about it, such as one handed back.
 func (d *Detector[ID, Class]) Abandoned(id ID) {
 	if known := d.targets[id]; known != nil {
-		known.probing = false
+		known.end()
 	}
 }
 
-// Result notes a success or failure of a target at a class of task.
+// Result notes a success or failure of a target at a class of task. Results of
+// tasks that were sent before an ejection and end during it say nothing new.
 func (d *Detector[ID, Class]) Result(id ID, taskClass Class, failed bool, now time.Time) {
 	known := d.targets[id]
 	if known == nil {
@@ -107,8 +112,11 @@
 	if !failed {
 		seen.succeeded(id)
 	}
+	probe := known.end()
 	if known.ejected {
-		d.probeResult(known, failed, now)
+		if probe {
+			d.probeResult(known, failed, now)
+		}
 		return
 	}
 	d.count(known, failed)
@@ -167,17 +175,11 @@
 	known.until = now.Add(known.ejectionTime())
 	known.level++
 	known.successes = 0
-	known.probing = false
 }
 
 // probeResult restores a target after enough successes in a row and ejects it
-// for longer after a failure. Results of tasks sent before the ejection, which
-// end while it lasts, say nothing new.
+// for longer after a failure.
 func (d *Detector[ID, Class]) probeResult(known *target, failed bool, now time.Time) {
-	if now.Before(known.until) {
-		return
-	}
-	known.probing = false
 	if failed {
 		d.startEjection(known, now)
 		return
--- a/decision/ejection/detector_test.go
+++ b/decision/ejection/detector_test.go
@@ -119,13 +119,41 @@
 	must.Eq(t, Open, d.State(0, now), must.Sprint("failures before the ejection still count"))
 }
 
-func TestLateResultsDoNotProlongEjection(t *testing.T) {
+// TestLateResultsAreNoProbes lets tasks that were sent before the ejection end
+// after its time: the target is probed only after the last of them, and their
+// ends count neither for nor against it.
+func TestLateResultsAreNoProbes(t *testing.T) {
 	d := fleet(4)
+	const late = 2 * probesToRestore
+	for range late + quickSamples {
+		d.Started(0, testStart)
+	}
+	ejectFirst(d, 4)
+	now := testStart.Add(firstEjection)
+	for i := range late {
+		must.Eq(t, Ejected, d.State(0, now))
+		d.Result(0, testClass, i == 0, now)
+	}
+	must.Eq(t, Probing, d.State(0, now))
+	must.Eq(t, 1, d.targets[0].level)
+}
+
+// TestHungTasksDelayProbesOnce checks that tasks that never end are given up
+// after the timeout and do not delay the probes that follow.
+func TestHungTasksDelayProbesOnce(t *testing.T) {
+	d := fleet(4)
+	for range quickSamples + 2 {
+		d.Started(0, testStart)
+	}
 	ejectFirst(d, 4)
-	for range 20 {
-		d.Result(0, testClass, true, testStart.Add(firstEjection/2))
+	must.Eq(t, Ejected, d.State(0, testStart.Add(probeTimeout-1)))
+	now := testStart.Add(probeTimeout)
+	for range probesToRestore {
+		must.Eq(t, Probing, d.State(0, now))
+		d.Started(0, now)
+		d.Result(0, testClass, false, now)
 	}
-	must.Eq(t, Probing, d.State(0, testStart.Add(firstEjection)))
+	must.Eq(t, Open, d.State(0, now))
 }
 
 func TestEjectionTimeIsBounded(t *testing.T) {
--- a/decision/ejection/target.go
+++ b/decision/ejection/target.go
@@ -10,10 +10,14 @@
 	until time.Time
 	// level is the number of ejections that were not yet made good.
 	level int
-	// probing is set while a probe is in progress, begun at probeStart.
-	probing    bool
-	probeStart time.Time
-	successes  int
+	// outstanding counts the tasks in progress, the last one sent at lastStart.
+	// An ejected target is probed only when there is none, so that the next
+	// result is known to be the probe's.
+	outstanding int
+	lastStart   time.Time
+	// probing is set while a probe is in progress.
+	probing   bool
+	successes int
 	// goodResults counts results since the target was restored.
 	goodResults int
 }
@@ -37,8 +41,16 @@
 	if now.Before(t.until) {
 		return Ejected
 	}
-	if t.probing && now.Sub(t.probeStart) < probeTimeout {
+	if t.outstanding > 0 && now.Sub(t.lastStart) < probeTimeout {
 		return Ejected
 	}
 	return Probing
 }
+
+// end takes a task off those in progress and reports whether it was a probe.
+func (t *target) end() bool {
+	t.outstanding = max(0, t.outstanding-1)
+	probe := t.probing
+	t.probing = false
+	return probe
+}
