--- a/decision/startgate/property_test.go
+++ b/decision/startgate/property_test.go
@@ -1,6 +1,7 @@
 package startgate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -45,6 +46,8 @@
 	open    map[uint64]bool
 	starts  map[model.TaskRef]int
 	running map[model.TaskRef]bool
+	// order lists what runs in the order of starts.
+	order   []model.TaskRef
 	repeat  map[uint64]bool
 	numbers map[model.Incarnation]uint64
 	sent    map[uint64]time.Time
@@ -106,6 +109,7 @@
 	}
 	j.starts[action.Ref]++
 	j.running[action.Ref] = true
+	j.order = append(j.order, action.Ref)
 	if len(j.running) > j.slots {
 		t.Fatalf("%d run on %d slots", len(j.running), j.slots)
 	}
@@ -125,7 +129,7 @@
 
 // grant draws a permit from entry and keeps the latest end that it may have.
 func (j *judge) grant(t *rapid.T, entry model.Incarnation) wire.Permit {
-	ttl := time.Duration(rapid.IntRange(0, 300).Draw(t, "ttl")) * time.Millisecond
+	ttl := time.Duration(rapid.SampledFrom([]int{0, 100, 1000}).Draw(t, "ttl")) * time.Millisecond
 	given := wire.Permit{Echo: j.numbers[entry], TTL: ttl, BundleVersion: j.bundle}
 	if rapid.IntRange(0, 4).Draw(t, "old bundle") == 0 {
 		given.BundleVersion--
@@ -143,17 +147,24 @@
 	return given
 }
 
+// hear has the sidecar send a message that the entry receives.
+func (j *judge) hear(entry model.Incarnation) {
+	number := j.permits.Sending(entry, j.now)
+	j.numbers[entry], j.sent[number] = number, j.now
+}
+
 func (j *judge) dispatch(t *rapid.T) {
 	entry := rapid.SampledFrom(entries).Draw(t, "entry")
 	event := Dispatch{
 		Entry:      entry,
 		Sidecar:    self,
 		Ref:        j.ref(t),
-		Deadline:   j.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "timeout")) * time.Millisecond),
+		Deadline:   j.now.Add(time.Duration(rapid.SampledFrom([]int{0, 150, 2000}).Draw(t, "timeout")) * time.Millisecond),
 		Repeatable: rapid.IntRange(0, 3).Draw(t, "repeatable") == 0,
 	}
 	if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
 		event.Sidecar = "s.0"
+		event.Permit = wire.Permit{Echo: j.numbers[entry], TTL: time.Hour, BundleVersion: j.highest}
 	} else {
 		event.Permit = j.grant(t, entry)
 	}
@@ -165,12 +176,20 @@
 	j.apply(t, event)
 }
 
+func (j *judge) stopped(ref model.TaskRef) {
+	delete(j.running, ref)
+	j.order = slices.DeleteFunc(j.order, func(one model.TaskRef) bool { return one == ref })
+}
+
 func (j *judge) end(t *rapid.T) {
 	ref := j.ref(t)
+	if len(j.order) > 0 {
+		ref = rapid.SampledFrom(j.order).Draw(t, "running")
+	}
 	event := TaskEnded{Ref: ref, Outcome: EndOutcome(rapid.IntRange(0, 2).Draw(t, "outcome"))}
 	event.Result.Body = make([]byte, rapid.IntRange(0, 48).Draw(t, "body"))
 	if j.running[ref] {
-		delete(j.running, ref)
+		j.stopped(ref)
 		if event.Outcome == EndNotRun {
 			j.starts[ref]--
 		}
@@ -194,16 +213,15 @@
 	switch rapid.IntRange(0, 19).Draw(t, "step") {
 	case 0, 1, 2, 3, 4:
 		j.dispatch(t)
-	case 5, 6, 7:
+	case 5, 6, 7, 8:
 		j.end(t)
-	case 8, 9:
-		number := j.permits.Sending(entry, j.now)
-		j.numbers[entry], j.sent[number] = number, j.now
+	case 9:
+		j.hear(entry)
 	case 10, 11:
 		given := j.grant(t, entry)
 		j.apply(t, PermitChanged{Entry: entry, Permit: given})
 	case 12, 13:
-		j.now = j.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+		j.now = j.now.Add(time.Duration(rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "ms")) * time.Millisecond)
 		j.apply(t, Tick{})
 	case 14:
 		j.apply(t, Withdraw{Key: j.ref(t).Key, Indexes: []int{1}})
@@ -235,13 +253,16 @@
 		j := newJudge()
 		drained := false
 		j.ready(t, false)
-		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		for _, entry := range entries {
+			j.hear(entry)
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			j.step(t, &drained)
 		}
 		j.closed = true
 		j.apply(t, Drain{})
-		for ref := range j.running {
-			delete(j.running, ref)
+		for _, ref := range slices.Clone(j.order) {
+			j.stopped(ref)
 			j.apply(t, TaskEnded{Ref: ref, Outcome: EndDone})
 		}
 		if len(j.open) > 0 {
