--- a/decision/permit/main_test.go
+++ b/decision/permit/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 
@@ -11,10 +12,12 @@
 // TestMain draws the same cases in every run unless a seed is given.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.checks", "2000")
 	_ = flag.Set("rapid.nofailfile", "true")
 	flag.Parse()
 	code := m.Run()
-	if goleak.Find() != nil {
+	if err := goleak.Find(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		code = 1
 	}
 	os.Exit(code)
--- a/decision/startgate/gate_test.go
+++ b/decision/startgate/gate_test.go
@@ -132,3 +132,21 @@
 	want := Withdrawn{Withdrawn: 1, Started: 1, Running: []model.TaskRef{b.ref(0)}}
 	must.Eq(t, Action(want), out[1])
 }
+
+func TestGateChecksThePermitAtTheStart(t *testing.T) {
+	b := newBench(Settings{RecordLimit: 10}, 1)
+	b.dispatch(0)
+	b.gate.Apply(Dispatch{ID: 90, Entry: "e.1", Sidecar: self, Ref: b.ref(1), Deadline: b.now.Add(2 * time.Hour)}, b.now)
+	b.now = b.now.Add(time.Hour)
+	out := b.done(0, "")
+	must.Eq(t, []wire.NotStartedReason{wire.ReasonNoPermit}, reasons(out))
+	must.Eq(t, 0, b.gate.Running())
+}
+
+func TestGateTakesAQueuedTaskOnce(t *testing.T) {
+	b := newBench(Settings{RecordLimit: 10}, 1)
+	b.dispatch(0)
+	b.dispatch(1)
+	must.Eq(t, []Action{End{ID: 3, Status: wire.RunDuplicate}}, b.dispatch(1))
+	must.Eq(t, 1, b.gate.Queued())
+}
