Wait for the replies to be written at a stop, instead of a fixed time

A fixed pause said nothing about whether the last replies had left; the row now says that results stay behind when they had not.

--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -9,8 +9,8 @@
 	// drainPoll is the interval at which a stopping sidecar looks whether calls
 	// are still open.
 	drainPoll = 20 * time.Millisecond
-	// replyLinger is left for the last replies to leave the process.
-	replyLinger = 200 * time.Millisecond
+	// replyTimeout bounds the wait for the last replies to be written.
+	replyTimeout = 2 * time.Second
 	// leaveTimeout bounds the marking of the row at a stop.
 	leaveTimeout = 3 * time.Second
 )
@@ -60,15 +60,22 @@
 	s.halt()
 	<-s.joined
 	open := s.finish(ctx)
-	_ = pause(ctx, replyLinger, nil)
+	delivered := s.deliver(ctx) == nil
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := s.row.leave(ctx, open > 0); err != nil {
+	if err := s.row.leave(ctx, open > 0 || !delivered); err != nil {
 		s.parts.Logger.Warn().Err(err).Msg("row not marked")
 	}
 	return nil
 }
 
+// deliver waits until the replies of ended calls are written.
+func (s *Sidecar) deliver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	return s.rpc.Drain(ctx)
+}
+
 // finish waits until no call is open, at most for the drain limit, and returns
 // the number of those that still are.
 func (s *Sidecar) finish(ctx context.Context) int {
