Let a reported load of other entries fade to its average in decision/routing

Several entries send to the same fast targets. An entry that took the last report for true, or for gone when it was old, sent more there than there was room for. The load of others now fades from the last report to its average and from that to nothing. The new case fails without the average and without each of the two ways of fading.

--- a/decision/routing/bench_test.go
+++ b/decision/routing/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/figring/figring/wire"
 )
 
 // BenchmarkPick measures Pick alone over fleets of several sizes, with one
@@ -16,6 +18,7 @@
 				fill(router, size)
 				for i := range size {
 					teach(router, i, testRun+time.Duration(i)*time.Millisecond)
+					router.Upsert(testTarget(i), wire.Load{Running: 3, Sequence: 1}, testStart)
 				}
 				if ejected {
 					failed := done(time.Millisecond)
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -166,6 +166,16 @@
 	must.Eq(t, 5, router.list[0].busy(testStart.Add((loadFresh+loadGone)/2)))
 }
 
+func TestReportedLoadFadesToTheUsual(t *testing.T) {
+	router := NewExpected(source())
+	router.Upsert(testTarget(0), wire.Load{Running: 8, Sequence: 1}, testStart)
+	router.Upsert(testTarget(0), wire.Load{Running: 4, Sequence: 2}, testStart)
+	router.Upsert(testTarget(0), wire.Load{Running: 0, Sequence: 3}, testStart)
+	must.Eq(t, 0, router.list[0].busy(testStart))
+	must.Eq(t, 2, router.list[0].busy(testStart.Add(loadFresh/2)))
+	must.Eq(t, 4, router.list[0].busy(testStart.Add(loadFresh)))
+}
+
 func TestBaselineOrder(t *testing.T) {
 	robin := NewRoundRobin(source())
 	fill(robin, 3)
--- a/decision/routing/target.go
+++ b/decision/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/figring/figring/wire"
@@ -20,11 +21,14 @@
 	// sameZoneNetwork and otherZoneNetwork are assumed until one is measured.
 	sameZoneNetwork  = 300 * time.Microsecond
 	otherZoneNetwork = 3 * time.Millisecond
-	// loadFresh is how long a reported load of other entries is taken in full,
-	// and loadGone is when nothing of it is assumed to be there any more: a
-	// target that was once full would otherwise stay so until its next message.
-	loadFresh = 500 * time.Millisecond
-	loadGone  = 2 * time.Second
+	// loadFresh is the time in which a reported load of other entries gives
+	// way to what they usually have there: it changes with each of their jobs.
+	loadFresh = 200 * time.Millisecond
+	// loadGone is when nothing of it is assumed to be there any more: a target
+	// that was full would otherwise stay so until its next message.
+	loadGone = 4 * time.Second
+	// usualMemory is the number of reports that the usual load looks back on.
+	usualMemory = 16
 )
 
 // target is what is known of one incarnation of a sidecar.
@@ -36,8 +40,10 @@
 	open  bool
 	// outstanding counts this entry's dispatches in progress.
 	outstanding int
-	// others estimates the tasks there that other entries sent.
+	// others is the number of tasks there that other entries had sent at the
+	// last report, at reportedAt; usual is its average.
 	others     int
+	usual      average
 	reportedAt time.Time
 	// slowness is the run time here relative to the mean; 2 is half as fast.
 	slowness average
@@ -54,23 +60,22 @@
 
 // busy returns the number of tasks that are expected to be at the target.
 func (t *target) busy(now time.Time) int {
-	if t.others == 0 {
+	if t.others == 0 && t.usual.value == 0 {
 		return t.outstanding
 	}
 	return t.outstanding + t.othersAt(now)
 }
 
-// othersAt returns what is left of the reported load of other entries.
+// othersAt estimates the tasks of other entries from the last report, which
+// fades to the usual load, which fades to nothing.
 func (t *target) othersAt(now time.Time) int {
 	age := now.Sub(t.reportedAt)
-	switch {
-	case age <= loadFresh:
-		return t.others
-	case age >= loadGone:
+	if age >= loadGone {
 		return 0
 	}
-	left := float64(loadGone-age) / float64(loadGone-loadFresh)
-	return int(float64(t.others)*left + 0.5)
+	recent := max(0, 1-float64(age)/float64(loadFresh))
+	usual := min(1, float64(loadGone-age)/float64(loadGone-loadFresh)) * t.usual.value
+	return int(math.Round(recent*float64(t.others) + (1-recent)*usual))
 }
 
 // capacity returns the number of tasks that may be at the target at once.
@@ -109,6 +114,7 @@
 	t.load = load
 	t.reportedAt = now
 	t.others = max(0, load.Running+load.Queued-t.outstanding)
+	t.usual.add(float64(t.others), usualMemory)
 }
 
 // networkSeconds returns the expected time of a task's way there and back.
