Tests for races of operators and for the time from which freshness counts

Removing each mechanism on a scratch copy showed four that no test missed: the send time of a read, the condition on a proposal's row, the read that settles a lost reply, and the check for data after the body of an edit.

--- a/common/tlsconf/load_test.go
+++ b/common/tlsconf/load_test.go
@@ -18,6 +18,9 @@
 	"github.com/shoenig/test/must"
 )
 
+// handshakeLimit ends a handshake that one side gave up.
+const handshakeLimit = 5 * time.Second
+
 // selfSigned writes a certificate that is its own authority.
 func selfSigned(t *testing.T, name string) Files {
 	t.Helper()
@@ -55,6 +58,9 @@
 func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
 	t.Helper()
 	here, there := net.Pipe()
+	limit := time.Now().Add(handshakeLimit)
+	must.NoError(t, here.SetDeadline(limit))
+	must.NoError(t, there.SetDeadline(limit))
 	done := make(chan error, 1)
 	go func() {
 		conn := tls.Server(here, server)
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -107,7 +107,7 @@
 			{Name: "anna", TokenHash: identity.Hash("anna")},
 			{Name: "bert", TokenHash: identity.Hash("bert")},
 		}),
-		Status:       func(context.Context) any { return map[string]int{"jobs": 3} },
+		Status:       statusWithTime,
 		MaxBodyBytes: 8 << 10,
 		Timeout:      timeout,
 	})
@@ -115,6 +115,12 @@
 	return &rig{t: t, table: table, watcher: watcher, handler: handler}
 }
 
+// statusWithTime returns the milliseconds left for the request.
+func statusWithTime(ctx context.Context) any {
+	deadline, _ := ctx.Deadline()
+	return map[string]int64{"jobs": 3, "left": time.Until(deadline).Milliseconds()}
+}
+
 // send makes a request as operator and decodes the answer into into.
 func (r *rig) send(operator, method, path, body string, into any) *http.Response {
 	r.t.Helper()
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -109,9 +109,10 @@
 }
 
 func TestStatus(t *testing.T) {
-	var status map[string]int
+	var status map[string]int64
 	newRig(t).send("anna", "GET", "/v1/status", "", &status)
 	must.EqOp(t, 3, status["jobs"])
+	must.Between(t, 1, status["left"], DefaultTimeout.Milliseconds())
 }
 
 func TestBadInput(t *testing.T) {
@@ -143,6 +144,7 @@
 		{"large body", "anna", "POST", "/v1/bundles", strings.Repeat(" ", 9<<10), 413, model.CodeTooLarge},
 		{"body where none belongs", "anna", "POST", "/v1/bundles/x/sign-off", `{"by":"bert"}`, 400, model.CodeInvalid},
 		{"negative base", "anna", "POST", "/v1/zones/garching/close", `{"base":-1}`, 400, model.CodeInvalid},
+		{"trailing data after base", "anna", "POST", "/v1/zones/garching/close", `{"base":0}{}`, 400, model.CodeInvalid},
 		{"fractional base", "anna", "POST", "/v1/zones/garching/close", `{"base":0.5}`, 400, model.CodeInvalid},
 		{"other caller in body", "anna", "PUT", "/v1/callers/desk", `{"name":"other"}`, 400, model.CodeInvalid},
 		{"weight too large", "anna", "PUT", "/v1/callers/desk", `{"weight":5000}`, 400, model.CodeInvalid},
--- a/rollout/editor_test.go
+++ b/rollout/editor_test.go
@@ -261,3 +261,58 @@
 	_, err = editor.Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "schwabing"})
 	must.ErrorIs(t, err, ErrBusy)
 }
+
+func TestLostReplyIsSettledByReading(t *testing.T) {
+	table := newFakeTable()
+	table.commits = []fault{faultLostReply}
+	_, err := newTestEditor(table, nil).Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
+	must.NoError(t, err)
+	must.EqOp(t, 1, table.sent)
+}
+
+func TestRacingSignOffAndRejectionHaveOneWinner(t *testing.T) {
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	proposal, err := editor.Propose(t.Context(), "anna", 0, model.Bundle{})
+	must.NoError(t, err)
+	editor.store.table = &interleaved{fakeTable: table, before: func() {
+		_, err := newTestEditor(table, nil).Reject(t.Context(), "cleo", proposal.ID)
+		must.NoError(t, err)
+	}}
+	_, err = editor.SignOff(t.Context(), "bert", proposal.ID)
+	must.ErrorIs(t, err, bundle.ErrState)
+	stored, err := editor.Proposal(t.Context(), proposal.ID)
+	must.NoError(t, err)
+	must.EqOp(t, bundle.Rejected, stored.State)
+	must.EqOp(t, "", stored.SignedOffBy)
+}
+
+func TestRollOutLosesAgainstARejectionJustBefore(t *testing.T) {
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	id := signedOff(t, editor, 0, model.Bundle{})
+	editor.store.table = &interleaved{fakeTable: table, before: func() {
+		_, err := newTestEditor(table, nil).Reject(t.Context(), "cleo", id)
+		must.NoError(t, err)
+	}}
+	_, err := editor.RollOut(t.Context(), "anna", id)
+	must.ErrorIs(t, err, bundle.ErrState)
+	current, err := editor.Current(t.Context())
+	must.NoError(t, err)
+	must.EqOp(t, 0, current.Version)
+}
+
+func TestPuttingBackLosesAgainstAClosureJustBefore(t *testing.T) {
+	table := newFakeTable()
+	editor := newTestEditor(table, nil)
+	_, err := editor.Edit(t.Context(), "anna", AnyVersion, bundle.DrainTarget{Target: "s1"})
+	must.NoError(t, err)
+	editor.store.table = &interleaved{fakeTable: table, before: func() {
+		_, err := newTestEditor(table, nil).Edit(t.Context(), "cleo", AnyVersion, bundle.CloseZone{Zone: "garching"})
+		must.NoError(t, err)
+	}}
+	_, err = editor.Edit(t.Context(), "bert", AnyVersion, bundle.UndrainTarget{Target: "s1"})
+	var conflict *bundle.ConflictError
+	must.ErrorAs[*bundle.ConflictError](t, err, &conflict)
+	must.EqOp(t, 2, conflict.Current)
+}
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -32,6 +32,7 @@
 	rows     map[string]platform.Row
 	version  int64
 	commits  []fault
+	sent     int
 	out      bool
 	late     *platform.Txn
 	inFlight int
@@ -101,6 +102,7 @@
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.sent++
 	if f.late != nil {
 		_, _ = f.apply(*f.late)
 		f.late = nil
@@ -168,3 +170,17 @@
 	defer f.mu.Unlock()
 	delete(f.rows, key)
 }
+
+// interleaved runs before once, just ahead of the first commit.
+type interleaved struct {
+	*fakeTable
+	before func()
+}
+
+func (i *interleaved) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+	if before := i.before; before != nil {
+		i.before = nil
+		before()
+	}
+	return i.fakeTable.Commit(ctx, txn)
+}
--- a/rollout/watcher_test.go
+++ b/rollout/watcher_test.go
@@ -229,3 +229,15 @@
 		must.False(t, fresh(w))
 	})
 }
+
+func TestFreshnessCountsFromBeforeTheRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		table.latency = func(int) time.Duration { return 2 * time.Second }
+		w := New(table, Options{})
+		sent := time.Now()
+		_, err := w.ReadNow(t.Context())
+		must.NoError(t, err)
+		must.True(t, sent.Add(model.BundleTTL).Equal(w.View().FreshUntil))
+	})
+}
