--- a/settings/entry.go
+++ b/settings/entry.go
@@ -42,7 +42,7 @@
 	// came from SecretFile.
 	Secret     string     `json:"secret"`
 	SecretFile string     `json:"secretFile"`
-	TLS        TLS        `json:"tls"`
+	TLS        EntryTLS   `json:"tls"`
 	Operators  []Operator `json:"operators" validate:"max=1000,unique=Name,unique=TokenHash,dive"`
 
 	ClaimMode string `json:"claimMode" validate:"oneof=grouped row"`
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/model"
 )
 
 const examples = "../examples/settings"
@@ -106,6 +107,7 @@
 		{"listener twice", `"127.0.0.1:8184"`, `"127.0.0.1:8182"`, "announceListen"},
 		{"no entries", `"entriesPerSidecar": 3`, `"entriesPerSidecar": 0`, "entriesPerSidecar"},
 		{"slash in name", `"sidecar-1"`, `"side/car"`, "name"},
+		{"listener of an entry", `"tls": {}`, `"tls": {"callers": {}}`, "tls.callers"},
 		{"few records", `1000000`, `10`, "recordLimit"},
 	}
 	for _, tc := range cases {
@@ -154,7 +156,7 @@
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		entry, sidecar := DefaultEntry(), DefaultSidecar()
-		for _, target := range []any{&entry, &sidecar} {
+		for _, target := range []any{&entry, &sidecar, &model.Bundle{}} {
 			if err := decode(raw, target); err != nil {
 				var wrong *Error
 				must.ErrorAs[*Error](t, err, &wrong)
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -22,9 +22,9 @@
 	PlatformURL string `json:"platformURL" validate:"url"`
 	// Secret is shared by all processes; after loading it is set also when it
 	// came from SecretFile.
-	Secret     string `json:"secret"`
-	SecretFile string `json:"secretFile"`
-	TLS        TLS    `json:"tls"`
+	Secret     string     `json:"secret"`
+	SecretFile string     `json:"secretFile"`
+	TLS        SidecarTLS `json:"tls"`
 
 	// QueueCapacity bounds the tasks that wait for a slot of the minion.
 	QueueCapacity int `json:"queueCapacity" validate:"min=0,max=65536"`
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -2,29 +2,49 @@
 
 import "github.com/figring/figring/common/tlsconf"
 
-// TLS names the PEM files by listener. A listener without files uses plain
-// TCP. The files under rpc are used for dialling peers as well.
-type TLS struct {
-	Callers       tlsconf.Files `json:"callers"`
-	Operators     tlsconf.Files `json:"operators"`
-	RPC           tlsconf.Files `json:"rpc"`
-	Status        tlsconf.Files `json:"status"`
-	Announcements tlsconf.Files `json:"announcements"`
+// EntryTLS names the PEM files of an entry by listener. A listener without
+// files uses plain TCP. The files under rpc are used for dialling peers as well.
+type EntryTLS struct {
+	Callers   tlsconf.Files `json:"callers"`
+	Operators tlsconf.Files `json:"operators"`
+	RPC       tlsconf.Files `json:"rpc"`
+	Status    tlsconf.Files `json:"status"`
 }
 
-// resolve makes the names absolute or relative to the working directory, and
-// checks that every file can be used, before anything starts.
-func (t *TLS) resolve(dir string) error {
-	parts := []struct {
-		field string
-		files *tlsconf.Files
-	}{
+func (t *EntryTLS) resolve(dir string) error {
+	return resolveFiles(dir, []tlsPart{
 		{"tls.callers", &t.Callers},
 		{"tls.operators", &t.Operators},
 		{"tls.rpc", &t.RPC},
 		{"tls.status", &t.Status},
+	})
+}
+
+// SidecarTLS names the PEM files of a sidecar by listener. A listener without
+// files uses plain TCP. The files under rpc are used for dialling peers as well.
+type SidecarTLS struct {
+	RPC           tlsconf.Files `json:"rpc"`
+	Announcements tlsconf.Files `json:"announcements"`
+	Status        tlsconf.Files `json:"status"`
+}
+
+func (t *SidecarTLS) resolve(dir string) error {
+	return resolveFiles(dir, []tlsPart{
+		{"tls.rpc", &t.RPC},
 		{"tls.announcements", &t.Announcements},
-	}
+		{"tls.status", &t.Status},
+	})
+}
+
+// tlsPart is the files of one listener with the name of their setting.
+type tlsPart struct {
+	field string
+	files *tlsconf.Files
+}
+
+// resolveFiles makes the names relative to the working directory, and checks
+// that every file can be used, before anything starts.
+func resolveFiles(dir string, parts []tlsPart) error {
 	for _, part := range parts {
 		part.files.CertFile = relativeTo(dir, part.files.CertFile)
 		part.files.KeyFile = relativeTo(dir, part.files.KeyFile)
