--- a/rollout/editor.go
+++ b/rollout/editor.go
@@ -60,7 +60,14 @@
 		if !edit.TakesOut() {
 			seen = current.Version
 		}
-		accepted, err := e.editOnce(ctx, operator, edit, current, row)
+		next, changed, err := bundle.Next(current, edit, e.options.Rules)
+		if err != nil {
+			return Accepted{}, err
+		}
+		if !changed {
+			return e.accepted(current.Version, ""), nil
+		}
+		accepted, err := e.putInForce(ctx, row, e.newEntry(operator, editName(edit), next))
 		if !errors.Is(err, errLost) {
 			return accepted, err
 		}
@@ -68,18 +75,6 @@
 	return Accepted{}, ErrBusy
 }
 
-func (e *Editor) editOnce(ctx context.Context, operator string, edit bundle.Edit, current model.Bundle, row int64) (Accepted, error) {
-	next, changed, err := bundle.Next(current, edit, e.options.Rules)
-	if err != nil {
-		return Accepted{}, err
-	}
-	if !changed {
-		return e.accepted(current.Version, ""), nil
-	}
-	entry := e.newEntry(operator, editName(edit), next)
-	return e.putInForce(ctx, row, entry)
-}
-
 // editName returns the name of the edit's type with its value.
 func editName(edit bundle.Edit) string {
 	return strings.TrimPrefix(fmt.Sprintf("%T%+v", edit, edit), "bundle.")
--- a/rollout/editor_proposal.go
+++ b/rollout/editor_proposal.go
@@ -56,37 +56,49 @@
 // SignOff signs a proposal off.
 func (e *Editor) SignOff(ctx context.Context, operator, id string) (bundle.Proposal, error) {
 	attemptID := e.options.NewID()
-	step := func(p bundle.Proposal) (bundle.Proposal, error) { return bundle.SignOff(p, operator, attemptID) }
-	mine := func(p bundle.Proposal) bool { return p.SignOffAttempt == attemptID }
-	return e.advance(ctx, id, attemptID, step, mine)
+	return e.advance(ctx, id, transition{
+		attempt: attemptID,
+		apply:   func(p bundle.Proposal) (bundle.Proposal, error) { return bundle.SignOff(p, operator, attemptID) },
+		made:    func(p bundle.Proposal) bool { return p.SignOffAttempt == attemptID },
+	})
 }
 
 // Reject turns a proposal down.
 func (e *Editor) Reject(ctx context.Context, operator, id string) (bundle.Proposal, error) {
 	attemptID := e.options.NewID()
-	step := func(p bundle.Proposal) (bundle.Proposal, error) { return bundle.Reject(p, operator, attemptID) }
-	mine := func(p bundle.Proposal) bool { return p.RejectAttempt == attemptID }
-	return e.advance(ctx, id, attemptID, step, mine)
+	return e.advance(ctx, id, transition{
+		attempt: attemptID,
+		apply:   func(p bundle.Proposal) (bundle.Proposal, error) { return bundle.Reject(p, operator, attemptID) },
+		made:    func(p bundle.Proposal) bool { return p.RejectAttempt == attemptID },
+	})
 }
 
-// advance applies a step to a proposal by compare-and-set on its row. After a
-// lost race the step is decided again on what the winner left.
-func (e *Editor) advance(ctx context.Context, id, attemptID string, step func(bundle.Proposal) (bundle.Proposal, error), mine func(bundle.Proposal) bool) (bundle.Proposal, error) {
+// transition is one change of a proposal's state.
+type transition struct {
+	attempt string
+	apply   func(bundle.Proposal) (bundle.Proposal, error)
+	// made recognises a proposal that this attempt has changed.
+	made func(bundle.Proposal) bool
+}
+
+// advance applies a transition by compare-and-set on the proposal's row. After
+// a lost race it is decided again on what the winner left.
+func (e *Editor) advance(ctx context.Context, id string, change transition) (bundle.Proposal, error) {
 	took := func(ctx context.Context) (bool, error) {
 		stored, _, err := e.store.proposal(ctx, id)
-		return err == nil && mine(stored), err
+		return err == nil && change.made(stored), err
 	}
 	for range maxOvertaken {
 		stored, row, err := e.store.proposal(ctx, id)
 		if err != nil {
 			return bundle.Proposal{}, err
 		}
-		next, err := step(stored)
+		next, err := change.apply(stored)
 		if err != nil {
 			return stored, err
 		}
-		change := proposalWrite(next, row)
-		err = e.store.commit(ctx, attempt{id: attemptID, txn: change.txn(), took: took})
+		txn := proposalWrite(next, row).txn()
+		err = e.store.commit(ctx, attempt{id: change.attempt, txn: txn, took: took})
 		if !errors.Is(err, errLost) {
 			return next, err
 		}
@@ -98,15 +110,7 @@
 // ConflictError when another version came in force since it was proposed.
 func (e *Editor) RollOut(ctx context.Context, operator, id string) (Accepted, error) {
 	for range maxOvertaken {
-		stored, proposalRow, err := e.store.proposal(ctx, id)
-		if err != nil {
-			return Accepted{}, err
-		}
-		current, row, err := e.store.current(ctx)
-		if err != nil {
-			return Accepted{}, err
-		}
-		accepted, err := e.rollOutOnce(ctx, operator, stored, proposalRow, current, row)
+		accepted, err := e.rollOutOnce(ctx, operator, id)
 		if !errors.Is(err, errLost) {
 			return accepted, err
 		}
@@ -114,7 +118,15 @@
 	return Accepted{}, ErrBusy
 }
 
-func (e *Editor) rollOutOnce(ctx context.Context, operator string, stored bundle.Proposal, proposalRow int64, current model.Bundle, row int64) (Accepted, error) {
+func (e *Editor) rollOutOnce(ctx context.Context, operator, id string) (Accepted, error) {
+	stored, proposalRow, err := e.store.proposal(ctx, id)
+	if err != nil {
+		return Accepted{}, err
+	}
+	current, row, err := e.store.current(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
 	entry := e.newEntry(operator, "RollOut", current)
 	rolled, next, err := bundle.RollOut(stored, current, operator, entry.Attempt)
 	if err != nil {
@@ -122,7 +134,7 @@
 	}
 	entry.Version = next.Version
 	entry.Bundle = next
-	entry.Proposal = stored.ID
+	entry.Proposal = id
 	return e.putInForce(ctx, row, entry, proposalWrite(rolled, proposalRow))
 }
 
