--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"runtime/debug"
+
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/platform/announce"
 	"github.com/figring/figring/platform/remote"
@@ -13,6 +15,10 @@
 Example:
   figring sidecar --settings examples/settings/sidecar.jsonc`
 
+// sidecarMemory is the memory in bytes beyond which a sidecar collects garbage
+// more often: it shares the worker with the minion.
+const sidecarMemory = 48 << 20
+
 type sidecarCommand struct {
 	streams  *IO
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"start-up settings, JSON with comments"`
@@ -24,6 +30,7 @@
 	if err != nil {
 		return usageError(err)
 	}
+	debug.SetMemoryLimit(sidecarMemory)
 	root := metrics.NewRoot()
 	defer func() { _ = root.Close() }()
 	receiver := announce.NewReceiver()
--- a/decision/startgate/advance.go
+++ b/decision/startgate/advance.go
@@ -35,22 +35,17 @@
 
 func (g *Gate) start(one *queued, now time.Time) Action {
 	wait := now.Sub(one.received)
-	prior := g.records.byRef[one.Ref]
+	prior := g.records.get(one.Ref)
 	attempt := 1
 	if prior != nil {
-		attempt = prior.attempt + 1
-		prior.prior = nil
+		attempt = int(prior.attempt) + 1
 	}
-	g.records.started(one.Ref, &record{
-		entry:     one.Entry,
-		phase:     wire.PhaseStarted,
-		attempt:   attempt,
-		startedAt: now,
-		id:        one.ID,
-		wait:      wait,
-		waiters:   one.waiters,
-		prior:     prior,
-	})
+	g.records.started(&record{
+		ref:     one.Ref,
+		entry:   one.Entry,
+		attempt: int32(attempt),
+		run:     &run{id: one.ID, wait: wait, waiters: one.waiters, prior: prior},
+	}, now)
 	g.running++
 	return Start{
 		ID:       one.ID,
@@ -88,14 +83,13 @@
 	}
 	out, count := g.handBack(wire.ReasonWithdrawn, func(one *queued) bool { return wanted(one.Ref) })
 	answer := Withdrawn{Withdrawn: count}
-	for _, index := range g.records.byKey[e.Key] {
-		ref := model.TaskRef{Key: e.Key, Index: index}
-		if !wanted(ref) {
+	for held := g.records.byKey[e.Key]; held != nil; held = held.next {
+		if !wanted(held.ref) {
 			continue
 		}
 		answer.Started++
-		if g.records.byRef[ref].running() {
-			answer.Running = append(answer.Running, ref)
+		if held.running() {
+			answer.Running = append(answer.Running, held.ref)
 		}
 	}
 	return append(out, answer)
--- a/decision/startgate/dispatch.go
+++ b/decision/startgate/dispatch.go
@@ -29,7 +29,7 @@
 	if g.find(e.Ref) != nil {
 		return true
 	}
-	held := g.records.byRef[e.Ref]
+	held := g.records.get(e.Ref)
 	if held == nil {
 		return false
 	}
--- a/decision/startgate/end.go
+++ b/decision/startgate/end.go
@@ -1,60 +1,52 @@
 package startgate
 
 import (
-	"time"
-
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/wire"
 )
 
 // ended takes the end of a running task. A task that the minion provably did
 // not run loses its record, so that it may be dispatched again.
-func (g *Gate) ended(e TaskEnded, now time.Time) []Action {
-	held := g.records.byRef[e.Ref]
+func (g *Gate) ended(e TaskEnded) []Action {
+	held := g.records.get(e.Ref)
 	if held == nil || !held.running() {
 		return nil
 	}
 	g.running--
-	calls := append([]uint64{held.id}, held.waiters...)
-	held.waiters = nil
-	end := g.settle(held, e, now)
-	out := make([]Action, 0, len(calls))
-	for _, id := range calls {
+	was := held.run
+	held.run = nil
+	end := g.settle(held, was, e)
+	out := make([]Action, 0, 1+len(was.waiters))
+	for _, id := range append([]uint64{was.id}, was.waiters...) {
 		end.ID = id
 		out = append(out, end)
 	}
 	return out
 }
 
-func (g *Gate) settle(held *record, e TaskEnded, now time.Time) End {
+func (g *Gate) settle(held *record, was *run, e TaskEnded) End {
 	switch e.Outcome {
 	case EndDone:
-		held.phase = wire.PhaseDone
-		g.forgetPrior(held)
-		g.records.keepResult(e.Ref, held, e.Result, now)
-		return End{Status: wire.RunDone, Result: e.Result, Wait: held.wait}
+		held.done = true
+		g.records.dropResult(was.prior)
+		g.records.keepResult(held, e.Result)
+		return End{Status: wire.RunDone, Result: e.Result, Wait: was.wait}
 	case EndNotRun:
-		g.undo(e.Ref, held)
+		g.undo(held, was.prior)
 		return End{Status: wire.RunNotStarted, Reason: wire.ReasonMinionRefused}
 	default:
-		held.phase = wire.PhaseUnknown
-		g.forgetPrior(held)
-		return End{Status: wire.RunUnknown, Wait: held.wait}
+		g.records.dropResult(was.prior)
+		return End{Status: wire.RunUnknown, Wait: was.wait}
 	}
 }
 
 // undo puts the record back that was there before the start.
-func (g *Gate) undo(ref model.TaskRef, held *record) {
-	if held.prior == nil {
-		g.records.remove(ref)
+func (g *Gate) undo(held, prior *record) {
+	if prior != nil {
+		g.records.put(prior)
 		return
 	}
-	g.records.restore(ref, held.prior)
-}
-
-func (g *Gate) forgetPrior(held *record) {
-	g.records.dropResult(held.prior)
-	held.prior = nil
+	g.records.unlink(held)
 }
 
 // attach joins a call to a task that is queued or runs, and answers at once
@@ -65,12 +57,12 @@
 		one.waiters = append(one.waiters, e.ID)
 		return nil
 	}
-	held := g.records.byRef[e.Ref]
+	held := g.records.get(e.Ref)
 	if held == nil {
 		return []Action{g.absent(e)}
 	}
 	if held.running() {
-		held.waiters = append(held.waiters, e.ID)
+		held.run.waiters = append(held.run.waiters, e.ID)
 		return nil
 	}
 	return []Action{held.outcome(e.ID)}
--- a/decision/startgate/gate.go
+++ b/decision/startgate/gate.go
@@ -56,7 +56,7 @@
 	case Revoke:
 		out = g.revoke(e)
 	case TaskEnded:
-		out = g.ended(e, now)
+		out = g.ended(e)
 	}
 	return append(out, g.advance(now)...)
 }
@@ -74,7 +74,7 @@
 func (g *Gate) Queued() int { return len(g.queue) }
 
 // Records returns the number of records of started tasks.
-func (g *Gate) Records() int { return len(g.records.byRef) }
+func (g *Gate) Records() int { return g.records.count }
 
 // RecordsSince returns the time since which no record has been dropped: every
 // task that was started later has one.
@@ -84,7 +84,7 @@
 func (g *Gate) Lookup(key model.JobKey) []wire.TaskRecord {
 	list := g.records.list(key)
 	for _, one := range g.queue {
-		if one.Ref.Key == key && g.records.byRef[one.Ref] == nil {
+		if one.Ref.Key == key && g.records.get(one.Ref) == nil {
 			list = append(list, wire.TaskRecord{Ref: one.Ref, Entry: one.Entry, Phase: wire.PhaseQueued})
 		}
 	}
--- a/decision/startgate/records.go
+++ b/decision/startgate/records.go
@@ -1,6 +1,7 @@
 package startgate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figring/figring/model"
@@ -11,134 +12,144 @@
 // up to KeySkew in the future is refused Retention after that time.
 const keepFor = model.Retention + model.KeySkew
 
-// dated is a place in the order of starts.
-type dated struct {
-	ref    model.TaskRef
-	serial uint64
-	at     time.Time
-}
-
-// records holds what was started, oldest first in order. A dropped record
-// moves since: whoever needs the proof that a task was not started compares
-// since with the time of its claim.
+// records holds what was started. A dropped record moves since: whoever needs
+// the proof that a task was not started compares since with the time of its
+// claim.
 type records struct {
-	byRef  map[model.TaskRef]*record
-	byKey  map[model.JobKey][]int
-	order  []dated
-	kept   []dated
+	// byKey leads to the first record of each job.
+	byKey map[model.JobKey]*record
+	count int
+	// order lists the records by start, and kept those with a result by end.
+	// Either may still list a record that is gone.
+	order  []*record
+	kept   []*record
+	base   time.Time
 	since  time.Time
-	serial uint64
 	limit  int
 	bytes  int
 	budget int
+	names  names
 }
 
 func newRecords(settings Settings, now time.Time) records {
 	return records{
-		byRef:  make(map[model.TaskRef]*record),
-		byKey:  make(map[model.JobKey][]int),
+		byKey:  make(map[model.JobKey]*record),
+		base:   now,
 		since:  now,
 		limit:  settings.RecordLimit,
 		budget: settings.ResultBytes,
+		names:  make(names),
 	}
 }
 
-func (r *records) started(ref model.TaskRef, one *record) {
-	if r.byRef[ref] == nil {
-		r.byKey[ref.Key] = append(r.byKey[ref.Key], ref.Index)
+// get returns the record of a task, or nil.
+func (r *records) get(ref model.TaskRef) *record {
+	for one := r.byKey[ref.Key]; one != nil; one = one.next {
+		if one.ref.Index == ref.Index {
+			return one
+		}
 	}
-	r.serial++
-	one.serial = r.serial
-	r.byRef[ref] = one
-	r.order = append(r.order, dated{ref: ref, serial: one.serial, at: one.startedAt})
+	return nil
 }
 
-// restore puts back the record of an earlier attempt. It is dated again,
-// because its place in the order may have been passed meanwhile.
-func (r *records) restore(ref model.TaskRef, one *record) {
-	r.byRef[ref] = one
-	r.order = append(r.order, dated{ref: ref, serial: one.serial, at: one.startedAt})
+// started puts the record of a start in the place of an earlier one.
+func (r *records) started(one *record, now time.Time) {
+	one.ref.Key.Caller = r.names.share(one.ref.Key.Caller)
+	one.entry = model.Incarnation(r.names.share(string(one.entry)))
+	one.startedAt = now.Sub(r.base)
+	r.put(one)
 }
 
-// remove forgets a task that provably did not run. It leaves since alone.
-func (r *records) remove(ref model.TaskRef) {
-	delete(r.byRef, ref)
-	indexes := r.byKey[ref.Key]
-	for i, index := range indexes {
-		if index == ref.Index {
-			indexes = append(indexes[:i], indexes[i+1:]...)
-			break
-		}
+func (r *records) put(one *record) {
+	if held := r.get(one.ref); held != nil {
+		r.unlink(held)
 	}
-	if len(indexes) == 0 {
-		delete(r.byKey, ref.Key)
-		return
+	one.next = r.byKey[one.ref.Key]
+	r.byKey[one.ref.Key] = one
+	r.count++
+	r.order = append(r.order, one)
+}
+
+// unlink forgets a record. It leaves since alone.
+func (r *records) unlink(one *record) {
+	r.count--
+	head := r.byKey[one.ref.Key]
+	switch {
+	case head != one:
+		for head.next != one {
+			head = head.next
+		}
+		head.next = one.next
+	case one.next != nil:
+		r.byKey[one.ref.Key] = one.next
+	default:
+		delete(r.byKey, one.ref.Key)
 	}
-	r.byKey[ref.Key] = indexes
+	one.next = nil
 }
 
-func (r *records) keepResult(ref model.TaskRef, one *record, result model.TaskResult, now time.Time) {
-	one.hasResult = true
-	one.result = result
+func (r *records) keepResult(one *record, result model.TaskResult) {
+	result.Worker = r.names.share(result.Worker)
+	one.result = &result
 	r.bytes += len(result.Body)
-	r.kept = append(r.kept, dated{ref: ref, serial: one.serial, at: now})
+	r.kept = append(r.kept, one)
 	for r.bytes > r.budget && len(r.kept) > 0 {
 		oldest := r.kept[0]
+		r.kept[0] = nil
 		r.kept = r.kept[1:]
-		r.dropResult(r.attempt(oldest))
+		r.dropResult(oldest)
 	}
 }
 
 func (r *records) dropResult(one *record) {
-	if one == nil || !one.hasResult {
+	if one == nil || one.result == nil {
 		return
 	}
 	r.bytes -= len(one.result.Body)
-	one.hasResult = false
-	one.result = model.TaskResult{}
-}
-
-// attempt returns the record of the attempt that was dated, also while a later
-// one runs, or nil when it is gone.
-func (r *records) attempt(d dated) *record {
-	for one := r.byRef[d.ref]; one != nil; one = one.prior {
-		if one.serial == d.serial {
-			return one
-		}
-	}
-	return nil
+	one.result = nil
 }
 
 // trim drops records that are older than keepFor, and the oldest beyond the
 // limit. It never drops a task that runs: it stops there, so that the records
 // exceed the limit by at most what one run of a task lets in.
 func (r *records) trim(now time.Time) {
+	r.trimKept()
 	for len(r.order) > 0 {
 		oldest := r.order[0]
-		one := r.byRef[oldest.ref]
-		if one == nil || one.serial != oldest.serial {
-			r.order = r.order[1:]
-			continue
-		}
-		young := now.Sub(oldest.at) < keepFor
-		if one.running() || young && len(r.byRef) <= r.limit {
-			return
+		if r.get(oldest.ref) == oldest {
+			young := now.Sub(r.base)-oldest.startedAt < keepFor
+			if oldest.running() || young && r.count <= r.limit {
+				return
+			}
+			r.drop(oldest)
 		}
+		r.order[0] = nil
 		r.order = r.order[1:]
-		r.dropResult(one)
-		r.remove(oldest.ref)
-		if oldest.at.After(r.since) {
-			r.since = oldest.at
-		}
 	}
 }
 
+func (r *records) drop(one *record) {
+	r.dropResult(one)
+	r.unlink(one)
+	if at := r.base.Add(one.startedAt); at.After(r.since) {
+		r.since = at
+	}
+}
+
+// trimKept lets go of the oldest records whose results were dropped.
+func (r *records) trimKept() {
+	for len(r.kept) > 0 && r.kept[0].result == nil {
+		r.kept[0] = nil
+		r.kept = r.kept[1:]
+	}
+}
+
+// list describes the records of a job in the order of their starts.
 func (r *records) list(key model.JobKey) []wire.TaskRecord {
-	list := make([]wire.TaskRecord, 0, len(r.byKey[key]))
-	for _, index := range r.byKey[key] {
-		ref := model.TaskRef{Key: key, Index: index}
-		one := r.byRef[ref]
-		list = append(list, wire.TaskRecord{Ref: ref, Entry: one.entry, Phase: one.phase, HasResult: one.hasResult, Result: one.result})
+	var list []wire.TaskRecord
+	for one := r.byKey[key]; one != nil; one = one.next {
+		list = append(list, one.describe())
 	}
+	slices.Reverse(list)
 	return list
 }
--- a/sidecar/minion.go
+++ b/sidecar/minion.go
@@ -38,6 +38,8 @@
 const (
 	// bodyLimit bounds the body of a minion's answer.
 	bodyLimit = 1 << 20
+	// clipSpare is the unused capacity in bytes that is worth a copy.
+	clipSpare = 64
 	// minionDialTimeout bounds the set-up of a connection to the minion.
 	minionDialTimeout = time.Second
 	// minionIdleTimeout is how long an unused connection is kept.
@@ -143,7 +145,15 @@
 	if err != nil || !delimited(answer) || answer.StatusCode < 200 || answer.StatusCode > 599 {
 		return verdict{outcome: startgate.EndUnknown}
 	}
-	return m.done(answer.StatusCode, body)
+	return m.done(answer.StatusCode, clip(body))
+}
+
+// clip returns body without spare capacity: it may be kept for minutes.
+func clip(body []byte) []byte {
+	if cap(body)-len(body) < clipSpare {
+		return body
+	}
+	return bytes.Clone(body)
 }
 
 // delimited reports whether the end of the body can be told from a cut.
