--- a/entry/owner.go
+++ b/entry/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/decision/admission"
 	"github.com/figring/figring/decision/dedup"
@@ -38,6 +39,7 @@
 	writer     *claims.Writer
 	dispatcher *dispatcher
 	adopter    *adopter
+	keeper     *answers.Keeper
 	pool       rpcCaller
 	peers      *peers
 	watch      *ownerWatch
@@ -65,6 +67,8 @@
 	targets   map[model.Incarnation]*knownTarget
 	bundle    model.Bundle
 	isFenced  bool
+	// undecided holds failures that wait for a valid lease.
+	undecided []*model.Answer
 	inFlight  int
 	lastSweep time.Time
 	// entries is the number of entries that quotas were divided by.
