Secure the sidecar's calls with TLS, and leave replies of failed calls alone

The settings took certificates for calls between processes and the sidecar did not use them. A renewal that timed out returned a reply into which a late answer was still being decoded; the race detector saw it when a test stopped the sidecar during a renewal.

--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -4,6 +4,7 @@
 	"runtime/debug"
 
 	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/common/tlsconf"
 	"github.com/figring/figring/platform/announce"
 	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/settings"
@@ -30,6 +31,14 @@
 	if err != nil {
 		return usageError(err)
 	}
+	serverTLS, err := tlsconf.Server(loaded.TLS.RPC)
+	if err != nil {
+		return usageError(err)
+	}
+	clientTLS, err := tlsconf.Client(loaded.TLS.RPC)
+	if err != nil {
+		return usageError(err)
+	}
 	debug.SetMemoryLimit(sidecarMemory)
 	root := metrics.NewRoot()
 	defer func() { _ = root.Close() }()
@@ -42,6 +51,8 @@
 		Metrics:       root.Handler,
 		Scope:         root.Scope,
 		Logger:        logger,
+		RPCServerTLS:  serverTLS,
+		RPCClientTLS:  clientTLS,
 	})
 	if err != nil {
 		return usageError(err)
--- a/sidecar/fakes_test.go
+++ b/sidecar/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -137,6 +138,9 @@
 	key     model.JobKey
 	stop    context.CancelFunc
 	ended   chan error
+	// server and client secure the calls; nil is plain TCP.
+	server *tls.Config
+	client *tls.Config
 }
 
 func newRig(t *testing.T, slots int) *rig {
@@ -147,12 +151,16 @@
 }
 
 func newIdleRig(t *testing.T, slots int, table platform.Table) *rig {
-	r := &rig{t: t, entry: &fakeEntry{}, minion: newFakeMinion(t), table: table, key: model.NewJobKey("desk")}
+	return newTLSRig(t, slots, table, nil, nil)
+}
+
+func newTLSRig(t *testing.T, slots int, table platform.Table, server, client *tls.Config) *rig {
+	r := &rig{t: t, server: server, client: client, entry: &fakeEntry{}, minion: newFakeMinion(t), table: table, key: model.NewJobKey("desk")}
 	r.entry.ttl.Store(int64(2 * time.Second))
 	address := strings.TrimPrefix(r.minion.server.URL, "http://")
 	r.beats = &fakeBeats{said: platform.Announcement{Minion: "m", State: platform.MinionReady, Address: address, Slots: slots, Connections: slots + 1}}
 	r.serveEntry()
-	r.pool = wire.NewPool(secret, nil, nil)
+	r.pool = wire.NewPool(secret, client, nil)
 	t.Cleanup(r.pool.Close)
 	return r
 }
@@ -160,7 +168,7 @@
 func (r *rig) serveEntry() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(r.t, err)
-	server := wire.NewServer(secret, nil)
+	server := wire.NewServer(secret, r.server)
 	must.NoError(r.t, server.Register("Entry", r.entry))
 	go func() { _ = server.Serve(listener) }()
 	r.t.Cleanup(server.Close)
@@ -175,7 +183,7 @@
 func (r *rig) begin() {
 	made, err := New(Settings{
 		Name: "s", Zone: "a", Worker: "w", RPCListen: "127.0.0.1:0", StatusListen: "127.0.0.1:0", Secret: secret,
-	}, Parts{Table: r.table, Announcements: r.beats, Logger: &log.Logger{Level: log.PanicLevel}})
+	}, Parts{Table: r.table, Announcements: r.beats, Logger: &log.Logger{Level: log.PanicLevel}, RPCServerTLS: r.server, RPCClientTLS: r.client})
 	must.NoError(r.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/sidecar/parts.go
+++ b/sidecar/parts.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"crypto/tls"
 	"net/http"
 
 	"github.com/phuslu/log"
@@ -22,6 +23,10 @@
 	Scope tally.Scope
 	// Logger takes changes of state; nil means log.DefaultLogger.
 	Logger *log.Logger
+	// RPCServerTLS and RPCClientTLS secure the calls between entries and
+	// sidecars; nil means plain TCP.
+	RPCServerTLS *tls.Config
+	RPCClientTLS *tls.Config
 	// Dialer opens connections to entries; nil means the network itself.
 	Dialer wire.Dialer
 }
--- a/sidecar/renewer.go
+++ b/sidecar/renewer.go
@@ -103,6 +103,8 @@
 	return max(reply.RetryAfter, renewPause)
 }
 
+// call sends one renewal. After a failed call nobody reads its reply: an answer
+// that comes too late may still be written into it.
 func (r *renewer) call(ctx context.Context) (wire.RenewReply, error) {
 	var reply wire.RenewReply
 	answer := make(chan wire.RenewRequest, 1)
@@ -114,7 +116,10 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	err = r.sidecar.pool.Call(ctx, r.entry.Address, wire.MethodRenew, &request, &reply)
-	return reply, Error.Wrap(err)
+	if err != nil {
+		return wire.RenewReply{}, Error.Wrap(err)
+	}
+	return reply, nil
 }
 
 // meet reports that another incarnation answers at the entry's address.
