--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -1,7 +1,10 @@
 package command
 
 import (
+	"runtime/debug"
+
 	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/common/tlsconf"
 	"github.com/figring/figring/platform/announce"
 	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/settings"
@@ -13,6 +16,10 @@
 Example:
   figring sidecar --settings examples/settings/sidecar.jsonc`
 
+// sidecarMemory is the memory in bytes beyond which a sidecar collects garbage
+// more often: it shares the worker with the minion.
+const sidecarMemory = 48 << 20
+
 type sidecarCommand struct {
 	streams  *IO
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"start-up settings, JSON with comments"`
@@ -24,6 +31,15 @@
 	if err != nil {
 		return usageError(err)
 	}
+	serverTLS, err := tlsconf.Server(loaded.TLS.RPC)
+	if err != nil {
+		return usageError(err)
+	}
+	clientTLS, err := tlsconf.Client(loaded.TLS.RPC)
+	if err != nil {
+		return usageError(err)
+	}
+	debug.SetMemoryLimit(sidecarMemory)
 	root := metrics.NewRoot()
 	defer func() { _ = root.Close() }()
 	receiver := announce.NewReceiver()
@@ -35,6 +51,8 @@
 		Metrics:       root.Handler,
 		Scope:         root.Scope,
 		Logger:        logger,
+		RPCServerTLS:  serverTLS,
+		RPCClientTLS:  clientTLS,
 	})
 	if err != nil {
 		return usageError(err)
