Decode answers into a value of the call's own

Cause: a call that ended by its context left net/rpc holding the caller's reply; an answer that came later was decoded into it, over a refusal that had been put there meanwhile: a late answer could have been delivered. The new test failed before (late status seen, race reported) and passes now.

--- a/wire/pool.go
+++ b/wire/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,9 +61,15 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	var sent atomic.Bool
-	call := client.Go(method, trackedRequest{body: args, sent: &sent}, reply, make(chan *rpc.Call, 1))
+	// The answer is decoded into a value of its own: one that arrives after ctx
+	// ended would else be written into a reply that its owner reads by then.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, trackedRequest{body: args, sent: &sent}, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return p.finish(target, client, call.Error, &sent)
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -134,3 +134,40 @@
 	must.NoError(t, server.Drain(t.Context()))
 	must.NoError(t, <-result)
 }
+
+// TestPoolDropsLateAnswers lets the answer arrive after the caller gave up: it
+// must not be written into the reply that the caller still holds. The race
+// detector sees a write.
+func TestPoolDropsLateAnswers(t *testing.T) {
+	service := &lateService{hold: make(chan struct{}), answered: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewServer("s", nil)
+	must.NoError(t, server.Register("Sidecar", service))
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	pool := NewPool("s", nil, nil)
+	defer pool.Close()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	var reply RunReply
+	err = pool.Call(ctx, listener.Addr().String(), MethodRun, &RunRequest{}, &reply)
+	must.ErrorIs(t, err, ErrOutcomeUnknown)
+	close(service.hold)
+	<-service.answered
+	must.NoError(t, pool.Call(t.Context(), listener.Addr().String(), MethodLookup, &LookupRequest{}, &LookupReply{}))
+	must.Eq(t, RunStatus(""), reply.Status)
+}
+
+// lateService answers Run only when it is let.
+type lateService struct{ hold, answered chan struct{} }
+
+func (s *lateService) Run(_ *RunRequest, reply *RunReply) error {
+	<-s.hold
+	reply.Status = RunDone
+	close(s.answered)
+	return nil
+}
+
+func (s *lateService) Lookup(_ *LookupRequest, _ *LookupReply) error { return nil }
