Load tool: seeded traces, ideal schedule, runner, fleet and the first measures

Figures of the response times and of wasted messages could not be taken before. The measures start the real processes on the loopback, play a seeded trace over them and compare with a clairvoyant list schedule. New counters: duplicate dispatches, withdrawals that found nothing, renewals of known state, and bytes between entries and sidecars.

--- a/common/metrics/entry_names.go
+++ b/common/metrics/entry_names.go
@@ -32,6 +32,13 @@
 	EntryWithdrawals = "entry_withdrawals"
 	// EntryRevocations counts messages that end a permit early.
 	EntryRevocations = "entry_revocations"
+	// EntryDuplicates counts dispatches of tasks that the sidecar had already.
+	EntryDuplicates = "entry_duplicates"
+	// EntryEmptyWithdrawals counts withdrawals that found nothing to take back.
+	EntryEmptyWithdrawals = "entry_empty_withdrawals"
+	// EntryIdleRenewals counts renewals by sidecars whose state was known; they
+	// only prolong a permit.
+	EntryIdleRenewals = "entry_idle_renewals"
 	// EntryRefused counts refusals by code.
 	EntryRefused = "entry_refused"
 	// EntryJobs counts answered jobs by caller and code; the code of a complete
--- a/entry/core.go
+++ b/entry/core.go
@@ -56,7 +56,7 @@
 		self:       self,
 		members:    c.members,
 		writer:     c.writer,
-		dispatcher: c.newDispatcher(e.pool),
+		dispatcher: c.newDispatcher(e.pool, e.metrics),
 		adopter:    c.adopter,
 		pool:       e.pool,
 		peers:      c.peers,
@@ -68,12 +68,13 @@
 	return c
 }
 
-func (c *core) newDispatcher(pool rpcCaller) *dispatcher {
+func (c *core) newDispatcher(pool rpcCaller, counts *Metrics) *dispatcher {
 	return &dispatcher{
 		self:    c.self.Incarnation,
 		pool:    pool,
 		peers:   c.peers,
 		permits: c,
+		metrics: counts,
 		report:  func(end dispatchEnd) { c.owner.post(taskEnded{end}) },
 	}
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -47,6 +47,7 @@
 	pool    rpcCaller
 	peers   *peers
 	permits permitSource
+	metrics *Metrics
 	// report hands an end to the owner's loop.
 	report func(dispatchEnd)
 }
@@ -104,6 +105,7 @@
 	if reply.Status != wire.RunDuplicate {
 		return reply, false
 	}
+	d.metrics.Duplicates.Inc(1)
 	return d.attach(ctx, order)
 }
 
@@ -148,7 +150,10 @@
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	var reply wire.WithdrawReply
-	_ = d.pool.Call(ctx, address, wire.MethodWithdraw, request, &reply)
+	err := d.pool.Call(ctx, address, wire.MethodWithdraw, request, &reply)
+	if err == nil && reply.Withdrawn == 0 && reply.Started == 0 {
+		d.metrics.EmptyWithdrawals.Inc(1)
+	}
 }
 
 // revoke ends this entry's permit at a sidecar whose zone or target was closed.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	self    wire.EntryInfo
 	pool    *wire.Pool
 	rpc     *wire.Server
+	traffic *wire.Traffic
 	bundles *rollout.Watcher
 	front   *Front
 	metrics *Metrics
@@ -41,7 +42,8 @@
 func New(options Options) (*Entry, error) {
 	e := &Entry{options: options.withDefaults()}
 	e.metrics = NewMetrics(options.Metrics.Scope)
-	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, options.Dialer)
+	e.traffic = wire.NewTraffic(options.Metrics.Scope)
+	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, e.traffic.Dialer(options.Dialer))
 	e.bundles = rollout.New(options.Table, rollout.Options{Logger: options.Log})
 	e.identities = identity.NewCallers(e.bundles.View().Bundle)
 	e.bundles.Subscribe(e.bundleChanged)
@@ -93,7 +95,7 @@
 		return errListen.Wrap(err)
 	}
 	e.core.Store(e.newCore())
-	go func() { _ = e.rpc.Serve(listener) }()
+	go func() { _ = e.rpc.Serve(e.traffic.Listener(listener)) }()
 	return e.listenHTTP()
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -34,6 +34,11 @@
 	LateResults  tally.Counter
 	Withdrawals  tally.Counter
 	Revocations  tally.Counter
+	// Duplicates, EmptyWithdrawals and IdleRenewals count messages that
+	// changed nothing.
+	Duplicates       tally.Counter
+	EmptyWithdrawals tally.Counter
+	IdleRenewals     tally.Counter
 
 	scope tally.Scope
 
@@ -52,21 +57,24 @@
 // NewMetrics returns the metrics of an entry that reports to scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
-		Forwarded:    scope.Counter(metrics.EntryForwarded),
-		OwnerLost:    scope.Counter(metrics.EntryOwnerLost),
-		Renewals:     scope.Counter(metrics.EntryRenewals),
-		Resubmitted:  scope.Counter(metrics.EntryResubmitted),
-		Adoptions:    scope.Counter(metrics.EntryAdoptions),
-		Dispatches:   scope.Counter(metrics.EntryDispatches),
-		Redispatched: scope.Counter(metrics.EntryRedispatched),
-		Unknown:      scope.Counter(metrics.EntryUnknown),
-		LateResults:  scope.Counter(metrics.EntryLateResults),
-		Withdrawals:  scope.Counter(metrics.EntryWithdrawals),
-		Revocations:  scope.Counter(metrics.EntryRevocations),
-		scope:        scope,
-		response:     make(map[series]tally.Histogram),
-		runTime:      make(map[series]tally.Histogram),
-		counters:     make(map[counterKey]tally.Counter),
+		Forwarded:        scope.Counter(metrics.EntryForwarded),
+		OwnerLost:        scope.Counter(metrics.EntryOwnerLost),
+		Renewals:         scope.Counter(metrics.EntryRenewals),
+		Resubmitted:      scope.Counter(metrics.EntryResubmitted),
+		Adoptions:        scope.Counter(metrics.EntryAdoptions),
+		Dispatches:       scope.Counter(metrics.EntryDispatches),
+		Redispatched:     scope.Counter(metrics.EntryRedispatched),
+		Unknown:          scope.Counter(metrics.EntryUnknown),
+		LateResults:      scope.Counter(metrics.EntryLateResults),
+		Withdrawals:      scope.Counter(metrics.EntryWithdrawals),
+		Revocations:      scope.Counter(metrics.EntryRevocations),
+		Duplicates:       scope.Counter(metrics.EntryDuplicates),
+		EmptyWithdrawals: scope.Counter(metrics.EntryEmptyWithdrawals),
+		IdleRenewals:     scope.Counter(metrics.EntryIdleRenewals),
+		scope:            scope,
+		response:         make(map[series]tally.Histogram),
+		runTime:          make(map[series]tally.Histogram),
+		counters:         make(map[counterKey]tally.Counter),
 	}
 }
 
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -170,6 +170,9 @@
 		target = &knownTarget{}
 		o.targets[e.target.Incarnation] = target
 	}
+	if known && target.info == e.target {
+		o.metrics.IdleRenewals.Inc(1)
+	}
 	target.info = e.target
 	target.heardAt = o.now
 	target.open = o.bundle.ZoneOpen(e.target.Zone) && o.bundle.TargetOpen(e.target.Sidecar)
--- /dev/null
+++ b/loadgen/ideal/schedule_test.go
@@ -0,0 +1,56 @@
+package ideal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/loadgen/trace"
+)
+
+const ms = time.Millisecond
+
+func job(at time.Duration, runs ...time.Duration) trace.Job {
+	one := trace.Job{At: at}
+	for _, run := range runs {
+		one.Tasks = append(one.Tasks, trace.Task{Run: run})
+	}
+	return one
+}
+
+func cancelled(one trace.Job, after time.Duration) trace.Job {
+	one.CancelAfter = after
+	return one
+}
+
+func TestSchedule(t *testing.T) {
+	one := []Worker{{Slots: 1, Speed: 1}}
+	two := []Worker{{Slots: 2, Speed: 1}}
+	mixed := []Worker{{Slots: 1, Speed: 1}, {Slots: 1, Speed: 2}}
+	cases := []struct {
+		name    string
+		workers []Worker
+		jobs    []trace.Job
+		want    []time.Duration
+	}{
+		{"alone", one, []trace.Job{job(5*ms, 10*ms)}, []time.Duration{15 * ms}},
+		{"waits", one, []trace.Job{job(0, 10*ms), job(4*ms, 10*ms)}, []time.Duration{10 * ms, 20 * ms}},
+		{"idles", one, []trace.Job{job(0, 10*ms), job(30*ms, 10*ms)}, []time.Duration{10 * ms, 40 * ms}},
+		{"longest first", two, []trace.Job{job(0, 2*ms, 3*ms, 5*ms)}, []time.Duration{5 * ms}},
+		{"fastest first", mixed, []trace.Job{job(0, 10*ms)}, []time.Duration{5 * ms}},
+		{"waits for the faster", mixed, []trace.Job{job(0, 10*ms), job(0, 14*ms)}, []time.Duration{5 * ms, 12 * ms}},
+		{"takes the slower", mixed, []trace.Job{job(0, 10*ms), job(0, 8*ms)}, []time.Duration{5 * ms, 8 * ms}},
+		{"cancelled while it runs", one, []trace.Job{cancelled(job(0, 10*ms), 4*ms), job(0, 10*ms)}, []time.Duration{4 * ms, 14 * ms}},
+		{"cancelled before it runs", one, []trace.Job{job(0, 10*ms), cancelled(job(0, 10*ms), 4*ms), job(0, 1*ms)}, []time.Duration{10 * ms, 4 * ms, 11 * ms}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, Schedule(c.jobs, c.workers))
+		})
+	}
+}
+
+func TestCapacity(t *testing.T) {
+	must.Eq(t, 8*1.5+4*0.5, Capacity([]Worker{{8, 1.5}, {4, 0.5}}))
+}
--- /dev/null
+++ b/loadgen/plot/completed_test.go
@@ -0,0 +1,31 @@
+package plot
+
+import (
+	"image/png"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestSlotsAtWork(t *testing.T) {
+	work := []Work{
+		{Start: 0, End: 2 * time.Second},
+		{Start: 500 * time.Millisecond, End: 1500 * time.Millisecond},
+	}
+	must.Eq(t, []float64{1.5, 1.5, 0}, SlotsAtWork(work, time.Second))
+	must.Eq(t, []float64{0}, SlotsAtWork(nil, time.Second))
+}
+
+func TestCompletedWritesAPicture(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "run.png")
+	must.NoError(t, Completed(path, "run", []Work{{End: time.Second}}, []Mark{{At: time.Second, Text: "zone out"}}))
+	file, err := os.Open(path)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, file.Close()) }()
+	drawn, err := png.Decode(file)
+	must.NoError(t, err)
+	must.Positive(t, drawn.Bounds().Dx())
+}
--- /dev/null
+++ b/loadgen/plot/doc.go
@@ -0,0 +1,2 @@
+// Package plot draws a load run as a picture.
+package plot
--- /dev/null
+++ b/loadgen/runner/series.go
@@ -0,0 +1,7 @@
+package runner
+
+// Series names a histogram.
+type Series struct {
+	Caller string
+	Class  string
+}
--- /dev/null
+++ b/loadgen/trace/generate.go
@@ -0,0 +1,147 @@
+package trace
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// generatorStream separates the generator's random numbers from others that
+	// are drawn from the same seed.
+	generatorStream = 0x66696772696e67
+	// maxDeclaredFactor is the largest factor by which a declared time is off.
+	maxDeclaredFactor = 5
+	// minResubmit and maxResubmit bound the time to a second submission: some
+	// come while the job runs and some after its end.
+	minResubmit = 20 * time.Millisecond
+	maxResubmit = 1500 * time.Millisecond
+	// cancelWindow is how far back a cancellation wave reaches.
+	cancelWindow = 500 * time.Millisecond
+	// millisecond rounds run times, so that they pass through JSON unchanged.
+	millisecond = time.Millisecond
+)
+
+// generator holds the state of one generation.
+type generator struct {
+	config Config
+	random *rand.Rand
+}
+
+// Generate returns the trace of a configuration. Jobs are drawn until their
+// work fills the load exactly or by less than one job more. Given their number,
+// the times of a Poisson process are independent and uniform, so they are
+// drawn so, and bursts stretch and shrink the time between them.
+func Generate(config Config) Trace {
+	g := &generator{config: config, random: rand.New(rand.NewPCG(config.Seed, generatorStream))}
+	var generated Trace
+	wanted := config.Load * config.Capacity * config.Duration.Seconds()
+	for done := 0.0; done < wanted; {
+		job := g.job()
+		done += job.Work().Seconds()
+		generated.Jobs = append(generated.Jobs, job)
+	}
+	g.place(generated.Jobs)
+	generated.sort()
+	g.cancel(generated.Jobs)
+	return generated
+}
+
+func (g *generator) job() Job {
+	class := g.class()
+	band := g.band()
+	job := Job{Caller: g.config.Shape.Caller, Idempotent: class.Idempotent}
+	for range band.Min + g.random.IntN(band.Max-band.Min+1) {
+		job.Tasks = append(job.Tasks, g.task(class.Name))
+	}
+	if g.random.Float64() < g.config.ResubmitShare {
+		job.ResubmitAfter = g.between(minResubmit, maxResubmit)
+	}
+	return job
+}
+
+func (g *generator) class() Class {
+	classes := g.config.Shape.Classes
+	weights := make([]float64, len(classes))
+	for i, class := range classes {
+		weights[i] = class.Weight
+	}
+	return classes[g.weighted(weights)]
+}
+
+func (g *generator) band() SizeBand {
+	sizes := g.config.Shape.Sizes
+	weights := make([]float64, len(sizes))
+	for i, band := range sizes {
+		weights[i] = band.Weight
+	}
+	return sizes[g.weighted(weights)]
+}
+
+// weighted draws an index with the probability of its weight.
+func (g *generator) weighted(weights []float64) int {
+	var sum float64
+	for _, weight := range weights {
+		sum += weight
+	}
+	left := g.random.Float64() * sum
+	for i, weight := range weights {
+		left -= weight
+		if left < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+func (g *generator) task(class string) Task {
+	shape := &g.config.Shape
+	run := g.logBetween(shape.MinRun, shape.MaxRun)
+	if g.random.Float64() < shape.LongShare {
+		run = g.between(shape.MinLong, shape.MaxLong)
+	}
+	run = run.Round(millisecond)
+	return Task{Class: class, Run: run, Declared: g.declared(run)}
+}
+
+func (g *generator) declared(run time.Duration) time.Duration {
+	draw := g.random.Float64()
+	factor := math.Exp((2*g.random.Float64() - 1) * math.Log(maxDeclaredFactor))
+	switch {
+	case draw < g.config.Shape.SilentShare:
+		return 0
+	case draw < g.config.Shape.SilentShare+g.config.Shape.WrongShare:
+		return max(millisecond, time.Duration(float64(run)*factor).Round(millisecond))
+	default:
+		return run
+	}
+}
+
+func (g *generator) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(g.random.Float64()*float64(high-low))
+}
+
+func (g *generator) logBetween(low, high time.Duration) time.Duration {
+	return time.Duration(float64(low) * math.Exp(g.random.Float64()*math.Log(float64(high)/float64(low))))
+}
+
+// place draws the times of arrival.
+func (g *generator) place(jobs []Job) {
+	rate := g.intensity()
+	for i := range jobs {
+		jobs[i].At = time.Duration(rate.invert(g.random.Float64()) * float64(g.config.Duration))
+	}
+}
+
+// cancel marks jobs for the cancellation waves, which come at equal intervals.
+func (g *generator) cancel(jobs []Job) {
+	for wave := range g.config.CancelWaves {
+		at := g.config.Duration * time.Duration(wave+1) / time.Duration(g.config.CancelWaves+1)
+		for i := range jobs {
+			recent := jobs[i].At < at && jobs[i].At >= at-cancelWindow
+			if recent && g.random.Float64() < g.config.CancelShare {
+				jobs[i].CancelAfter = at - jobs[i].At
+			}
+		}
+	}
+}
--- /dev/null
+++ b/loadgen/trace/shape.go
@@ -0,0 +1,91 @@
+package trace
+
+import "time"
+
+// The names of the shapes.
+const (
+	ShapeNomination   = "nomination"
+	ShapeSubscription = "subscription"
+	// ShapeHundred has jobs of exactly 100 short tasks.
+	ShapeHundred = "hundred"
+)
+
+// Shape is the mix of one user's work.
+type Shape struct {
+	Name    string
+	Caller  string
+	Classes []Class
+	Sizes   []SizeBand
+	// MinRun and MaxRun bound the log-uniform run times of usual tasks.
+	MinRun time.Duration
+	MaxRun time.Duration
+	// LongShare is the share of tasks that run from MinLong to MaxLong.
+	LongShare float64
+	MinLong   time.Duration
+	MaxLong   time.Duration
+	// SilentShare is the share of tasks without a declared time; WrongShare is
+	// the share with one that is off by a factor of 0.2 to 5.
+	SilentShare float64
+	WrongShare  float64
+}
+
+// Shapes returns every shape by its name.
+func Shapes() map[string]Shape {
+	return map[string]Shape{
+		ShapeNomination:   Nomination(),
+		ShapeSubscription: Subscription(),
+		ShapeHundred:      Hundred(),
+	}
+}
+
+// Nomination returns the mix of the nomination desk.
+func Nomination() Shape {
+	shape := usualTimes()
+	shape.Name = ShapeNomination
+	shape.Caller = "nomination-desk"
+	shape.Classes = []Class{
+		{Name: "eligibility", Weight: 5, Idempotent: true},
+		{Name: "dossier", Weight: 3, Idempotent: true},
+		{Name: "conflict", Weight: 2},
+	}
+	shape.Sizes = []SizeBand{{5, 1, 1}, {3.5, 2, 10}, {1.3, 11, 40}, {0.2, 41, 120}}
+	return shape
+}
+
+// Subscription returns the mix of the subscription desk.
+func Subscription() Shape {
+	shape := usualTimes()
+	shape.Name = ShapeSubscription
+	shape.Caller = "subscription-desk"
+	shape.Classes = []Class{
+		{Name: "renewal", Weight: 6},
+		{Name: "gift", Weight: 2},
+		{Name: "address", Weight: 2, Idempotent: true},
+	}
+	shape.Sizes = []SizeBand{{7, 1, 1}, {2, 2, 8}, {1, 20, 60}}
+	return shape
+}
+
+// Hundred returns jobs of 100 tasks of 50 to 100 ms.
+func Hundred() Shape {
+	shape := usualTimes()
+	shape.Name = ShapeHundred
+	shape.Caller = "nomination-desk"
+	shape.Classes = []Class{{Name: "eligibility", Weight: 1, Idempotent: true}}
+	shape.Sizes = []SizeBand{{1, 100, 100}}
+	shape.MaxRun = 100 * time.Millisecond
+	shape.LongShare = 0
+	return shape
+}
+
+func usualTimes() Shape {
+	return Shape{
+		MinRun:      50 * time.Millisecond,
+		MaxRun:      time.Second,
+		LongShare:   0.03,
+		MinLong:     2 * time.Second,
+		MaxLong:     5 * time.Second,
+		SilentShare: 0.2,
+		WrongShare:  0.5,
+	}
+}
--- /dev/null
+++ b/loadgen/trace/trace.go
@@ -0,0 +1,43 @@
+package trace
+
+import (
+	"slices"
+	"time"
+)
+
+// Trace is a list of jobs in the order of their arrival.
+type Trace struct {
+	Jobs []Job
+}
+
+// Work returns the sum of all true run times.
+func (t *Trace) Work() time.Duration {
+	var sum time.Duration
+	for i := range t.Jobs {
+		sum += t.Jobs[i].Work()
+	}
+	return sum
+}
+
+// Tasks returns the number of tasks of all jobs.
+func (t *Trace) Tasks() int {
+	var sum int
+	for i := range t.Jobs {
+		sum += len(t.Jobs[i].Tasks)
+	}
+	return sum
+}
+
+// Merge returns the jobs of several traces in the order of their arrival.
+func Merge(traces ...Trace) Trace {
+	var merged Trace
+	for _, one := range traces {
+		merged.Jobs = append(merged.Jobs, one.Jobs...)
+	}
+	merged.sort()
+	return merged
+}
+
+func (t *Trace) sort() {
+	slices.SortStableFunc(t.Jobs, func(a, b Job) int { return int(a.At - b.At) })
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -31,7 +31,7 @@
 
 func (s *Sidecar) begin(ctx context.Context) {
 	s.duties.Go(func() { s.core.run(ctx) })
-	s.duties.Go(func() { _ = s.rpc.Serve(s.rpcListener) })
+	s.duties.Go(func() { _ = s.rpc.Serve(s.traffic.Listener(s.rpcListener)) })
 	s.serveHTTP(ctx, s.statusListener, s.statusHandler())
 	s.serveHTTP(ctx, s.announceListener, s.parts.Announce)
 	s.duties.Go(func() { s.join(ctx) })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	core      *core
 	pool      *wire.Pool
 	rpc       *wire.Server
+	traffic   *wire.Traffic
 
 	rpcListener      net.Listener
 	statusListener   net.Listener
@@ -57,6 +58,7 @@
 	if parts.Logger == nil {
 		parts.Logger = &log.DefaultLogger
 	}
+	traffic := wire.NewTraffic(parts.Scope)
 	s := &Sidecar{
 		settings:        settings.withDefaults(),
 		parts:           parts,
@@ -65,8 +67,9 @@
 		changed:         newSignal(),
 		joined:          make(chan struct{}),
 		strangers:       make(chan model.Incarnation, 16),
-		pool:            wire.NewPool(settings.Secret, nil, parts.Dialer),
+		pool:            wire.NewPool(settings.Secret, nil, traffic.Dialer(parts.Dialer)),
 		rpc:             wire.NewServer(settings.Secret, nil),
+		traffic:         traffic,
 		entries:         parts.Scope.Gauge(metrics.SidecarEntries),
 		renewals:        parts.Scope.Counter(metrics.SidecarRenewals),
 		renewalFailures: parts.Scope.Counter(metrics.SidecarRenewalFailures),
--- /dev/null
+++ b/wire/traffic_test.go
@@ -0,0 +1,49 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/common/metrics"
+)
+
+// TestTrafficCountsBothWays sends bytes over a counted connection whose far
+// end is counted in a scope of its own.
+func TestTrafficCountsBothWays(t *testing.T) {
+	near, far := tally.NewTestScope("", nil), tally.NewTestScope("", nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	counted := NewTraffic(far).Listener(listener)
+	defer func() { _ = counted.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := counted.Accept()
+		if err == nil {
+			_, err = io.ReadFull(conn, make([]byte, 5))
+			_, _ = conn.Write([]byte("abc"))
+			_ = conn.Close()
+		}
+		done <- err
+	}()
+	conn, err := NewTraffic(near).Dialer(nil).DialContext(context.Background(), "tcp", listener.Addr().String())
+	must.NoError(t, err)
+	_, err = conn.Write([]byte("12345"))
+	must.NoError(t, err)
+	got, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+	must.NoError(t, <-done)
+	must.Eq(t, "abc", string(got))
+	for _, c := range []struct {
+		scope tally.TestScope
+		name  string
+		want  int64
+	}{{near, metrics.WireReadBytes, 3}, {near, metrics.WireWrittenBytes, 5}, {far, metrics.WireReadBytes, 5}, {far, metrics.WireWrittenBytes, 3}} {
+		must.Eq(t, c.want, c.scope.Snapshot().Counters()[c.name+"+"].Value())
+	}
+}
