Measures of zones, overload, bursts, faults, processor time and control; subcommand load

The ideal schedule knows when a worker is out, so that work done during a zone's absence is compared with what the remaining slots could do.

--- /dev/null
+++ b/command/load.go
@@ -0,0 +1,142 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/figring/figring/loadgen/fleet"
+	"github.com/figring/figring/loadgen/plot"
+	"github.com/figring/figring/loadgen/runner"
+	"github.com/figring/figring/loadgen/trace"
+)
+
+const loadHelp = `Plays seeded open-loop load against the callers' interface of a running system whose minions are stand-ins: they take the run time of a task from its payload. Response times count from the intended arrival. Load goes to IP numbers of 127.0.0.0/8 only. The exit code is 1 when a job has no whole answer or two answers to one key differ.
+
+The shapes: nomination, subscription, hundred.
+
+Examples:
+  figring load --callers http://127.0.0.1:7100 --token-file token.txt --rate 20 --duration 10s
+  figring load --callers http://127.0.0.1:7100 --callers http://127.0.0.1:7200 --token-file token.txt --shape subscription --seed 7 --load 0.7 --capacity 88 --json run.json --plot run.png`
+
+var errLoad = errors.New("jobs without a whole answer, or two answers to one key that differ")
+
+type loadCommand struct {
+	streams   *IO
+	Callers   []string      `long:"callers" value-name:"URL" required:"true" description:"base URL of an entry's interface to callers; may be repeated"`
+	Token     string        `long:"token" value-name:"TOKEN" description:"bearer token of the caller; prefer --token-file"`
+	TokenFile string        `long:"token-file" value-name:"FILE" description:"file with the bearer token of the caller"`
+	Shape     string        `long:"shape" value-name:"NAME" default:"nomination" description:"mix of the work"`
+	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the trace"`
+	Rate      float64       `long:"rate" value-name:"N" description:"jobs a second"`
+	Load      float64       `long:"load" value-name:"SHARE" default:"0.7" description:"share of the capacity, when no rate is given"`
+	Capacity  float64       `long:"capacity" value-name:"N" default:"88" description:"sum of slots times speed of all minions"`
+	Duration  time.Duration `long:"duration" value-name:"TIME" default:"30s" description:"time over which jobs arrive"`
+	Timeout   time.Duration `long:"timeout" value-name:"TIME" default:"30s" description:"timeout of each job"`
+	Retry     bool          `long:"retry" description:"let refused jobs come back when they are told to"`
+	JSON      string        `long:"json" value-name:"FILE" description:"file for all outcomes"`
+	Plot      string        `long:"plot" value-name:"FILE" description:"PNG file for the completed jobs over time"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	config, err := c.config()
+	if err != nil {
+		return usageError(err)
+	}
+	token, err := c.token()
+	if err != nil {
+		return usageError(err)
+	}
+	jobs := trace.Generate(config)
+	ctx, cancel := untilSignal()
+	defer cancel()
+	result, err := runner.Run(ctx, jobs.Jobs, runner.Options{
+		Targets:     c.Callers,
+		Tokens:      map[string]string{config.Shape.Caller: token},
+		ClientDelay: fleet.ClientDelay,
+		Timeout:     c.Timeout,
+		Retry:       c.Retry,
+	})
+	if err != nil {
+		return usageError(err)
+	}
+	c.print(result)
+	if err := c.write(result); err != nil {
+		return err
+	}
+	if result.Codes[runner.CodeLost] > 0 || result.Mismatches > 0 {
+		return errLoad
+	}
+	return nil
+}
+
+// config checks the arguments.
+func (c *loadCommand) config() (trace.Config, error) {
+	shape, known := trace.Shapes()[c.Shape]
+	if !known {
+		return trace.Config{}, fmt.Errorf("shape: want one of %q", slices.Sorted(maps.Keys(trace.Shapes())))
+	}
+	if c.Duration < time.Second || c.Duration > runner.MaxDuration {
+		return trace.Config{}, fmt.Errorf("duration: want 1s to %s", runner.MaxDuration)
+	}
+	if c.Rate < 0 || c.Rate*c.Duration.Seconds() > runner.MaxJobs {
+		return trace.Config{}, fmt.Errorf("rate: want at most %d jobs in all", runner.MaxJobs)
+	}
+	if c.Load <= 0 || c.Load > 10 || c.Capacity <= 0 || c.Capacity > 1e5 {
+		return trace.Config{}, errors.New("load: want a share above 0 and up to 10 of a capacity up to 100000")
+	}
+	config := trace.Usual(shape, c.Seed, c.Duration, c.Capacity, c.Load)
+	config.Jobs = int(c.Rate * c.Duration.Seconds())
+	return config, nil
+}
+
+func (c *loadCommand) token() (string, error) {
+	if (c.Token == "") == (c.TokenFile == "") {
+		return "", errors.New("token: set either --token or --token-file")
+	}
+	if c.Token != "" {
+		return c.Token, nil
+	}
+	content, err := os.ReadFile(c.TokenFile)
+	return strings.TrimSpace(string(content)), err
+}
+
+func (c *loadCommand) print(result *runner.Result) {
+	fmt.Fprintf(c.streams.Out, "Seed %d, shape %s, %d jobs, %s to the last answer.\n\n", c.Seed, c.Shape, len(result.Outcomes), result.Elapsed.Round(time.Millisecond))
+	fmt.Fprintln(c.streams.Out, "| caller | class | complete | mean ms | p50 ms | p90 ms | p99 ms | max ms |\n|---|---|---|---|---|---|---|---|")
+	for _, series := range result.Series() {
+		s := result.Responses[series].Summary()
+		fmt.Fprintf(c.streams.Out, "| %s | %s | %d | %.1f | %.1f | %.1f | %.1f | %.1f |\n", series.Caller, series.Class, s.Count, s.MeanMs, s.P50Ms, s.P90Ms, s.P99Ms, s.MaxMs)
+	}
+	fmt.Fprintln(c.streams.Out, "\n| jobs ended | number |\n|---|---|")
+	for _, code := range slices.Sorted(maps.Keys(result.Codes)) {
+		fmt.Fprintf(c.streams.Out, "| %s | %d |\n", code, result.Codes[code])
+	}
+	for _, code := range slices.Sorted(maps.Keys(result.Resubmits)) {
+		fmt.Fprintf(c.streams.Out, "| second submission: %s | %d |\n", code, result.Resubmits[code])
+	}
+	fmt.Fprintf(c.streams.Out, "| second submission: another answer | %d |\n", result.Mismatches)
+}
+
+func (c *loadCommand) write(result *runner.Result) error {
+	if c.JSON != "" {
+		content, err := json.MarshalIndent(result.Document(), "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.JSON, append(content, '\n'), outMode); err != nil {
+			return err
+		}
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	picture := plot.Picture{Title: "completed jobs: " + c.Shape, Unit: "jobs in each half second", Curve: result.Completed(plot.Step)}
+	return picture.Write(c.Plot)
+}
--- a/command/register.go
+++ b/command/register.go
@@ -23,6 +23,7 @@
 		{"standin-platform", "Serve a stand-in for the platform", standinPlatformHelp, &standinPlatformCommand{streams: streams}},
 		{"standin-minion", "Serve a stand-in for a minion", standinMinionHelp, &standinMinionCommand{streams: streams}},
 		{"validate", "Check settings files", validateLong, &validateCommand{streams: streams}},
+		{"load", "Play seeded load against a running system", loadHelp, &loadCommand{streams: streams}},
 		{"measure", "Measure a system of this binary on the loopback", measureHelp, &measureCommand{streams: streams}},
 		{"token", "Print the hash of a bearer token", tokenLong, &tokenCommand{streams: streams, in: os.Stdin}},
 	}
--- a/loadgen/fleet/fleet.go
+++ b/loadgen/fleet/fleet.go
@@ -125,7 +125,7 @@
 func (f *Fleet) startWorker(index int) error {
 	worker := f.Settings.Workers[index]
 	name := fmt.Sprintf("sidecar-%d", index+1)
-	workerName := fmt.Sprintf("worker-%d", index+1)
+	workerName := WorkerName(index)
 	path, err := f.write(name, map[string]any{
 		"name": name, "zone": worker.Zone, "rack": worker.Rack, "worker": workerName,
 		"rpcListen": "127.0.0.1:0", "announceListen": "127.0.0.1:0", "statusListen": "127.0.0.1:0",
--- a/loadgen/fleet/settings.go
+++ b/loadgen/fleet/settings.go
@@ -86,6 +86,9 @@
 	return 1 + s.Entries + 2*len(s.Workers)
 }
 
+// WorkerName returns the name of the worker with that index.
+func WorkerName(index int) string { return fmt.Sprintf("worker-%d", index+1) }
+
 // Token returns the bearer token of a caller or an operator.
 func Token(name string) string { return name + "-token" }
 
--- a/loadgen/ideal/schedule_test.go
+++ b/loadgen/ideal/schedule_test.go
@@ -28,6 +28,7 @@
 	one := []Worker{{Slots: 1, Speed: 1}}
 	two := []Worker{{Slots: 2, Speed: 1}}
 	mixed := []Worker{{Slots: 1, Speed: 1}, {Slots: 1, Speed: 2}}
+	leaving := []Worker{{Slots: 1, Speed: 1, OutFrom: 5 * ms, OutUntil: 20 * ms}}
 	cases := []struct {
 		name    string
 		workers []Worker
@@ -41,6 +42,7 @@
 		{"fastest first", mixed, []trace.Job{job(0, 10*ms)}, []time.Duration{5 * ms}},
 		{"waits for the faster", mixed, []trace.Job{job(0, 10*ms), job(0, 14*ms)}, []time.Duration{5 * ms, 12 * ms}},
 		{"takes the slower", mixed, []trace.Job{job(0, 10*ms), job(0, 8*ms)}, []time.Duration{5 * ms, 8 * ms}},
+		{"finishes while out", leaving, []trace.Job{job(4*ms, 10*ms), job(6*ms, 1*ms)}, []time.Duration{14 * ms, 21 * ms}},
 		{"cancelled while it runs", one, []trace.Job{cancelled(job(0, 10*ms), 4*ms), job(0, 10*ms)}, []time.Duration{4 * ms, 14 * ms}},
 		{"cancelled before it runs", one, []trace.Job{job(0, 10*ms), cancelled(job(0, 10*ms), 4*ms), job(0, 1*ms)}, []time.Duration{10 * ms, 4 * ms, 11 * ms}},
 	}
@@ -51,6 +53,14 @@
 	}
 }
 
+func TestPlace(t *testing.T) {
+	workers := []Worker{{Slots: 1, Speed: 1}, {Slots: 1, Speed: 2}}
+	must.Eq(t, []Placement{
+		{Job: 0, Worker: 1, Start: 0, End: 5 * ms},
+		{Job: 0, Worker: 0, Start: 0, End: 8 * ms},
+	}, Place([]trace.Job{job(0, 8*ms, 10*ms)}, workers))
+}
+
 func TestCapacity(t *testing.T) {
-	must.Eq(t, 8*1.5+4*0.5, Capacity([]Worker{{8, 1.5}, {4, 0.5}}))
+	must.Eq(t, 8*1.5+4*0.5, Capacity([]Worker{{Slots: 8, Speed: 1.5}, {Slots: 4, Speed: 0.5}}))
 }
--- a/loadgen/measure/figures_test.go
+++ b/loadgen/measure/figures_test.go
@@ -18,6 +18,11 @@
 	must.Eq(t, 100.5, mean(values))
 }
 
+func TestSlope(t *testing.T) {
+	must.Eq(t, 2, slope([]point{{0, 1}, {1, 3}, {2, 5}}))
+	must.Eq(t, 0, slope([]point{{0, 4}, {10, 4}}))
+}
+
 func TestVerdicts(t *testing.T) {
 	must.Eq(t, Pass, atMost("a", 2, 2, "").Verdict)
 	must.Eq(t, Short, atMost("a", 2.1, 2, "").Verdict)
--- a/loadgen/measure/picture.go
+++ b/loadgen/measure/picture.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figring/figring/loadgen/plot"
+	"github.com/figring/figring/minion"
 )
 
 // picture draws the completed work of a run over time with marks at faults.
@@ -14,15 +15,23 @@
 	}
 	var work []plot.Work
 	for i := range run.ledger {
-		start := &run.ledger[i]
-		if start.EndNs == 0 {
-			continue
+		if run.ledger[i].EndNs > 0 {
+			work = append(work, run.span(&run.ledger[i]))
 		}
-		work = append(work, plot.Work{
-			Start: time.Unix(0, start.StartNs).Sub(run.result.Started),
-			End:   time.Unix(0, start.EndNs).Sub(run.result.Started),
-		})
 	}
-	path := filepath.Join(b.options.OutDir, name+".png")
-	return plot.Completed(path, "completed work: "+name, work, marks)
+	picture := plot.Picture{
+		Title: "work over time: " + name,
+		Unit:  "slots at work",
+		Curve: plot.SlotsAtWork(work, plot.Step),
+		Marks: marks,
+	}
+	return picture.Write(filepath.Join(b.options.OutDir, name+".png"))
+}
+
+// span returns when a task ran, from the start of the run.
+func (p *played) span(start *minion.Start) plot.Work {
+	return plot.Work{
+		Start: time.Unix(0, start.StartNs).Sub(p.result.Started),
+		End:   time.Unix(0, start.EndNs).Sub(p.result.Started),
+	}
 }
--- a/loadgen/measure/response.go
+++ b/loadgen/measure/response.go
@@ -30,6 +30,7 @@
 	}
 	rows = append(rows, details(settings.RoutingExpected, mine)...)
 	rows = append(rows, own.outcomes()...)
+	rows = append(rows, own.waste()...)
 	for _, baseline := range []string{settings.RoutingRandom, settings.RoutingRoundRobin, settings.RoutingLeastOutstanding} {
 		run, err := b.responseOf(ctx, shape, baseline)
 		if err != nil {
--- a/loadgen/measure/run.go
+++ b/loadgen/measure/run.go
@@ -23,6 +23,12 @@
 	return []kind{
 		{"response", (*bench).response},
 		{"waste", (*bench).wasted},
+		{"zone", (*bench).zone},
+		{"overload", (*bench).overload},
+		{"burst", (*bench).burst},
+		{"faulty", (*bench).faulty},
+		{"cpu", (*bench).cpu},
+		{"control", (*bench).control},
 	}
 }
 
--- a/loadgen/plot/completed_test.go
+++ b/loadgen/plot/picture_test.go
@@ -19,9 +19,10 @@
 	must.Eq(t, []float64{0}, SlotsAtWork(nil, time.Second))
 }
 
-func TestCompletedWritesAPicture(t *testing.T) {
+func TestWriteDrawsAPicture(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "run.png")
-	must.NoError(t, Completed(path, "run", []Work{{End: time.Second}}, []Mark{{At: time.Second, Text: "zone out"}}))
+	picture := Picture{Title: "run", Unit: "slots", Curve: []float64{1, 2}, Marks: []Mark{{At: time.Second, Text: "zone out"}}}
+	must.NoError(t, picture.Write(path))
 	file, err := os.Open(path)
 	must.NoError(t, err)
 	defer func() { must.NoError(t, file.Close()) }()
--- a/loadgen/plot/work.go
+++ b/loadgen/plot/work.go
@@ -8,8 +8,22 @@
 	End   time.Duration
 }
 
-// Mark is a vertical line with a text, such as at a fault.
-type Mark struct {
-	At   time.Duration
-	Text string
+// Overlap returns the time of the work within a window.
+func (w *Work) Overlap(from, until time.Duration) time.Duration {
+	return max(0, min(w.End, until)-max(w.Start, from))
+}
+
+// SlotsAtWork returns the mean number of tasks that ran in each step.
+func SlotsAtWork(work []Work, step time.Duration) []float64 {
+	var last time.Duration
+	for _, one := range work {
+		last = max(last, one.End)
+	}
+	curve := make([]float64, last/step+1)
+	for _, one := range work {
+		for i := max(0, one.Start) / step; i <= max(0, one.End)/step; i++ {
+			curve[i] += one.Overlap(i*step, (i+1)*step).Seconds() / step.Seconds()
+		}
+	}
+	return curve
 }
--- a/loadgen/runner/histogram.go
+++ b/loadgen/runner/histogram.go
@@ -62,3 +62,6 @@
 func millis(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
+
+// Merge adds what other holds.
+func (h *Histogram) Merge(other *Histogram) { h.held.Merge(other.held) }
--- a/loadgen/runner/result.go
+++ b/loadgen/runner/result.go
@@ -80,7 +80,7 @@
 	all := NewHistogram()
 	for series, histogram := range r.Responses {
 		if caller == "" || series.Caller == caller {
-			all.held.Merge(histogram.held)
+			all.Merge(histogram)
 		}
 	}
 	return all
--- a/loadgen/trace/config.go
+++ b/loadgen/trace/config.go
@@ -13,6 +13,9 @@
 	Capacity float64
 	// Load is the share of Capacity that the work of the trace takes up.
 	Load float64
+	// Jobs, when it is not zero, is the number of jobs whatever their work is;
+	// Capacity and Load then count for nothing.
+	Jobs int
 	// Bursts is the number of times at which the arrivals come BurstFactor
 	// times as fast as usual, each for BurstShare of the duration.
 	Bursts      int
--- a/loadgen/trace/generate.go
+++ b/loadgen/trace/generate.go
@@ -35,8 +35,7 @@
 func Generate(config Config) Trace {
 	g := &generator{config: config, random: rand.New(rand.NewPCG(config.Seed, generatorStream))}
 	var generated Trace
-	wanted := config.Load * config.Capacity * config.Duration.Seconds()
-	for done := 0.0; done < wanted; {
+	for done := 0.0; !g.enough(len(generated.Jobs), done); {
 		job := g.job()
 		done += job.Work().Seconds()
 		generated.Jobs = append(generated.Jobs, job)
@@ -47,6 +46,15 @@
 	return generated
 }
 
+// enough reports whether the trace is whole with that many jobs and seconds of
+// work.
+func (g *generator) enough(jobs int, work float64) bool {
+	if g.config.Jobs > 0 {
+		return jobs >= g.config.Jobs
+	}
+	return work >= g.config.Load*g.config.Capacity*g.config.Duration.Seconds()
+}
+
 func (g *generator) job() Job {
 	class := g.class()
 	band := g.band()
--- a/loadgen/trace/shape.go
+++ b/loadgen/trace/shape.go
@@ -67,12 +67,15 @@
 }
 
 // Hundred returns jobs of 100 tasks of 50 to 100 ms.
-func Hundred() Shape {
+func Hundred() Shape { return Sized(100) }
+
+// Sized returns jobs of a fixed number of tasks of 50 to 100 ms.
+func Sized(tasks int) Shape {
 	shape := usualTimes()
 	shape.Name = ShapeHundred
 	shape.Caller = "nomination-desk"
 	shape.Classes = []Class{{Name: "eligibility", Weight: 1, Idempotent: true}}
-	shape.Sizes = []SizeBand{{1, 100, 100}}
+	shape.Sizes = []SizeBand{{1, tasks, tasks}}
 	shape.MaxRun = 100 * time.Millisecond
 	shape.LongShare = 0
 	return shape
