--- a/loadgen/fleet/operate.go
+++ b/loadgen/fleet/operate.go
@@ -7,7 +7,7 @@
 )
 
 // CloseZone takes a zone out through the operators' interface and returns the
-// time at which the change was accepted.
+// time at which that was asked for, which is before it was accepted.
 func (f *Fleet) CloseZone(ctx context.Context, zone string) (time.Time, error) {
 	return f.operate(ctx, "/v1/zones/"+zone+"/close")
 }
@@ -23,6 +23,7 @@
 		return time.Time{}, Error.Wrap(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+Token(firstOperator))
+	asked := time.Now()
 	response, err := f.http.Do(request)
 	if err != nil {
 		return time.Time{}, Error.Wrap(err)
@@ -31,5 +32,5 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return time.Time{}, Error.New("%s answered %d", path, response.StatusCode)
 	}
-	return time.Now(), nil
+	return asked, nil
 }
--- a/loadgen/measure/zone.go
+++ b/loadgen/measure/zone.go
@@ -27,11 +27,11 @@
 	closedZone = "maxvorstadt"
 )
 
-// zoneTimes are the times of the changes, from the start of the run.
+// zoneTimes are the times at which the changes were asked for, from the start
+// of the run.
 type zoneTimes struct {
-	accepted time.Duration
-	asked    time.Duration
-	returned time.Duration
+	closed time.Duration
+	opened time.Duration
 }
 
 // zone measures a run in which a zone is out for 20 s.
@@ -47,23 +47,22 @@
 	}
 	rows := append(run.zoneRows(times), run.outcomes()...)
 	return rows, b.picture("zone", run, []plot.Mark{
-		{At: times.accepted, Text: "zone out"},
-		{At: times.returned, Text: "zone back"},
+		{At: times.closed, Text: "zone out"},
+		{At: times.opened, Text: "zone back"},
 	})
 }
 
 // change takes the zone out and back.
 func (z *zoneTimes) change(ctx context.Context, running *fleet.Fleet, started time.Time) error {
 	time.Sleep(time.Until(started.Add(zoneOutAt)))
-	accepted, err := running.CloseZone(ctx, closedZone)
+	closed, err := running.CloseZone(ctx, closedZone)
 	if err != nil {
 		return err
 	}
-	z.accepted = accepted.Sub(started)
-	time.Sleep(time.Until(accepted.Add(zoneOutFor)))
-	z.asked = time.Since(started)
-	returned, err := running.OpenZone(ctx, closedZone)
-	z.returned = returned.Sub(started)
+	z.closed = closed.Sub(started)
+	time.Sleep(time.Until(closed.Add(zoneOutFor)))
+	opened, err := running.OpenZone(ctx, closedZone)
+	z.opened = opened.Sub(started)
 	return err
 }
 
@@ -71,7 +70,7 @@
 	workers := p.settings.Capacity()
 	for i, worker := range p.settings.Workers {
 		if worker.Zone == closedZone {
-			workers[i].OutFrom, workers[i].OutUntil = times.accepted, times.returned
+			workers[i].OutFrom, workers[i].OutUntil = times.closed, times.opened
 		}
 	}
 	placed := ideal.Place(p.trace.Jobs, workers)
@@ -79,16 +78,16 @@
 		return p.useful(from, until) / idealWork(placed, workers, from, until)
 	}
 	inZone := func(start *minion.Start) bool { return start.Zone == closedZone }
-	late := p.startsWithin(times.accepted+zoneStartLimit, times.asked, inZone)
-	back := times.returned + zoneReturnLimit
+	late := p.startsWithin(times.closed+zoneStartLimit, times.opened, inZone)
+	back := times.opened + zoneReturnLimit
 	return []Row{
-		atLeast("work done while the zone was out / ideal of the remaining slots", share(times.accepted, times.returned), zoneWorkGoal, ""),
-		atMost("starts in the zone later than 3 s after acceptance", float64(late), 0, ""),
-		info("last start in the zone after acceptance", p.lastStart(times.accepted, times.asked, inZone).Seconds(), "s"),
+		atLeast("work done while the zone was out / ideal of the remaining slots", share(times.closed, times.opened), zoneWorkGoal, ""),
+		atMost("starts in the zone later than 3 s after the request to close", float64(late), 0, ""),
+		info("last start in the zone after that request", p.lastStart(times.closed, times.opened, inZone).Seconds(), "s"),
 		atLeast("work done from 5 s after the return / ideal", share(back, zoneRun), zoneWorkGoal, ""),
-		info("first start in the zone after the return", p.firstStart(times.returned, inZone).Seconds(), "s"),
-		info("work done before / ideal", share(0, times.accepted), ""),
-		info("work done in the first 5 s after the return / ideal", share(times.returned, back), ""),
+		info("first start in the zone after the request to open", p.firstStart(times.opened, inZone).Seconds(), "s"),
+		info("work done before / ideal", share(0, times.closed), ""),
+		info("work done in the first 5 s after the return / ideal", share(times.opened, back), ""),
 	}
 }
 
