--- a/loadgen/measure/outcomes.go
+++ b/loadgen/measure/outcomes.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 )
@@ -15,11 +16,23 @@
 	for _, code := range slices.Sorted(maps.Keys(p.result.Resubmits)) {
 		rows = append(rows, info("second submissions ended "+code, float64(p.result.Resubmits[code]), ""))
 	}
+	rows = append(rows, p.series()...)
 	rows = append(rows, atMost("second submissions with another answer", float64(p.result.Mismatches), 0, ""))
 	rows = append(rows, atMost("tasks started more than once", float64(p.startedTwice()), 0, ""))
 	return append(rows, info("load tool's own lateness, p99", p.lateness(), "ms"))
 }
 
+// series returns the response times by caller and class.
+func (p *played) series() []Row {
+	var rows []Row
+	for _, name := range p.result.Series() {
+		summary := p.result.Responses[name].Summary()
+		label := fmt.Sprintf("%s, %s: response of %d jobs, ", name.Caller, name.Class, summary.Count)
+		rows = append(rows, info(label+"p50", summary.P50Ms, "ms"), info(label+"p99", summary.P99Ms, "ms"))
+	}
+	return rows
+}
+
 // lateness returns the 99th percentile of the times by which jobs were sent
 // late, in milliseconds. It is part of the response times.
 func (p *played) lateness() float64 {
--- a/loadgen/measure/overload.go
+++ b/loadgen/measure/overload.go
@@ -37,6 +37,7 @@
 		atMost("refusals answered within, p99", refusals.P99Ms, overloadRefusalGoal, "ms"),
 		atMost("refusals answered within, all", refusals.MaxMs, overloadRefusalGoal, "ms"),
 		atMost("refusals without Retry-After", float64(run.result.WithoutRetryAfter), 0, ""),
+		info("all work done / capacity", run.done(overloadWarmUp, until)/possible, ""),
 		info("refusals", float64(refusals.Count), ""),
 		info("p99 response of complete jobs", run.result.All("").Summary().P99Ms, "ms"),
 	}
--- a/loadgen/measure/played_test.go
+++ b/loadgen/measure/played_test.go
@@ -52,6 +52,7 @@
 func TestUsefulWorkIsOfCompleteJobs(t *testing.T) {
 	p := handmade()
 	must.Eq(t, 6, p.useful(0, 10*time.Second))
+	must.Eq(t, 7, p.done(0, 10*time.Second))
 	must.Eq(t, 1+1, p.useful(0, time.Second))
 	must.Eq(t, 1, p.useful(2*time.Second, 10*time.Second))
 	placed := ideal.Place(p.trace.Jobs, p.settings.Capacity())
--- a/loadgen/measure/useful.go
+++ b/loadgen/measure/useful.go
@@ -16,11 +16,21 @@
 		outcome := &p.result.Outcomes[i]
 		complete[outcome.Caller+"/"+outcome.Key] = outcome.Complete()
 	}
+	return p.work(from, until, func(start *minion.Start) bool { return complete[start.Job] })
+}
+
+// done returns the work that was done within a window on all tasks, in seconds
+// at speed 1.
+func (p *played) done(from, until time.Duration) float64 {
+	return p.work(from, until, func(*minion.Start) bool { return true })
+}
+
+func (p *played) work(from, until time.Duration, wanted func(*minion.Start) bool) float64 {
 	speeds := p.speeds()
 	var sum float64
 	for i := range p.ledger {
 		start := &p.ledger[i]
-		if complete[start.Job] && start.EndNs > 0 {
+		if start.EndNs > 0 && wanted(start) {
 			span := p.span(start)
 			sum += span.Overlap(from, until).Seconds() * speeds[start.Worker]
 		}
