--- a/common/metrics/entry_names.go
+++ b/common/metrics/entry_names.go
@@ -39,6 +39,8 @@
 	// EntryIdleRenewals counts renewals by sidecars whose state was known; they
 	// only prolong a permit.
 	EntryIdleRenewals = "entry_idle_renewals"
+	// EntryAnswersDropped counts answers that were not stored behind.
+	EntryAnswersDropped = "entry_answers_dropped"
 	// EntryRefused counts refusals by code.
 	EntryRefused = "entry_refused"
 	// EntryJobs counts answered jobs by caller and code; the code of a complete
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,8 @@
 	Duplicates       tally.Counter
 	EmptyWithdrawals tally.Counter
 	IdleRenewals     tally.Counter
+	// AnswersDropped counts answers that were not stored behind.
+	AnswersDropped tally.Counter
 
 	scope tally.Scope
 
@@ -71,6 +73,7 @@
 		Duplicates:       scope.Counter(metrics.EntryDuplicates),
 		EmptyWithdrawals: scope.Counter(metrics.EntryEmptyWithdrawals),
 		IdleRenewals:     scope.Counter(metrics.EntryIdleRenewals),
+		AnswersDropped:   scope.Counter(metrics.EntryAnswersDropped),
 		scope:            scope,
 		response:         make(map[series]tally.Histogram),
 		runTime:          make(map[series]tally.Histogram),
