--- a/loadgen/measure/faulty.go
+++ b/loadgen/measure/faulty.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"net/http"
 	"time"
 
 	"github.com/figring/figring/loadgen/fleet"
@@ -78,9 +80,17 @@
 	return []Row{
 		atMost("failing worker: tasks lost to it after 1 s, per start", p.shareAt(faultyWorker, failingGrace, duration), failingLossGoal, ""),
 		info("failing worker: tasks lost to it in the first second, per start", p.shareAt(faultyWorker, 0, failingGrace), ""),
+		info("failing worker: tasks stopped at other workers for jobs that failed", float64(p.stoppedElsewhere()), ""),
 	}
 }
 
+// stoppedElsewhere counts the tasks that ended early at the healthy workers.
+func (p *played) stoppedElsewhere() int {
+	return p.startsWithin(0, math.MaxInt64, func(start *minion.Start) bool {
+		return start.Worker != workerName(faultyWorker) && start.Status == http.StatusConflict
+	})
+}
+
 // shareAt returns the share of the starts within a window that were at one
 // worker.
 func (p *played) shareAt(worker int, from, until time.Duration) float64 {
