--- /dev/null
+++ b/loadgen/plot/work.go
@@ -0,0 +1,29 @@
+package plot
+
+import "time"
+
+// Work is one task that ran, in times from the start of the run.
+type Work struct {
+	Start time.Duration
+	End   time.Duration
+}
+
+// Overlap returns the time of the work within a window.
+func (w *Work) Overlap(from, until time.Duration) time.Duration {
+	return max(0, min(w.End, until)-max(w.Start, from))
+}
+
+// SlotsAtWork returns the mean number of tasks that ran in each step.
+func SlotsAtWork(work []Work, step time.Duration) []float64 {
+	var last time.Duration
+	for _, one := range work {
+		last = max(last, one.End)
+	}
+	curve := make([]float64, last/step+1)
+	for _, one := range work {
+		for i := max(0, one.Start) / step; i <= max(0, one.End)/step; i++ {
+			curve[i] += one.Overlap(i*step, (i+1)*step).Seconds() / step.Seconds()
+		}
+	}
+	return curve
+}
