--- a/loadgen/fleet/parse_test.go
+++ b/loadgen/fleet/parse_test.go
@@ -21,6 +21,7 @@
 	must.NoError(t, err)
 	must.Eq(t, 7, samples.Sum("figring_entry_refused"))
 	must.Eq(t, 3, samples.Sum("figring_entry_refused", `code="overloaded"`))
+	must.Eq(t, map[string]float64{"overloaded": 3, "quota_exceeded": 4}, samples.By("figring_entry_refused", "code"))
 	must.Eq(t, 1e6, samples.Sum("figring_entry_dispatches"))
 	must.Eq(t, 0, samples.Sum("figring_entry"))
 
--- a/loadgen/fleet/samples.go
+++ b/loadgen/fleet/samples.go
@@ -47,6 +47,21 @@
 	return sum
 }
 
+// By returns the values of a metric by one of its labels.
+func (s Samples) By(name, label string) map[string]float64 {
+	values := make(map[string]float64)
+	for key, value := range s {
+		found, rest, _ := strings.Cut(key, "{")
+		_, after, labelled := strings.Cut(rest, label+`="`)
+		if found != name || !labelled {
+			continue
+		}
+		text, _, _ := strings.Cut(after, `"`)
+		values[text] += value
+	}
+	return values
+}
+
 func containsAll(text string, parts []string) bool {
 	for _, part := range parts {
 		if !strings.Contains(text, part) {
--- a/loadgen/measure/waste.go
+++ b/loadgen/measure/waste.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/loadgen/fleet"
@@ -33,6 +35,10 @@
 		total += count
 		rows = append(rows, info(fmt.Sprintf("%s per start (%.0f of %.0f)", kind, count, starts), count/starts, ""))
 	}
+	reasons := entries.By(fleet.MetricName(metrics.EntryHandedBack), metrics.TagReason)
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		rows = append(rows, info("handed back as "+reason, reasons[reason], ""))
+	}
 	failures := sidecars.Sum(fleet.MetricName(metrics.SidecarRenewalFailures))
 	rows = append(rows, info("sidecar_renewal_failures per start", failures/starts, ""))
 	return append([]Row{atMost("wasted messages per task start", (total+failures)/starts, wasteGoal, "")}, rows...)
