Repeat idempotent single requests within a budget

A keyless request failed when its worker died, though running it again would have done no harm. decision/request repeats an idempotent one after an end without a whole answer or a status of 500 and above, and hedges a late one; each repetition takes from the caller's budget. Non-idempotent and keyed requests stay under the rule of jobs.

--- a/api/single_request.go
+++ b/api/single_request.go
@@ -8,9 +8,12 @@
 
 // SingleRequest is the body of POST /v1/requests.
 type SingleRequest struct {
-	// Key is optional. With a key, a resubmission is recognised as a job's is.
+	// Key is optional. With a key, a resubmission is recognised as a job's is,
+	// and the request starts at most once, also an idempotent one: its answer
+	// has to be the same for whoever asks with the key.
 	Key string `json:"key,omitempty"`
-	// Idempotent allows a retry where the first attempt may have been run.
+	// Idempotent allows a request without a key to be run again where an attempt
+	// failed at a worker, may have been run, or is late.
 	Idempotent    bool            `json:"idempotent,omitempty"`
 	TimeoutMs     int64           `json:"timeoutMs,omitempty"`
 	Class         string          `json:"class"`
--- a/common/metrics/entry_names.go
+++ b/common/metrics/entry_names.go
@@ -28,6 +28,14 @@
 	EntryUnknown = "entry_unknown"
 	// EntryLateResults counts results of jobs that had ended.
 	EntryLateResults = "entry_late_results"
+	// EntryRetries counts idempotent requests sent again after a bad end.
+	EntryRetries = "entry_retries"
+	// EntryHedges counts second dispatches of late idempotent requests.
+	EntryHedges = "entry_hedges"
+	// EntryBudgetRefused counts retries and hedges that a budget refused.
+	EntryBudgetRefused = "entry_budget_refused"
+	// EntryWasted counts dispatches that were open when another one answered.
+	EntryWasted = "entry_wasted"
 	// EntryWithdrawals counts messages that take tasks back.
 	EntryWithdrawals = "entry_withdrawals"
 	// EntryRevocations counts messages that end a permit early.
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -111,6 +111,18 @@
 	q.changed(known, now)
 }
 
+// Repeat puts in a task that was given out and is to be run once more. Its
+// caller's share is charged again when it is given out.
+func (q *Queue) Repeat(ref model.TaskRef, now time.Time) {
+	known := q.jobs[ref.Key]
+	if known == nil {
+		return
+	}
+	known.ready = append(known.ready, ref.Index)
+	q.addWaiting(known, 1)
+	q.changed(known, now)
+}
+
 // changed restores the order after the ready tasks of a job have changed.
 func (q *Queue) changed(known *job, now time.Time) {
 	owner := known.caller
--- /dev/null
+++ b/decision/request/request_test.go
@@ -0,0 +1,106 @@
+package request
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/model"
+)
+
+// hedge stands in a table for a call of Request.Hedge.
+type hedge struct{ jobstate.Event }
+
+// play feeds events, sends whatever may be sent, and returns the answer.
+func play(r *Request, events ...jobstate.Event) *model.Answer {
+	r.Apply(jobstate.Claimed{}, testStart)
+	sendReady(r)
+	var answer *model.Answer
+	for _, event := range events {
+		if _, ok := event.(hedge); ok {
+			r.Hedge(testStart)
+		} else if found := finishOf(r.Apply(event, testStart)); found != nil {
+			answer = found
+		}
+		sendReady(r)
+	}
+	return answer
+}
+
+func sendReady(r *Request) {
+	if attempt, ok := r.Attempt(0); ok {
+		r.Apply(jobstate.Dispatched{Attempt: attempt, Sidecar: model.Incarnation(rune('a' + attempt))}, testStart)
+	}
+}
+
+func TestCourse(t *testing.T) {
+	cases := []struct {
+		name    string
+		budget  int
+		events  []jobstate.Event
+		state   model.State
+		code    model.Code
+		outcome model.Outcome
+		stats   Stats
+	}{
+		{"answered", 0, []jobstate.Event{done(1, 200)}, model.Complete, "", model.Run, Stats{}},
+		{"lost, then answered", 1, []jobstate.Event{lost(1), done(2, 200)}, model.Complete, "", model.Run, Stats{Retries: 1}},
+		{"lost without budget", 0, []jobstate.Event{lost(1)}, model.Failed, model.CodeTaskUnknown, model.Unknown, Stats{Refused: 1}},
+		{"lost too often", 9, []jobstate.Event{lost(1), lost(2), lost(3)}, model.Failed, model.CodeTaskUnknown, model.Unknown, Stats{Retries: 2}},
+		{"500, then answered", 1, []jobstate.Event{done(1, 500), done(2, 200)}, model.Complete, "", model.Run, Stats{Retries: 1}},
+		{"500 without budget", 0, []jobstate.Event{done(1, 500)}, model.Failed, model.CodeTaskFailed, model.Run, Stats{Refused: 1}},
+		{"404 is final", 9, []jobstate.Event{done(1, 404)}, model.Failed, model.CodeTaskFailed, model.Run, Stats{}},
+		{"truncated, then answered", 1, []jobstate.Event{truncated(1), done(2, 200)}, model.Complete, "", model.Run, Stats{Retries: 1, Mismatched: 1}},
+		{"handed back costs no budget", 0, []jobstate.Event{back(1), back(2), done(3, 200)}, model.Complete, "", model.Run, Stats{}},
+		{"handed back too often", 0, []jobstate.Event{back(1), back(2), back(3), back(4), back(5), back(6)}, model.Failed, model.CodeNoCapacity, model.NotRun, Stats{}},
+		{"hedge wins", 1, []jobstate.Event{hedge{}, done(2, 200)}, model.Complete, "", model.Run, Stats{Hedges: 1, Wasted: 1}},
+		{"first wins over hedge", 1, []jobstate.Event{hedge{}, done(1, 200)}, model.Complete, "", model.Run, Stats{Hedges: 1, Wasted: 1}},
+		{"hedge refused", 0, []jobstate.Event{hedge{}, done(1, 200)}, model.Complete, "", model.Run, Stats{Refused: 1}},
+		{"one hedge at a time", 9, []jobstate.Event{hedge{}, hedge{}, done(1, 200)}, model.Complete, "", model.Run, Stats{Hedges: 1, Wasted: 1}},
+		{"first lost, hedge answers", 1, []jobstate.Event{hedge{}, lost(1), done(2, 200)}, model.Complete, "", model.Run, Stats{Hedges: 1}},
+		{"hedge handed back", 1, []jobstate.Event{hedge{}, back(2), done(1, 200)}, model.Complete, "", model.Run, Stats{Hedges: 1}},
+		{"both lost", 1, []jobstate.Event{hedge{}, lost(1), lost(2)}, model.Failed, model.CodeTaskUnknown, model.Unknown, Stats{Hedges: 1, Refused: 1}},
+		{"deadline while open", 0, []jobstate.Event{jobstate.DeadlinePassed{}}, model.Failed, model.CodeDeadline, model.Unknown, Stats{}},
+		{"duplicate and crossed are ignored", 0, []jobstate.Event{jobstate.Done{Ref: otherRef, Attempt: 1, Result: result(1, 200)}, done(2, 200), done(1, 200), done(1, 200)}, model.Complete, "", model.Run, Stats{Ignored: 3}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRequest(c.budget)
+			answer := play(r, c.events...)
+			must.NotNil(t, answer)
+			must.Eq(t, c.state, answer.State)
+			must.Eq(t, c.code, answer.Code)
+			must.Eq(t, c.outcome, answer.Outcome)
+			must.Eq(t, c.stats, r.Stats())
+		})
+	}
+}
+
+func TestDeadlineBeforeFirstDispatch(t *testing.T) {
+	r := newRequest(9)
+	r.Apply(jobstate.Claimed{}, testStart)
+	answer := finishOf(r.Apply(jobstate.DeadlinePassed{}, testDeadline))
+	must.Eq(t, model.NotRun, answer.Outcome)
+	_, ok := r.Attempt(0)
+	must.False(t, ok)
+}
+
+// TestNothingIsRepeatedAfterTheDeadline keeps a late end from starting a run
+// that nobody waits for.
+func TestNothingIsRepeatedAfterTheDeadline(t *testing.T) {
+	r := newRequest(9)
+	play(r)
+	must.False(t, r.Hedge(testDeadline))
+	must.False(t, isDispatch(r.Apply(lost(1), testDeadline)))
+}
+
+// TestLoserIsWithdrawn checks that the dispatch that lost is taken back before
+// the answer goes out.
+func TestLoserIsWithdrawn(t *testing.T) {
+	r := newRequest(1)
+	play(r, hedge{})
+	actions := r.Apply(done(2, 200), testStart)
+	must.Len(t, 2, actions)
+	must.Eq(t, jobstate.Withdraw{Tasks: []jobstate.Placement{{Attempt: 1, Sidecar: "b"}}}, actions[0].(jobstate.Withdraw))
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -33,7 +33,13 @@
 	Unknown      tally.Counter
 	LateResults  tally.Counter
 	Withdrawals  tally.Counter
-	Revocations  tally.Counter
+	// Retries, Hedges, BudgetRefused and Wasted count what idempotent requests
+	// cost beyond one run.
+	Retries       tally.Counter
+	Hedges        tally.Counter
+	BudgetRefused tally.Counter
+	Wasted        tally.Counter
+	Revocations   tally.Counter
 	// AnswersDropped counts answers that were not stored behind.
 	AnswersDropped tally.Counter
 
@@ -63,6 +69,10 @@
 		Redispatched:   scope.Counter(metrics.EntryRedispatched),
 		Unknown:        scope.Counter(metrics.EntryUnknown),
 		LateResults:    scope.Counter(metrics.EntryLateResults),
+		Retries:        scope.Counter(metrics.EntryRetries),
+		Hedges:         scope.Counter(metrics.EntryHedges),
+		BudgetRefused:  scope.Counter(metrics.EntryBudgetRefused),
+		Wasted:         scope.Counter(metrics.EntryWasted),
 		Withdrawals:    scope.Counter(metrics.EntryWithdrawals),
 		Revocations:    scope.Counter(metrics.EntryRevocations),
 		AnswersDropped: scope.Counter(metrics.EntryAnswersDropped),
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -8,6 +8,7 @@
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/decision/admission"
 	"github.com/figring/figring/decision/dedup"
+	"github.com/figring/figring/decision/retry"
 	"github.com/figring/figring/decision/routing"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/wire"
@@ -67,6 +68,8 @@
 	targets   map[model.Incarnation]*knownTarget
 	bundle    model.Bundle
 	isFenced  bool
+	// budgets bounds the repetitions of each caller's requests.
+	budgets map[string]*retry.Budget
 	// undecided holds failures that wait for a valid lease.
 	undecided []*model.Answer
 	inFlight  int
@@ -93,6 +96,7 @@
 		queue:     admission.NewQueue(),
 		jobs:      make(map[model.JobKey]*runningJob),
 		targets:   make(map[model.Incarnation]*knownTarget),
+		budgets:   make(map[string]*retry.Budget),
 	}
 }
 
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -42,7 +42,7 @@
 			o.queue.Remove(ref.Key, o.now)
 			continue
 		}
-		choice, ok := o.router.Pick(o.routingRequest(job, ref.Index), o.now)
+		choice, ok := o.pick(job, ref.Index)
 		if !ok {
 			return
 		}
@@ -72,6 +72,10 @@
 	o.router.Dispatched(choice.Incarnation, o.now)
 	order := o.order(job, index, attempt, target)
 	order.maxQueue = choice.MaxQueue
+	if job.repeat != nil {
+		order.repeatable = true
+		o.sentRepeatable(job, choice)
+	}
 	if attempt > 1 {
 		o.metrics.Redispatched.Inc(1)
 	}
@@ -121,17 +125,26 @@
 	}
 	switch end.reply.Status {
 	case wire.RunDone:
-		o.queue.TaskEnded(end.order.ref.Key)
+		o.leaveQueue(job)
 		o.apply(job, jobstate.Done{Ref: end.order.ref, Attempt: end.order.attempt, Result: end.reply.Result})
 	case wire.RunNotStarted:
 		o.noteHandBack(end)
+		handedBackRepeatable(job, end.order.target.Sidecar)
 		o.apply(job, jobstate.HandedBack{Ref: end.order.ref, Attempt: end.order.attempt, Reason: end.reply.Reason})
 	default:
-		o.queue.TaskEnded(end.order.ref.Key)
+		o.leaveQueue(job)
 		o.apply(job, jobstate.Unknown{Ref: end.order.ref, Attempt: end.order.attempt})
 	}
 }
 
+// leaveQueue notes that a task ended. A request that may be repeated counts
+// against its caller's concurrency until it is answered.
+func (o *Owner) leaveQueue(job *runningJob) {
+	if job.repeat == nil {
+		o.queue.TaskEnded(job.spec.Key)
+	}
+}
+
 func (o *Owner) report(end dispatchEnd) routing.Report {
 	return routing.Report{
 		Caller:     end.order.ref.Key.Caller,
--- a/entry/owner_jobs.go
+++ b/entry/owner_jobs.go
@@ -23,14 +23,19 @@
 }
 
 // enqueue puts tasks that are proved not started into the fair queue. One that
-// was handed back keeps its place.
+// was handed back keeps its place, and one that is repeated is charged anew.
 func (o *Owner) enqueue(job *runningJob, event jobstate.Event, indexes []int) {
-	if _, back := event.(jobstate.HandedBack); !back {
-		o.queue.Enqueue(job.spec.Key, indexes, o.now)
-		return
-	}
 	for _, index := range indexes {
-		o.queue.Requeue(model.TaskRef{Key: job.spec.Key, Index: index}, o.now)
+		ref := model.TaskRef{Key: job.spec.Key, Index: index}
+		switch event.(type) {
+		case jobstate.HandedBack:
+			o.queue.Requeue(ref, o.now)
+		case jobstate.Unknown, jobstate.Done:
+			o.queue.Repeat(ref, o.now)
+		default:
+			o.queue.Enqueue(job.spec.Key, indexes, o.now)
+			return
+		}
 	}
 }
 
@@ -46,6 +51,7 @@
 		o.answered(&answer)
 	}
 	o.forget(job)
+	o.noteRepeats(job)
 	o.metrics.Finished(job.spec.Key.Caller, &answer)
 	job.reply(wire.JobReply{Answer: &answer})
 }
@@ -109,8 +115,13 @@
 // tick does what depends on time alone.
 func (o *Owner) tick() {
 	for _, key := range o.deadlines.due(o.now) {
-		if job, running := o.jobs[key]; running && !o.now.Before(job.state.Deadline()) {
+		job, running := o.jobs[key]
+		switch {
+		case !running:
+		case !o.now.Before(job.state.Deadline()):
 			o.apply(job, jobstate.DeadlinePassed{})
+		default:
+			o.hedge(job)
 		}
 	}
 	o.decide()
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -149,6 +149,7 @@
 		return
 	}
 	o.bundle = bundle
+	o.dropBudgets(bundle)
 	entries, _ := o.members.Entries()
 	o.queue.ApplyBundle(bundle, max(1, len(entries)), o.now)
 	o.router.SetEjectionShare(bundle.Limits.EjectionShare)
--- a/entry/owner_submit.go
+++ b/entry/owner_submit.go
@@ -91,6 +91,9 @@
 			MaxAttempts: maxAttempts,
 		}),
 	}
+	if isRepeatable(e) {
+		o.makeRepeatable(job)
+	}
 	o.jobs[e.spec.Key] = job
 	o.deadlines.add(job.state.Deadline(), e.spec.Key)
 	return job
--- a/entry/running_job.go
+++ b/entry/running_job.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/wire"
 )
@@ -11,13 +10,15 @@
 // runningJob is a job in progress at its owner.
 type runningJob struct {
 	spec     model.JobSpec
-	state    *jobstate.Job
+	state    course
 	received time.Time
 	// keyless is set for requests that nobody can submit again: they have no
 	// claim and no record in the table of keys.
 	keyless bool
 	// adopted is set for a job that another entry claimed.
 	adopted bool
+	// repeat is set for a request that may be run more than once.
+	repeat *repeatable
 	// waiters get the answer, each once.
 	waiters []chan<- wire.JobReply
 }
