--- a/entry/core.go
+++ b/entry/core.go
@@ -23,7 +23,7 @@
 	self    wire.EntryInfo
 	ctx     context.Context
 	cancel  context.CancelFunc
-	members *membership.Manager
+	members sessionKeeper
 	writer  *claims.Writer
 	bundles *rollout.Watcher
 	peers   *peers
--- /dev/null
+++ b/entry/fake_table_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/memory"
+)
+
+// fakeTable is a table whose requests can be made to fail. commitErr and
+// readErr come instead of the effect; replyErr comes after it.
+type fakeTable struct {
+	*memory.Table
+	mu        sync.Mutex
+	commitErr error
+	replyErr  error
+	readErr   error
+}
+
+func (f *fakeTable) set(commitErr, replyErr, readErr error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commitErr, f.replyErr, f.readErr = commitErr, replyErr, readErr
+}
+
+func (f *fakeTable) faults() (commitErr, replyErr, readErr error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.commitErr, f.replyErr, f.readErr
+}
+
+func (f *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if _, _, err := f.faults(); err != nil {
+		return platform.Row{}, err
+	}
+	return f.Table.Get(ctx, key)
+}
+
+func (f *fakeTable) List(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
+	if _, _, err := f.faults(); err != nil {
+		return platform.Page{}, err
+	}
+	return f.Table.List(ctx, prefix, from, limit)
+}
+
+func (f *fakeTable) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+	commitErr, replyErr, _ := f.faults()
+	if commitErr != nil {
+		return nil, commitErr
+	}
+	versions, err := f.Table.Commit(ctx, txn)
+	if err == nil && replyErr != nil {
+		return nil, replyErr
+	}
+	return versions, err
+}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
 	"github.com/figring/figring/wire"
 )
 
@@ -23,3 +25,18 @@
 	// Refresh asks for an early read of the table.
 	Refresh()
 }
+
+// sessionKeeper keeps an entry's session. membership.Manager implements it.
+type sessionKeeper interface {
+	Membership
+	// Ready reports whether the session is held and the assignment was read.
+	Ready() bool
+	// Fence returns the condition that every claim requires.
+	Fence() platform.Condition
+	// Run keeps the session until ctx ends.
+	Run(ctx context.Context) error
+	// Leave gives the partitions away.
+	Leave(ctx context.Context) error
+	// Close ends the session.
+	Close(ctx context.Context) error
+}
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -79,6 +79,7 @@
 	if attempt > 1 {
 		o.metrics.Redispatched.Inc(1)
 	}
+	o.metrics.Dispatches.Inc(1)
 	o.inFlight++
 	go o.dispatcher.send(o.ctx, order)
 }
