--- /dev/null
+++ b/entry/owner_lease_test.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
+)
+
+func (w *world) lapse() {
+	w.members.set(func(m *fakeMembers) { m.leaseEnd = time.Now() })
+}
+
+func (w *world) renewLease() {
+	w.members.set(func(m *fakeMembers) { m.leaseEnd = time.Now().Add(longLease) })
+}
+
+// TestFailureWaitsForTheLease fails a job while the lease is over: another
+// entry may be running it, so that nobody is told that it failed until the
+// lease is valid again.
+func TestFailureWaitsForTheLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1))
+		spec := w.job(1)
+		answer := w.submit(spec)
+		run := w.run()
+		w.lapse()
+		run.fail(wire.ErrOutcomeUnknown)
+		answer.refusal(model.CodeTaskUnknown, model.Unknown)
+		w.submit(spec).refusal(model.CodeInProgress, model.InProgress)
+		w.renewLease()
+		w.pass(100*time.Millisecond, target(1))
+		w.submit(spec).failed(model.CodeTaskUnknown, model.Unknown)
+		w.runs(0)
+	})
+}
+
+// TestNotRunNeedsTheLease lets a queued job's timeout pass without a lease: it
+// is not said to be not run.
+func TestNotRunNeedsTheLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		spec := w.job(1)
+		spec.Timeout = time.Second
+		answer := w.submit(spec)
+		w.lapse()
+		w.pass(2 * time.Second)
+		answer.refusal(model.CodeDeadline, model.Unknown)
+	})
+}
+
+// TestCompletionNeedsNoLease completes a job while the lease is over: the
+// results are facts.
+func TestCompletionNeedsNoLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1))
+		answer := w.submit(w.job(1))
+		run := w.run()
+		w.lapse()
+		run.reply(doneReply(run, 200))
+		answer.complete()
+	})
+}
+
+// TestTakenOverFailureIsDropped never decides a postponed failure after the
+// session was taken over.
+func TestTakenOverFailureIsDropped(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1))
+		spec := w.job(1)
+		w.submit(spec)
+		run := w.run()
+		w.lapse()
+		run.fail(wire.ErrOutcomeUnknown)
+		w.owner.post(fenced{})
+		w.renewLease()
+		w.pass(time.Second, target(1))
+		record, _ := w.owner.keys.Lookup(spec.Key)
+		must.Nil(t, record.Answer)
+		w.submit(spec).refusal(model.CodeOwnerMoved, model.Unknown)
+	})
+}
+
+// TestFenceSendsWaitersOn takes the session over while a job runs: those who
+// wait are sent to the new owner.
+func TestFenceSendsWaitersOn(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1))
+		answer := w.submit(w.job(1))
+		run := w.run()
+		w.owner.post(fenced{})
+		answer.refusal(model.CodeOwnerMoved, model.Unknown)
+		run.reply(doneReply(run, 200))
+		w.runs(0)
+	})
+}
+
+// TestNothingIsSentWhileNotAdmitting keeps a queued task until the entry may
+// start work again.
+func TestNothingIsSentWhileNotAdmitting(t *testing.T) {
+	inWorld(t, func(w *world) {
+		answer := w.submit(w.job(1))
+		w.admits = func() bool { return false }
+		w.report(target(1))
+		w.runs(0)
+		w.admits = func() bool { return true }
+		w.report(target(1))
+		run := w.run()
+		run.reply(doneReply(run, 200))
+		answer.complete()
+	})
+}
