Count a front's wait for a new owner from the loss of the old one

The wait was counted from the submission. A caller whose job had run for longer than the patience of 8.25 s when its owner was lost was told owner_unreachable at once, though the partition got a new owner seconds later.

--- a/entry/front.go
+++ b/entry/front.go
@@ -90,9 +90,11 @@
 }
 
 // toOwner tries the owner of the key's partition, and its successor when the
-// owner is lost or has handed the partition over.
+// owner is lost or has handed the partition over. The wait for a successor is
+// counted from the loss: the owner may have had the job for long.
 func (f *Front) toOwner(ctx context.Context, key model.JobKey, try ownerTry) wire.JobReply {
 	deadline := time.Now().Add(handoverPatience)
+	var lost model.Incarnation
 	for {
 		own := f.current()
 		to, known := own.members.Owner(key.Partition())
@@ -102,6 +104,10 @@
 				return reply
 			}
 			f.metrics.OwnerLost.Inc(1)
+			if to.Incarnation != lost {
+				lost = to.Incarnation
+				deadline = time.Now().Add(handoverPatience)
+			}
 			own.members.Refresh()
 		}
 		if time.Now().After(deadline) {
--- a/entry/owner_lease_test.go
+++ b/entry/owner_lease_test.go
@@ -102,10 +102,10 @@
 func TestNothingIsSentWhileNotAdmitting(t *testing.T) {
 	inWorld(t, func(w *world) {
 		answer := w.submit(w.job(1))
-		w.admits = func() bool { return false }
+		w.admit(false)
 		w.report(target(1))
 		w.runs(0)
-		w.admits = func() bool { return true }
+		w.admit(true)
 		w.report(target(1))
 		run := w.run()
 		run.reply(doneReply(run, 200))
--- a/entry/owner_submit_test.go
+++ b/entry/owner_submit_test.go
@@ -64,11 +64,11 @@
 			return w.job(1)
 		}, model.CodeOwnerMoved, model.Unknown},
 		{"nothing may be started", func(w *world) model.JobSpec {
-			w.admits = func() bool { return false }
+			w.admit(false)
 			return w.job(1)
 		}, model.CodeStoreUnavailable, model.NotRun},
 		{"nothing may be started and the lease is over", func(w *world) model.JobSpec {
-			w.admits = func() bool { return false }
+			w.admit(false)
 			w.members.set(func(m *fakeMembers) { m.leaseEnd = time.Now() })
 			return w.job(1)
 		}, model.CodeStoreUnavailable, model.Unknown},
@@ -95,9 +95,9 @@
 	inWorld(t, func(w *world) {
 		w.report(target(1))
 		spec := w.job(1)
-		w.admits = func() bool { return false }
+		w.admit(false)
 		w.submit(spec).refusal(model.CodeStoreUnavailable, model.NotRun)
-		w.admits = func() bool { return true }
+		w.admit(true)
 		again := w.submit(spec)
 		run := w.run()
 		run.reply(doneReply(run, 200))
--- a/entry/repeatable_test.go
+++ b/entry/repeatable_test.go
@@ -221,7 +221,7 @@
 		run := w.run()
 		run.reply(doneReply(run, 200))
 		answer.complete()
-		w.admits = func() bool { return false }
+		w.admit(false)
 		w.request(w.single(true)).refusal(model.CodeStoreUnavailable, model.NotRun)
 	})
 }
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,8 +47,8 @@
 	pool    *fakePool
 	scope   tally.TestScope
 	owner   *Owner
-	// admits is read by the loop and written between waits.
-	admits func() bool
+	// closed is set while nothing may be started.
+	closed atomic.Bool
 	keys   uint32
 	load   uint64
 }
@@ -71,7 +72,6 @@
 		objects: memory.NewObjects(),
 		pool:    newFakePool(),
 		scope:   tally.NewTestScope("", nil),
-		admits:  func() bool { return true },
 	}
 	w.raiseFence()
 	w.owner = newOwner(ctx, w.deps())
@@ -104,7 +104,7 @@
 		pool:      w.pool,
 		peers:     peers,
 		watch:     newOwnerWatch(w.members),
-		admitting: func(time.Time) bool { return w.admits() },
+		admitting: func(time.Time) bool { return !w.closed.Load() },
 		router:    routing.NewExpected(rand.New(rand.NewPCG(1, 2))),
 		metrics:   metered,
 	}
@@ -120,6 +120,9 @@
 	return deps
 }
 
+// admit says whether work may be started.
+func (w *world) admit(open bool) { w.closed.Store(!open) }
+
 // openPermits grants everything.
 type openPermits struct{}
 
