--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,12 @@
 	Duplicates       tally.Counter
 	EmptyWithdrawals tally.Counter
 	IdleRenewals     tally.Counter
+	// Retries, Hedges, BudgetRefused and Wasted count what idempotent requests
+	// cost beyond one run.
+	Retries       tally.Counter
+	Hedges        tally.Counter
+	BudgetRefused tally.Counter
+	Wasted        tally.Counter
 	// AnswersDropped counts answers that were not stored behind.
 	AnswersDropped tally.Counter
 
@@ -73,6 +79,10 @@
 		Duplicates:       scope.Counter(metrics.EntryDuplicates),
 		EmptyWithdrawals: scope.Counter(metrics.EntryEmptyWithdrawals),
 		IdleRenewals:     scope.Counter(metrics.EntryIdleRenewals),
+		Retries:          scope.Counter(metrics.EntryRetries),
+		Hedges:           scope.Counter(metrics.EntryHedges),
+		BudgetRefused:    scope.Counter(metrics.EntryBudgetRefused),
+		Wasted:           scope.Counter(metrics.EntryWasted),
 		AnswersDropped:   scope.Counter(metrics.EntryAnswersDropped),
 		scope:            scope,
 		response:         make(map[series]tally.Histogram),
