--- /dev/null
+++ b/command/cancel.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"context"
+
+	"github.com/figring/figring/api"
+	"github.com/figring/figring/client"
+)
+
+const cancelLong = `Cancels a job: what is unstarted stays so, what runs is told to stop. The job
+then fails as a whole, and the outcome says whether a task was started. The
+exit code is 1 for a job that ends cancelled.
+
+Examples:
+  figring cancel 0197f0a2-0000-7000-8000-000000000001
+  figring cancel --output json 0197f0a2-0000-7000-8000-000000000001`
+
+type cancelCommand struct {
+	streams *IO
+	callerFlags
+	Args keyArgument `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *cancelCommand) Execute([]string) error {
+	return c.call(c.streams, "cancelling job "+c.Args.Key, func(ctx context.Context, asked *client.Client) (*api.JobResponse, error) {
+		return asked.Cancel(ctx, c.Args.Key)
+	})
+}
--- /dev/null
+++ b/command/demo.go
@@ -0,0 +1,170 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/figring/figring/api"
+	"github.com/figring/figring/client"
+	"github.com/figring/figring/common/identity"
+	"github.com/figring/figring/demo"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform/fault"
+	"github.com/figring/figring/settings"
+)
+
+const demoLong = `Runs a whole system in this one process, on free loopback ports: two entries,
+three availability zones, and six sidecars with stand-in minions. Its platform
+is in memory and lost at the end. With --job it submits the jobs, prints their
+answers, drains and ends. Without, it serves until SIGTERM.
+
+Examples:
+  figring demo --job examples/jobs/nomination-desk.json
+  figring demo --output json --job examples/jobs/subscription-desk.json
+  figring demo --minions 12`
+
+const (
+	demoCaller = "demo"
+	// demoStartLimit bounds the start of the system.
+	demoStartLimit = 30 * time.Second
+)
+
+// demoZones are the availability zones of the system.
+var demoZones = []string{"schwabing", "maxvorstadt", "garching"}
+
+// demoOperators may sign off each other's bundles.
+var demoOperators = []string{"anna", "bert"}
+
+type demoCommand struct {
+	streams *IO
+	outputFlags
+	Jobs    []string `long:"job" value-name:"FILE" description:"job to submit; may be repeated"`
+	Entries int      `long:"entries" value-name:"N" default:"2" description:"entries to run"`
+	Minions int      `long:"minions" value-name:"N" default:"6" description:"minions to run, each with a sidecar"`
+	token   string
+	tokens  map[string]string
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	if c.Entries < 1 || c.Entries > 16 || c.Minions < 1 || c.Minions > 64 {
+		return usageError(errors.New("want 1 to 16 entries and 1 to 64 minions"))
+	}
+	jobs, err := c.loadJobs()
+	if err != nil {
+		return err
+	}
+	c.drawTokens()
+	ctx, cancel := untilSignal()
+	defer cancel()
+	fmt.Fprintln(c.streams.Err, "The platform of this demo is in memory: everything is lost at the end.")
+	system, err := c.start(ctx)
+	if err != nil {
+		return err
+	}
+	if len(jobs) == 0 {
+		c.printAccess(system)
+		<-ctx.Done()
+		return system.Stop()
+	}
+	return errors.Join(c.submit(ctx, system, jobs), system.Stop())
+}
+
+func (c *demoCommand) loadJobs() ([]*api.JobRequest, error) {
+	var jobs []*api.JobRequest
+	for _, path := range c.Jobs {
+		job, err := loadJob(path, "")
+		if err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, job)
+	}
+	return jobs, nil
+}
+
+func (c *demoCommand) drawTokens() {
+	c.token = rand.Text()
+	c.tokens = make(map[string]string)
+	for _, operator := range demoOperators {
+		c.tokens[operator] = rand.Text()
+	}
+}
+
+func (c *demoCommand) start(ctx context.Context) (*demo.System, error) {
+	var system *demo.System
+	ctx, cancel := context.WithTimeout(ctx, demoStartLimit)
+	defer cancel()
+	err := withProgress(c.streams.Err, "starting", func() (err error) {
+		system, err = demo.Start(ctx, c.options())
+		return err
+	})
+	return system, err
+}
+
+func (c *demoCommand) options() demo.Options {
+	var operators []settings.Operator
+	for _, name := range demoOperators {
+		operators = append(operators, settings.Operator{Name: name, TokenHash: identity.Hash(c.tokens[name])})
+	}
+	return demo.Options{
+		Region:    "munich",
+		Zones:     demoZones,
+		Entries:   c.Entries,
+		Minions:   c.Minions,
+		Callers:   []model.Caller{{Name: demoCaller, TokenHash: identity.Hash(c.token)}},
+		Operators: operatorInterface(demoZones, operators),
+		Faults:    fault.Defaults(),
+		Log:       &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: c.streams.Err}},
+	}
+}
+
+func (c *demoCommand) printAccess(system *demo.System) {
+	for _, url := range system.CallersURLs() {
+		fmt.Fprintln(c.streams.Out, "callers:  ", url)
+	}
+	for _, url := range system.OperatorsURLs() {
+		fmt.Fprintln(c.streams.Out, "operators:", url)
+	}
+	fmt.Fprintln(c.streams.Out, "export FIGRING_TOKEN="+c.token)
+	for _, name := range demoOperators {
+		fmt.Fprintf(c.streams.Out, "export FIGRING_OPERATOR_TOKEN=%s  # %s\n", c.tokens[name], name)
+	}
+}
+
+// submit submits the jobs one after the other and prints their answers.
+func (c *demoCommand) submit(ctx context.Context, system *demo.System, jobs []*api.JobRequest) error {
+	asked, err := client.New(client.Options{BaseURLs: system.CallersURLs(), Token: c.token})
+	if err != nil {
+		return err
+	}
+	defer asked.Close()
+	for index, job := range jobs {
+		name := strings.TrimSuffix(filepath.Base(c.Jobs[index]), ".json")
+		if err := c.submitOne(ctx, asked, name, job); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func (c *demoCommand) submitOne(ctx context.Context, asked *client.Client, name string, job *api.JobRequest) error {
+	var answer *api.JobResponse
+	started := time.Now()
+	what := fmt.Sprintf("%s: %d tasks submitted", name, len(job.Tasks))
+	err := withProgress(c.streams.Err, what, func() (err error) {
+		answer, err = asked.Submit(ctx, job)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.streams.Err, "%s: answered in %d ms\n", name, time.Since(started).Milliseconds())
+	return c.print(c.streams.Out, answer, answerTable(answer))
+}
--- a/command/entry.go
+++ b/command/entry.go
@@ -68,21 +68,21 @@
 		ShutdownTimeout: loaded.ShutdownTimeout.Std(),
 		MaxBodyBytes:    loaded.MaxBodyBytes,
 		Metrics:         metrics.NewRoot(),
-		Operators:       operatorInterface(loaded),
+		Operators:       operatorInterface(loaded.Zones, loaded.Operators),
 	}
 	return options, entryTLS(loaded, &options)
 }
 
 // operatorInterface returns a builder of the operators' interface of an entry.
-func operatorInterface(loaded *settings.EntrySettings) func(*entry.Entry) (http.Handler, error) {
+func operatorInterface(zones []string, operators []settings.Operator) func(*entry.Entry) (http.Handler, error) {
 	return func(role *entry.Entry) (http.Handler, error) {
 		return operator.New(operator.Options{
 			Editor: rollout.NewEditor(role.Table(), rollout.EditorOptions{
-				Rules:    bundle.Rules{Zones: loaded.Zones},
+				Rules:    bundle.Rules{Zones: zones},
 				Announce: role.AnnounceBundle,
 			}),
 			Watcher:   role.Bundles(),
-			Operators: identity.NewOperators(loaded.Operators),
+			Operators: identity.NewOperators(operators),
 			Status:    func(ctx context.Context) any { return role.SystemStatus(ctx) },
 		})
 	}
--- /dev/null
+++ b/command/output.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// outputTable and outputJSON are the forms in which a command prints.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// outputFlags choose the form of what a command prints.
+type outputFlags struct {
+	Output string `long:"output" choice:"table" choice:"json" default:"table" description:"a table for people or JSON for scripts"`
+}
+
+// print writes value as JSON, or lets table write it.
+func (f *outputFlags) print(out io.Writer, value any, table func(io.Writer)) error {
+	if f.Output == outputJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	aligned := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+	table(aligned)
+	return aligned.Flush()
+}
+
+// columnGap is the space between two columns.
+const columnGap = 2
+
+// row writes one row of a table.
+func row(out io.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(out, "\t")
+		}
+		fmt.Fprint(out, cell)
+	}
+	fmt.Fprintln(out)
+}
--- a/command/register.go
+++ b/command/register.go
@@ -6,32 +6,31 @@
 	flags "github.com/jessevdk/go-flags"
 )
 
-// subcommand describes one entry of the command line.
-type subcommand struct {
-	name  string
-	short string
-	long  string
-	data  any
-}
-
 // subcommands lists every subcommand in the order of the help page.
 func subcommands(streams *IO) []subcommand {
 	return []subcommand{
-		{"version", "Print the version", "Prints the version of the binary.\n\nExample: figring version", &versionCommand{streams: streams}},
-		{"entry", "Run an entry", entryHelp, &entryCommand{streams: streams}},
-		{"sidecar", "Run the sidecar beside a minion", sidecarHelp, &sidecarCommand{streams: streams}},
-		{"standin-platform", "Serve a stand-in for the platform", standinPlatformHelp, &standinPlatformCommand{streams: streams}},
-		{"standin-minion", "Serve a stand-in for a minion", standinMinionHelp, &standinMinionCommand{streams: streams}},
-		{"validate", "Check settings files", validateLong, &validateCommand{streams: streams}},
-		{"token", "Print the hash of a bearer token", tokenLong, &tokenCommand{streams: streams, in: os.Stdin}},
+		{name: "demo", short: "Run a whole system in one process", long: demoLong, data: &demoCommand{streams: streams}},
+		{name: "entry", short: "Run an entry", long: entryHelp, data: &entryCommand{streams: streams}},
+		{name: "sidecar", short: "Run the sidecar beside a minion", long: sidecarHelp, data: &sidecarCommand{streams: streams}},
+		{name: "standin-platform", short: "Serve a stand-in for the platform", long: standinPlatformHelp, data: &standinPlatformCommand{streams: streams}},
+		{name: "standin-minion", short: "Serve a stand-in for a minion", long: standinMinionHelp, data: &standinMinionCommand{streams: streams}},
+		{name: "submit", short: "Submit a job and print its answer", long: submitLong, data: &submitCommand{streams: streams}},
+		{name: "show", short: "Show the state of a job", long: showLong, data: &showCommand{streams: streams}},
+		{name: "cancel", short: "Cancel a job", long: cancelLong, data: &cancelCommand{streams: streams}},
+		{name: "request", short: "Run a single request", long: requestLong, data: &requestCommand{streams: streams}},
+		{name: "validate", short: "Check settings files", long: validateLong, data: &validateCommand{streams: streams}},
+		{name: "token", short: "Print the hash of a bearer token", long: tokenLong, data: &tokenCommand{streams: streams, in: os.Stdin}},
+		{name: "version", short: "Print the version", long: versionLong, data: &versionCommand{streams: streams}},
 	}
 }
 
-func register(parser *flags.Parser, streams *IO) error {
+// register adds every subcommand and returns the examples of each.
+func register(parser *flags.Parser, streams *IO) (map[*flags.Command]string, error) {
+	examples := make(map[*flags.Command]string)
 	for _, one := range subcommands(streams) {
-		if _, err := parser.AddCommand(one.name, one.short, one.long, one.data); err != nil {
-			return err
+		if err := one.addTo(parser, examples); err != nil {
+			return nil, err
 		}
 	}
-	return nil
+	return examples, nil
 }
--- /dev/null
+++ b/command/show.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/figring/figring/api"
+	"github.com/figring/figring/client"
+)
+
+const showLong = `Shows the state of a job, and its answer once it has ended. With --wait it
+holds until the job ends. A job is known for ten minutes from the making of
+its key.
+
+Examples:
+  figring show 0197f0a2-0000-7000-8000-000000000001
+  figring show --wait 30s --output json 0197f0a2-0000-7000-8000-000000000001`
+
+type showCommand struct {
+	streams *IO
+	callerFlags
+	Wait time.Duration `long:"wait" value-name:"TIME" default:"0s" description:"how long to wait for the end of the job"`
+	Args keyArgument   `positional-args:"true"`
+}
+
+// keyArgument is the key of a job on the command line.
+type keyArgument struct {
+	Key string `positional-arg-name:"KEY" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *showCommand) Execute([]string) error {
+	return c.call(c.streams, "waiting for job "+c.Args.Key, func(ctx context.Context, asked *client.Client) (*api.JobResponse, error) {
+		return asked.Show(ctx, c.Args.Key, c.Wait)
+	})
+}
--- /dev/null
+++ b/command/subcommand.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"strings"
+
+	flags "github.com/jessevdk/go-flags"
+)
+
+// examplesMark starts the examples in the long text of a subcommand.
+const examplesMark = "\nExample"
+
+// subcommand describes one entry of the command line.
+type subcommand struct {
+	name  string
+	short string
+	// long is the text of the help page. The examples at its end are printed
+	// as they stand.
+	long     string
+	data     any
+	children []subcommand
+}
+
+// commander is what a subcommand is added to.
+type commander interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}
+
+// addTo adds the subcommand and its children to parent.
+func (s subcommand) addTo(parent commander, examples map[*flags.Command]string) error {
+	data := s.data
+	if data == nil {
+		data = &struct{}{}
+	}
+	long, shown, found := strings.Cut(s.long, examplesMark)
+	added, err := parent.AddCommand(s.name, s.short, strings.TrimSpace(long), data)
+	if err != nil {
+		return err
+	}
+	if found {
+		examples[added] = strings.TrimPrefix(examplesMark, "\n") + shown
+	}
+	for _, child := range s.children {
+		if err := child.addTo(added, examples); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// activeExamples returns the examples of the subcommand that args chose.
+func activeExamples(parser *flags.Parser, examples map[*flags.Command]string) string {
+	active := parser.Command
+	for active.Active != nil {
+		active = active.Active
+	}
+	return examples[active]
+}
--- a/command/version.go
+++ b/command/version.go
@@ -8,6 +8,12 @@
 // Version is the version of the source tree.
 const Version = "0.1.0-dev"
 
+// versionLong is the help text of the version subcommand.
+const versionLong = `Prints the version of the binary.
+
+Example:
+  figring version`
+
 type versionCommand struct {
 	streams *IO
 }
