Operators' commands, their client, and drains of entries by bundle

Operators had only raw HTTP. An entry whose name is in drainedEntries now drains as on SIGTERM and ends with 0; before, the list had no effect.

--- /dev/null
+++ b/command/bundle.go
@@ -0,0 +1,25 @@
+package command
+
+const bundleLong = `Handles bundles: the configuration that changes while processes run. One
+operator proposes a bundle, another signs it off, and either rolls it out.
+
+Examples:
+  figring bundle propose examples/settings/bundle.jsonc
+  figring bundle sign-off 0197f0a2-0000-7000-8000-000000000001
+  figring bundle roll-out 0197f0a2-0000-7000-8000-000000000001
+  figring bundle history`
+
+func bundleCommands(streams *IO) subcommand {
+	return subcommand{
+		name: "bundle", short: "Propose, sign off, roll out or show a bundle", long: bundleLong,
+		children: []subcommand{
+			{name: "propose", short: "Propose a bundle", long: bundleProposeLong, data: &bundleProposeCommand{streams: streams}},
+			{name: "sign-off", short: "Sign a proposal off", long: bundleSignOffLong, data: &bundleSignOffCommand{streams: streams}},
+			{name: "reject", short: "Turn a proposal down", long: bundleRejectLong, data: &bundleRejectCommand{streams: streams}},
+			{name: "roll-out", short: "Put a proposal in force", long: bundleRollOutLong, data: &bundleRollOutCommand{streams: streams}},
+			{name: "show", short: "Show the bundle in force or a proposal", long: bundleShowLong, data: &bundleShowCommand{streams: streams}},
+			{name: "list", short: "List the proposals", long: bundleListLong, data: &bundleListCommand{streams: streams}},
+			{name: "history", short: "List the versions that came in force", long: bundleHistoryLong, data: &bundleHistoryCommand{streams: streams}},
+		},
+	}
+}
--- /dev/null
+++ b/command/bundlehistory.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/figring/figring/operatorclient"
+	"github.com/figring/figring/rollout"
+)
+
+const bundleHistoryLong = `Lists the versions that came in force, who made them, and how.
+
+Examples:
+  figring bundle history
+  figring bundle history --from 12 --output json`
+
+type bundleHistoryCommand struct {
+	streams *IO
+	operatorFlags
+	From int64 `long:"from" value-name:"VERSION" default:"0" description:"first version to list"`
+}
+
+// Execute implements flags.Commander.
+func (c *bundleHistoryCommand) Execute([]string) error {
+	return ask(&c.operatorFlags, c.streams, "reading the history", func(ctx context.Context, asked *operatorclient.Client) ([]rollout.HistoryEntry, error) {
+		return asked.History(ctx, c.From)
+	}, historyTable)
+}
+
+func historyTable(list []rollout.HistoryEntry) func(io.Writer) {
+	return func(out io.Writer) {
+		row(out, "VERSION", "AT", "OPERATOR", "CHANGE", "PROPOSAL")
+		for _, one := range list {
+			row(out, one.Version, one.At.Format(time.RFC3339), one.Operator, one.Change, one.Proposal)
+		}
+	}
+}
--- /dev/null
+++ b/command/bundlelist.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/operatorclient"
+)
+
+const bundleListLong = `Lists the proposals in order of time.
+
+Examples:
+  figring bundle list
+  figring bundle list --from 0197f0a2-0000-7000-8000-000000000001`
+
+type bundleListCommand struct {
+	streams *IO
+	operatorFlags
+	From string `long:"from" value-name:"ID" description:"first proposal to list"`
+}
+
+// Execute implements flags.Commander.
+func (c *bundleListCommand) Execute([]string) error {
+	return ask(&c.operatorFlags, c.streams, "reading the proposals", func(ctx context.Context, asked *operatorclient.Client) ([]bundle.Proposal, error) {
+		return asked.Proposals(ctx, c.From)
+	}, func(list []bundle.Proposal) func(io.Writer) {
+		return func(out io.Writer) { proposalRows(out, list) }
+	})
+}
--- /dev/null
+++ b/command/bundlereject.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"context"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/operatorclient"
+)
+
+const bundleRejectLong = `Turns a proposal down. Nothing in force changes.
+
+Examples:
+  figring bundle reject 0197f0a2-0000-7000-8000-000000000001`
+
+type bundleRejectCommand struct {
+	streams *IO
+	operatorFlags
+	Args idArgument `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *bundleRejectCommand) Execute([]string) error {
+	return ask(&c.operatorFlags, c.streams, "rejecting", func(ctx context.Context, asked *operatorclient.Client) (bundle.Proposal, error) {
+		return asked.Reject(ctx, c.Args.ID)
+	}, proposalTable)
+}
--- /dev/null
+++ b/command/bundlesignoff.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"context"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/operatorclient"
+)
+
+const bundleSignOffLong = `Signs a proposal off. The proposer can't.
+
+Examples:
+  figring bundle sign-off 0197f0a2-0000-7000-8000-000000000001`
+
+type bundleSignOffCommand struct {
+	streams *IO
+	operatorFlags
+	Args idArgument `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *bundleSignOffCommand) Execute([]string) error {
+	return ask(&c.operatorFlags, c.streams, "signing off", func(ctx context.Context, asked *operatorclient.Client) (bundle.Proposal, error) {
+		return asked.SignOff(ctx, c.Args.ID)
+	}, proposalTable)
+}
--- a/command/exitcodes.go
+++ b/command/exitcodes.go
@@ -5,6 +5,7 @@
 
 	"github.com/figring/figring/client"
 	"github.com/figring/figring/model"
+	"github.com/figring/figring/operatorclient"
 )
 
 // The exit codes of every subcommand.
@@ -46,9 +47,22 @@
 	if errors.As(err, &withCode) {
 		return withCode.code
 	}
-	var told *client.Problem
-	if errors.As(err, &told) && told.Outcome == model.NotRun && told.Code != model.CodeCancelled {
+	if code, outcome := toldBy(err); outcome == model.NotRun && code != model.CodeCancelled {
 		return ExitRefused
 	}
 	return ExitFailed
 }
+
+// toldBy returns the code and the outcome of a refusal by one of the
+// interfaces.
+func toldBy(err error) (model.Code, model.Outcome) {
+	var fromCallers *client.Problem
+	if errors.As(err, &fromCallers) {
+		return fromCallers.Code, fromCallers.Outcome
+	}
+	var fromOperators *operatorclient.Problem
+	if errors.As(err, &fromOperators) {
+		return fromOperators.Code, fromOperators.Outcome
+	}
+	return "", ""
+}
--- a/command/output.go
+++ b/command/output.go
@@ -43,3 +43,11 @@
 	}
 	fmt.Fprintln(out)
 }
+
+// yesNo returns a truth value for people.
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/command/targets.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/figring/figring/entry"
+)
+
+// targetsOf returns each sidecar once, as the entry that heard of it last
+// knows it, in order of name.
+func targetsOf(reports []entry.EntryReport) []entry.TargetStatus {
+	latest := make(map[string]entry.TargetStatus)
+	for _, report := range reports {
+		if report.Status == nil {
+			continue
+		}
+		for _, target := range report.Status.Owner.Targets {
+			known, found := latest[target.Sidecar]
+			if !found || target.HeardMsAgo < known.HeardMsAgo {
+				latest[target.Sidecar] = target
+			}
+		}
+	}
+	var list []entry.TargetStatus
+	for _, name := range slices.Sorted(maps.Keys(latest)) {
+		list = append(list, latest[name])
+	}
+	return list
+}
--- a/command/token.go
+++ b/command/token.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/figring/figring/common/identity"
@@ -27,14 +28,33 @@
 
 // Execute implements flags.Commander.
 func (c *tokenCommand) Execute([]string) error {
-	raw, err := io.ReadAll(io.LimitReader(c.in, maxTokenInput+1))
+	token, err := tokenFrom(c.in)
 	if err != nil {
 		return err
 	}
+	fmt.Fprintln(c.streams.Out, identity.Hash(token))
+	return nil
+}
+
+// readToken reads a bearer token from a file.
+func readToken(path string) (string, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return "", usageError(err)
+	}
+	defer func() { _ = file.Close() }()
+	return tokenFrom(file)
+}
+
+// tokenFrom reads a bearer token without the line ends around it.
+func tokenFrom(in io.Reader) (string, error) {
+	raw, err := io.ReadAll(io.LimitReader(in, maxTokenInput+1))
+	if err != nil {
+		return "", err
+	}
 	token := strings.TrimSpace(string(raw))
 	if token == "" || len(raw) > maxTokenInput {
-		return usageError(errors.New("want a token of 1 to 1024 bytes on the standard input"))
+		return "", usageError(errors.New("want a token of 1 to 1024 bytes"))
 	}
-	fmt.Fprintln(c.streams.Out, identity.Hash(token))
-	return nil
+	return token, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,9 @@
 	// identities knows the callers of the bundle.
 	identities *identity.Callers
 	draining   atomic.Bool
+	// drainOrdered is closed once a bundle names the entry as drained.
+	drainOrdered chan struct{}
+	orderDrain   func()
 
 	mu   sync.Mutex
 	core atomic.Pointer[core]
@@ -39,7 +42,8 @@
 
 // New opens the listeners of an entry and builds its parts. Nothing runs yet.
 func New(options Options) (*Entry, error) {
-	e := &Entry{options: options.withDefaults()}
+	e := &Entry{options: options.withDefaults(), drainOrdered: make(chan struct{})}
+	e.orderDrain = sync.OnceFunc(func() { close(e.drainOrdered) })
 	e.metrics = NewMetrics(options.Metrics.Scope)
 	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, options.Dialer)
 	e.bundles = rollout.New(options.Table, rollout.Options{Logger: options.Log})
@@ -144,10 +148,13 @@
 	if c := e.current(); c != nil {
 		c.owner.post(bundleChanged{bundle})
 	}
+	if !bundle.EntryOpen(e.options.Name) {
+		e.orderDrain()
+	}
 }
 
-// Run serves until ctx ends, then drains, and returns when all that was taken
-// in has been answered.
+// Run serves until ctx ends or the bundle in force names the entry as drained,
+// then drains, and returns when all that was taken in has been answered.
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -159,7 +166,10 @@
 	}
 	e.options.Log.Info().Str("role", "entry").Str("name", e.self.Name).Str("operators", e.OperatorsAddress()).Str("callers", e.CallersAddress()).
 		Str("rpc", e.self.Address).Str("status", e.StatusAddress()).Msg("listening")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-e.drainOrdered:
+	}
 	err := e.drain()
 	cancel()
 	e.closeListeners()
--- a/model/bundle.go
+++ b/model/bundle.go
@@ -53,6 +53,11 @@
 	return !contains(b.DrainedTargets, sidecar)
 }
 
+// EntryOpen reports whether the bundle lets the entry of that name run.
+func (b *Bundle) EntryOpen(name string) bool {
+	return !contains(b.DrainedEntries, name)
+}
+
 func contains(list []string, item string) bool {
 	for _, one := range list {
 		if one == item {
--- /dev/null
+++ b/operatorclient/client.go
@@ -0,0 +1,111 @@
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// maxAnswerBytes bounds the answer that the client reads.
+	maxAnswerBytes = 64 << 20
+	// requestTimeout bounds one request.
+	requestTimeout = 30 * time.Second
+)
+
+// Client speaks to the operators' interface of the first entry that answers.
+type Client struct {
+	bases []string
+	token string
+	http  *http.Client
+}
+
+// New returns a client of the interfaces at bases, such as
+// "http://127.0.0.1:8081".
+func New(bases []string, token string) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &Client{
+		bases: bases,
+		token: token,
+		http:  &http.Client{Transport: transport, Timeout: requestTimeout},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// do sends body, unless it is nil, and decodes the answer into into. The error
+// is a *Problem, or wraps ErrTransport. It goes on to the next entry where that
+// can't make a change twice.
+func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
+	err := fmt.Errorf("%w: no address of an operators' interface", ErrTransport)
+	for _, base := range c.bases {
+		err = c.ask(ctx, method, strings.TrimSuffix(base, "/")+path, body, into)
+		if !errors.Is(err, ErrTransport) || (method != http.MethodGet && !notSent(err)) {
+			return err
+		}
+	}
+	return err
+}
+
+// notSent reports whether a request failed before anything of it was sent.
+func notSent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
+func (c *Client) ask(ctx context.Context, method, url string, body, into any) error {
+	request, err := c.request(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrTransport, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrTransport, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return problemOf(response.StatusCode, content)
+	}
+	if err := json.Unmarshal(content, into); err != nil {
+		return fmt.Errorf("%w: %w", ErrTransport, err)
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, method, url string, body any) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		content, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(content)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func problemOf(status int, content []byte) error {
+	var told Problem
+	if err := json.Unmarshal(content, &told.Details); err != nil || told.Code == "" {
+		return fmt.Errorf("%w: status %d without a problem body", ErrTransport, status)
+	}
+	return &told
+}
--- /dev/null
+++ b/operatorclient/status.go
@@ -0,0 +1,14 @@
+package operatorclient
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/figring/figring/entry"
+)
+
+// Status sums up every living entry.
+func (c *Client) Status(ctx context.Context) (entry.SystemStatus, error) {
+	var status entry.SystemStatus
+	return status, c.do(ctx, http.MethodGet, "/v1/status", nil, &status)
+}
--- a/settings/bundle.go
+++ b/settings/bundle.go
@@ -7,9 +7,9 @@
 	"github.com/figring/figring/model"
 )
 
-// LoadBundle reads a bundle from a file, as operators keep it before they
-// propose it, and checks it against the zones that exist.
-func LoadBundle(path string, rules bundle.Rules) (model.Bundle, error) {
+// ReadBundle reads a bundle from a file, as operators keep it before they
+// propose it. Its errors are of type *Error.
+func ReadBundle(path string) (model.Bundle, error) {
 	var loaded model.Bundle
 	if err := load(path, &loaded); err != nil {
 		return model.Bundle{}, err
@@ -17,7 +17,17 @@
 	if loaded.Version < 0 {
 		return model.Bundle{}, &Error{File: path, Field: "version", Allowed: "want at least 0"}
 	}
-	err := rules.Validate(loaded)
+	return loaded, nil
+}
+
+// LoadBundle reads a bundle from a file and checks it against the zones that
+// exist.
+func LoadBundle(path string, rules bundle.Rules) (model.Bundle, error) {
+	loaded, err := ReadBundle(path)
+	if err != nil {
+		return model.Bundle{}, err
+	}
+	err = rules.Validate(loaded)
 	var invalid *bundle.InvalidError
 	if errors.As(err, &invalid) {
 		return model.Bundle{}, &Error{File: path, Field: invalid.Field, Allowed: invalid.Allowed}
