--- a/scripts/redtest/main.go
+++ b/scripts/redtest/main.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -21,14 +23,25 @@
 type event struct {
 	Action  string
 	Package string
-	Test    string
-	Output  string
+	// ImportPath stands for Package in events of the build.
+	ImportPath string
+	Test       string
+	Output     string
+}
+
+// name returns "package TestName", or the package alone.
+func (e event) name() string {
+	if e.Package == "" {
+		return e.ImportPath
+	}
+	return strings.TrimSpace(e.Package + " " + e.Test)
 }
 
 // tally sums up a run.
 type tally struct {
 	passed, failed, skipped int
 	red                     []string
+	green                   map[string]bool
 	broken                  []string
 	output                  map[string]*strings.Builder
 }
@@ -53,7 +66,7 @@
 	}
 	result := collect(stdout)
 	runError := command.Wait()
-	os.Exit(judge(result, known, runError))
+	os.Exit(judge(os.Stdout, result, known, runError))
 }
 
 // readKnown returns the listed tests as "package TestName".
@@ -78,7 +91,7 @@
 }
 
 func collect(stream io.Reader) *tally {
-	result := &tally{output: make(map[string]*strings.Builder)}
+	result := &tally{green: make(map[string]bool), output: make(map[string]*strings.Builder)}
 	lines := bufio.NewScanner(stream)
 	lines.Buffer(make([]byte, 0, 1<<20), 16<<20)
 	for lines.Scan() {
@@ -93,7 +106,7 @@
 }
 
 func (r *tally) add(one event) {
-	name := strings.TrimSpace(one.Package + " " + one.Test)
+	name := one.name()
 	switch one.Action {
 	case "output", "build-output":
 		builder, ok := r.output[name]
@@ -105,6 +118,7 @@
 	case "pass":
 		if one.Test != "" {
 			r.passed++
+			r.green[name] = true
 		} else {
 			fmt.Println("ok  ", one.Package)
 		}
@@ -126,17 +140,38 @@
 	r.red = append(r.red, name)
 }
 
-// judge prints the verdict and returns the exit code. A failed package is
-// excused only when each of its failed tests is listed.
-func judge(r *tally, known map[string]bool, runError error) int {
+// judge prints the verdict to out and returns the exit code. The last line is
+// the count of tests.
+func judge(out io.Writer, r *tally, known map[string]bool, runError error) int {
+	unexpected := r.unexpected(out, known)
+	for _, name := range unexpected {
+		fmt.Fprintln(out, "FAIL", name)
+		if output, ok := r.output[name]; ok {
+			fmt.Fprint(out, output.String())
+		}
+	}
+	r.printNowPassing(out, known)
+	unexplained := runError != nil && len(r.red) == 0 && len(r.broken) == 0
+	if unexplained {
+		fmt.Fprintln(out, "go test:", runError)
+	}
+	fmt.Fprintf(out, "%d passed, %d failed, %d skipped\n", r.passed, r.failed, r.skipped)
+	if len(unexpected) > 0 || r.passed == 0 || unexplained {
+		return 1
+	}
+	return 0
+}
+
+// unexpected returns the failures that are not listed, and prints the listed
+// ones. A failed package is excused only when a test of it failed.
+func (r *tally) unexpected(out io.Writer, known map[string]bool) []string {
 	sort.Strings(r.red)
 	var unexpected []string
 	redPackages := make(map[string]bool)
 	for _, name := range r.red {
-		root := parentTest(name)
 		redPackages[strings.Fields(name)[0]] = true
-		if known[root] || known[name] {
-			fmt.Println("known red:", name)
+		if known[parentTest(name)] || known[name] {
+			fmt.Fprintln(out, "known red:", name)
 			continue
 		}
 		unexpected = append(unexpected, name)
@@ -146,21 +181,16 @@
 			unexpected = append(unexpected, name)
 		}
 	}
-	for _, name := range unexpected {
-		fmt.Println("FAIL", name)
-		if output, ok := r.output[name]; ok {
-			fmt.Print(output.String())
+	return unexpected
+}
+
+// printNowPassing prints the listed tests that passed.
+func (r *tally) printNowPassing(out io.Writer, known map[string]bool) {
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		if r.green[name] {
+			fmt.Fprintln(out, "now passing, to be taken off the list:", name)
 		}
 	}
-	fmt.Printf("%d passed, %d failed, %d skipped\n", r.passed, r.failed, r.skipped)
-	switch {
-	case len(unexpected) > 0, r.passed == 0:
-		return 1
-	case runError != nil && len(r.red) == 0 && len(r.broken) == 0:
-		fmt.Println("go test:", runError)
-		return 1
-	}
-	return 0
 }
 
 // parentTest returns "package TestName" for a subtest's name.
