--- a/command/load.go
+++ b/command/load.go
@@ -24,6 +24,9 @@
   figring load --callers http://127.0.0.1:7100 --token-file token.txt --rate 20 --duration 10s
   figring load --callers http://127.0.0.1:7100 --callers http://127.0.0.1:7200 --token-file token.txt --shape subscription --seed 7 --load 0.7 --capacity 88 --json run.json --plot run.png`
 
+// outMode is the mode of written files.
+const outMode = 0o644
+
 var errLoad = errors.New("jobs without a whole answer, or two answers to one key that differ")
 
 type loadCommand struct {
