--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -114,7 +114,7 @@
 	deps.adopter = newAdopter(testSelf, w.table, w.objects, w.pool, func(result adoption) { w.owner.post(adopted{result}) })
 	deps.keeper = answers.NewKeeper(answers.Options{Table: w.table, Objects: w.objects, Self: testSelf, Dropped: func(int) {}})
 	deps.dispatcher = &dispatcher{
-		self: testSelf, pool: w.pool, peers: peers, permits: openPermits{},
+		self: testSelf, pool: w.pool, peers: peers, permits: openPermits{}, metrics: metered,
 		report: func(end dispatchEnd) { w.owner.post(taskEnded{end}) },
 	}
 	return deps
