Look past queued tasks that no target can take now

A round of dispatching ended at the first task for which the router had no target. A task that fits only one full target held up everything behind it, its own caller's and others'. The next round begins in fair order again, so that what was looked past is the first to get what becomes free.

--- a/decision/admission/caller.go
+++ b/decision/admission/caller.go
@@ -13,6 +13,9 @@
 	// waiting and inProgress sum up those of its jobs.
 	waiting    int
 	inProgress int
+	// passed counts the suspended jobs; held keeps all the others back too.
+	passed int
+	held   bool
 	// heapIndex is the caller's place among those with ready tasks, or -1.
 	heapIndex int
 }
--- a/decision/admission/job.go
+++ b/decision/admission/job.go
@@ -17,6 +17,8 @@
 	inProgress int
 	// ready holds the indexes that may be given out, the next one last.
 	ready []int
+	// held keeps the ready indexes of a suspended job.
+	held []int
 	// heapIndex is the job's place among its caller's jobs; -1 if it has no
 	// task that may be given out.
 	heapIndex int
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -13,6 +13,8 @@
 	callers map[string]*caller
 	ready   callerHeap
 	jobs    map[model.JobKey]*job
+	// suspended lists the jobs that Suspend holds back.
+	suspended []*job
 	// virtual is the start tag of the task given out last.
 	virtual float64
 	waiting int
@@ -125,22 +127,27 @@
 
 // changed restores the order after the ready tasks of a job have changed.
 func (q *Queue) changed(known *job, now time.Time) {
-	owner := known.caller
-	owner.restore(known)
+	known.caller.restore(known)
+	q.restore(known.caller)
+	if len(q.ready)+len(q.suspended) > 0 {
+		q.drain.begin(now)
+	} else {
+		q.drain.stop()
+	}
+}
+
+// restore puts a caller where it belongs after its jobs have changed.
+func (q *Queue) restore(owner *caller) {
+	isReady := len(owner.jobs) > 0 && !owner.held
 	switch {
-	case owner.heapIndex >= 0 && len(owner.jobs) == 0:
+	case owner.heapIndex >= 0 && !isReady:
 		heap.Remove(&q.ready, owner.heapIndex)
 	case owner.heapIndex >= 0:
 		heap.Fix(&q.ready, owner.heapIndex)
-	case len(owner.jobs) > 0:
+	case isReady:
 		owner.start = max(q.virtual, owner.start)
 		heap.Push(&q.ready, owner)
 	}
-	if len(q.ready) > 0 {
-		q.drain.begin(now)
-	} else {
-		q.drain.stop()
-	}
 }
 
 // Peek returns the task that Next would give out.
@@ -190,7 +197,7 @@
 	delete(q.jobs, key)
 	known.caller.inProgress -= known.inProgress
 	q.addWaiting(known, -known.waiting)
-	known.ready = nil
+	known.ready, known.held = nil, nil
 	q.changed(known, now)
 }
 
--- a/decision/routing/capacity.go
+++ b/decision/routing/capacity.go
@@ -7,6 +7,8 @@
 	// Slots and Busy sum up their slots and the tasks known to be there.
 	Slots int
 	Busy  int
+	// Room is the number of tasks that may be sent to them beyond Busy.
+	Room int
 	// LargestMemoryBytes is the memory of the largest known target, open or
 	// not; zero while none is known or one of them does not tell.
 	LargestMemoryBytes int64
--- a/decision/routing/expected_test.go
+++ b/decision/routing/expected_test.go
@@ -183,5 +183,11 @@
 	got := router.Capacity(testStart)
 	must.Eq(t, 40, int(got.TasksPerSecond+0.5))
 	got.TasksPerSecond = 0
-	must.Eq(t, Capacity{Targets: 1, Slots: testSlots, LargestMemoryBytes: 1 << 30}, got)
+	must.Eq(t, Capacity{Targets: 1, Slots: testSlots, Room: testSlots + testSlots/slotsPerQueued, LargestMemoryBytes: 1 << 30}, got)
+	send(router, 0, 3, testStart)
+	got = router.Capacity(testStart)
+	must.EqOp(t, 3, got.Busy)
+	must.EqOp(t, testSlots+testSlots/slotsPerQueued-3, got.Room)
+	send(router, 0, 20, testStart)
+	must.EqOp(t, 0, router.Capacity(testStart).Room)
 }
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -27,11 +27,14 @@
 	minTaskTimeout = 10 * time.Millisecond
 )
 
-// dispatch sends queued tasks for as long as targets have room.
+// dispatch sends queued tasks for as long as targets have room, in fair order
+// but for those that no target can take.
 func (o *Owner) dispatch() {
 	if !o.admitting(o.now) {
 		return
 	}
+	var passed lookahead
+	defer o.queue.Resume()
 	for {
 		ref, ok := o.queue.Peek()
 		if !ok {
@@ -42,9 +45,16 @@
 			o.queue.Remove(ref.Key, o.now)
 			continue
 		}
-		choice, ok := o.pick(job, ref.Index)
+		kind := kindOf(o.routingRequest(job, ref.Index))
+		choice, ok := routing.Choice{}, false
+		if !passed.isBlocked(kind) {
+			choice, ok = o.pick(job, ref.Index)
+		}
 		if !ok {
-			return
+			if !o.pass(&passed, kind) {
+				return
+			}
+			continue
 		}
 		o.queue.Next(o.now)
 		o.send(job, ref.Index, choice)
