--- a/decision/routing/bench_test.go
+++ b/decision/routing/bench_test.go
@@ -48,3 +48,25 @@
 		router.Finished(choice.Incarnation, report, testStart)
 	}
 }
+
+// BenchmarkSaturated measures what a round of dispatching costs that finds
+// every target full: a Pick in vain and the look at the room.
+func BenchmarkSaturated(b *testing.B) {
+	for _, size := range []int{11, 1800} {
+		router := NewExpected(source())
+		fill(router, size)
+		for i := range size {
+			send(router, i, 2*testSlots, testStart)
+		}
+		b.Run(fmt.Sprintf("pick/targets=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				router.Pick(testRequest, testStart)
+			}
+		})
+		b.Run(fmt.Sprintf("room/targets=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				router.Capacity(testStart)
+			}
+		})
+	}
+}
--- a/entry/adopter_test.go
+++ b/entry/adopter_test.go
@@ -34,6 +34,7 @@
 		{"runs since before the claim", sidecarRow{}, reply(-time.Second, -time.Second, false), true},
 		{"started just at the floor", sidecarRow{}, reply(0, 0, false), true},
 		{"restarted after the claim", sidecarRow{}, reply(time.Second, time.Second, false), false},
+		{"restarted after the claim, says that no record was dropped", sidecarRow{}, reply(time.Second, -time.Second, false), false},
 		{"restarted, clock said before, records dropped since", sidecarRow{}, reply(-time.Second, time.Second, false), false},
 		{"first incarnation, started after the claim", sidecarRow{}, reply(time.Second, time.Second, true), true},
 		{"first incarnation, records dropped since", sidecarRow{}, reply(time.Second, 2*time.Second, true), false},
@@ -56,6 +57,18 @@
 	}
 }
 
+// TestAbsentProvedNeedsAll finds one sidecar silent and another one excused: the
+// order of the rows does not matter.
+func TestAbsentProvedNeedsAll(t *testing.T) {
+	key := model.NewJobKey(testCaller)
+	left := sidecarRow{Left: true, LeftAt: claimFloor(key).Add(-time.Second).UnixMilli()}
+	silent := sidecarRow{}
+	none := []*wire.LookupReply{nil, nil}
+	must.True(t, account(key, []sidecarRow{left, left}, none).AbsentProved)
+	must.False(t, account(key, []sidecarRow{silent, left}, none).AbsentProved)
+	must.False(t, account(key, []sidecarRow{left, silent}, none).AbsentProved)
+}
+
 // TestRecordsOfOtherJobs keeps records of another job out.
 func TestRecordsOfOtherJobs(t *testing.T) {
 	key, other := model.NewJobKey(testCaller), model.NewJobKey(testCaller)
--- a/entry/owner_claim_test.go
+++ b/entry/owner_claim_test.go
@@ -68,6 +68,9 @@
 		w.pass(claimPatience+500*time.Millisecond, target(1))
 		answer.refusal(model.CodeStoreUnavailable, model.Unknown)
 		w.runs(0)
+		other := spec
+		other.Tasks = []model.TaskSpec{{Class: "other"}}
+		w.submit(other).refusal(model.CodeKeyConflict, model.NotRun)
 		again := w.submit(spec)
 		again.open()
 		w.table.set(nil, nil, nil)
@@ -140,6 +143,28 @@
 	}
 }
 
+// TestOrphanedClaimWithoutLease ends such a job while the lease is over, so that
+// its failure is postponed: the key stays taken for as long as its claim may
+// exist.
+func TestOrphanedClaimWithoutLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1))
+		spec := w.job(1)
+		spec.Timeout = 2 * time.Second
+		w.table.set(nil, platform.ErrUnknownOutcome, platform.ErrUnavailable)
+		answer := w.submit(spec)
+		w.lapse()
+		w.pass(claimPatience+500*time.Millisecond, target(1))
+		answer.refusal(model.CodeDeadline, model.Unknown)
+		w.submit(spec).refusal(model.CodeInProgress, model.InProgress)
+		w.table.set(nil, nil, nil)
+		w.renewLease()
+		w.pass(time.Second, target(1))
+		w.submit(spec).failed(model.CodeDeadline, model.NotRun)
+		w.runs(0)
+	})
+}
+
 // TestAcquiredClaimIsNotNew submits a key whose claim another entry wrote.
 func TestAcquiredClaimIsNotNew(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/entry/owner_targets_test.go
+++ b/entry/owner_targets_test.go
@@ -63,6 +63,7 @@
 		must.EqOp(t, open.Address, second.address)
 		second.reply(doneReply(second, 200))
 		answer.complete()
+		w.report(closing, open)
 		w.submit(w.job(2 * testSlots))
 		for _, run := range w.runs(testSlots + 1) {
 			must.EqOp(t, open.Address, run.address)
--- a/entry/repeatable_test.go
+++ b/entry/repeatable_test.go
@@ -183,7 +183,64 @@
 	}
 }
 
-// TestHedgeWaitsForQueuedWork holds a hedge back while first dispatches wait.
+// TestNoHedgeBesideQueuedWork holds a hedge back while first dispatches wait,
+// though a sidecar has room.
+func TestNoHedgeBesideQueuedWork(t *testing.T) {
+	inWorld(t, func(w *world) {
+		small, large := unequal()
+		third := target(3)
+		third.MemoryBytes = smallMemory
+		w.report(small, large, third)
+		filled := w.fillLarge()
+		w.submit(w.largeJob(1))
+		w.request(w.single(true))
+		w.run()
+		w.pass(5*time.Second, small, large, third)
+		w.runs(0)
+		filled[0].reply(doneReply(filled[0], 200))
+		w.run()
+		w.pass(time.Second, small, large, third)
+		must.True(t, w.run().request.Repeatable)
+	})
+}
+
+// TestRepeatedRequestKeepsItsPlace counts a request against its caller's
+// concurrency until it is answered, also after a lost dispatch.
+func TestRepeatedRequestKeepsItsPlace(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.owner.post(bundleChanged{model.Bundle{Version: 2, Callers: []model.Caller{{Name: testCaller, Concurrency: 1}}}})
+		w.report(target(1), target(2))
+		answer := w.request(w.single(true))
+		w.run().fail(wire.ErrOutcomeUnknown)
+		second := w.run()
+		w.request(w.single(true)).refusal(model.CodeQuota, model.NotRun)
+		second.reply(doneReply(second, 200))
+		answer.complete()
+		w.request(w.single(true))
+		w.run()
+	})
+}
+
+// TestHandedBackSidecarIsNoTry lets one sidecar hand requests back and the other
+// lose them: they never go back to the one that lost them.
+func TestHandedBackSidecarIsNoTry(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.report(target(1), target(2))
+		for range 10 {
+			answer := w.request(w.single(true))
+			w.run().reply(backReply(wire.ReasonQueueTimeout))
+			lost := w.run()
+			lost.fail(wire.ErrOutcomeUnknown)
+			last := w.run()
+			must.NotEq(t, lost.address, last.address)
+			last.reply(doneReply(last, 200))
+			answer.complete()
+		}
+	})
+}
+
+// TestHedgeWaitsForQueuedWork gives a late request no second sidecar while the
+// only other one is full, and what is free there first to what waits.
 func TestHedgeWaitsForQueuedWork(t *testing.T) {
 	inWorld(t, func(w *world) {
 		big := target(2)
