--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -34,17 +34,17 @@
 	LateResults  tally.Counter
 	Withdrawals  tally.Counter
 	Revocations  tally.Counter
+	// Duplicates, EmptyWithdrawals and IdleRenewals count messages that
+	// changed nothing.
+	Duplicates       tally.Counter
+	EmptyWithdrawals tally.Counter
+	IdleRenewals     tally.Counter
 	// Retries, Hedges, BudgetRefused and Wasted count what idempotent requests
 	// cost beyond one run.
 	Retries       tally.Counter
 	Hedges        tally.Counter
 	BudgetRefused tally.Counter
 	Wasted        tally.Counter
-	// Duplicates, EmptyWithdrawals and IdleRenewals count messages that
-	// changed nothing.
-	Duplicates       tally.Counter
-	EmptyWithdrawals tally.Counter
-	IdleRenewals     tally.Counter
 	// AnswersDropped counts answers that were not stored behind.
 	AnswersDropped tally.Counter
 
@@ -76,13 +76,13 @@
 		LateResults:      scope.Counter(metrics.EntryLateResults),
 		Withdrawals:      scope.Counter(metrics.EntryWithdrawals),
 		Revocations:      scope.Counter(metrics.EntryRevocations),
+		Duplicates:       scope.Counter(metrics.EntryDuplicates),
+		EmptyWithdrawals: scope.Counter(metrics.EntryEmptyWithdrawals),
+		IdleRenewals:     scope.Counter(metrics.EntryIdleRenewals),
 		Retries:          scope.Counter(metrics.EntryRetries),
 		Hedges:           scope.Counter(metrics.EntryHedges),
 		BudgetRefused:    scope.Counter(metrics.EntryBudgetRefused),
 		Wasted:           scope.Counter(metrics.EntryWasted),
-		Duplicates:       scope.Counter(metrics.EntryDuplicates),
-		EmptyWithdrawals: scope.Counter(metrics.EntryEmptyWithdrawals),
-		IdleRenewals:     scope.Counter(metrics.EntryIdleRenewals),
 		AnswersDropped:   scope.Counter(metrics.EntryAnswersDropped),
 		scope:            scope,
 		response:         make(map[series]tally.Histogram),
