Make the role test of a sidecar that is left deterministic

Which of two sidecars gets the first request depends on measured network times, so that the one whose answers do not fit got none in one of three runs. The other sidecar now reports only once the first has the request; the test also checks that each ran it once.

--- a/entry/role_test.go
+++ b/entry/role_test.go
@@ -86,11 +86,19 @@
 	return reply.Permit.TTL
 }
 
-// startRole runs an entry on the loopback network with sidecars that report to
-// it, and returns once it grants permits.
-func startRole(t *testing.T, sidecars ...*lyingSidecar) *Entry {
+// role is an entry on the loopback network.
+type role struct {
+	*Entry
+	t         *testing.T
+	ctx       context.Context
+	pool      *wire.Pool
+	reporting sync.WaitGroup
+}
+
+// startRole runs an entry to which one sidecar reports.
+func startRole(t *testing.T, first *lyingSidecar) *role {
 	t.Helper()
-	role, err := New(Options{
+	built, err := New(Options{
 		Name: "entry-1", Zone: testZone, Secret: roleSecret,
 		RPCListen: roleLoopback, CallersListen: roleLoopback, StatusListen: roleLoopback,
 		Table: memory.NewTable(), Objects: memory.NewObjects(), ReadyDelay: time.Millisecond,
@@ -98,31 +106,31 @@
 	})
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	r := &role{Entry: built, t: t, ctx: ctx, pool: wire.NewPool(roleSecret, nil, nil)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = role.Run(ctx)
+		_ = built.Run(ctx)
 	}()
-	pool := wire.NewPool(roleSecret, nil, nil)
-	var reporting sync.WaitGroup
-	granted := make(chan struct{}, len(sidecars))
-	for _, one := range sidecars {
-		reporting.Go(func() { keepReporting(ctx, one, pool, role.RPCAddress(), granted) })
-	}
 	t.Cleanup(func() {
 		cancel()
-		reporting.Wait()
+		r.reporting.Wait()
 		<-ended
-		pool.Close()
+		r.pool.Close()
 	})
-	for range sidecars {
-		select {
-		case <-granted:
-		case <-time.After(rolePatience):
-			t.Fatal("the entry grants no permit")
-		}
+	r.report(first)
+	return r
+}
+
+// report lets a sidecar report from now on, and returns once it has a permit.
+func (r *role) report(s *lyingSidecar) {
+	granted := make(chan struct{}, 1)
+	r.reporting.Go(func() { keepReporting(r.ctx, s, r.pool, r.RPCAddress(), granted) })
+	select {
+	case <-granted:
+	case <-time.After(rolePatience):
+		r.t.Error("the entry grants no permit")
 	}
-	return role
 }
 
 // keepReporting renews until ctx ends, and tells of the first permit.
@@ -156,7 +164,7 @@
 // nothing; its key starts nothing again; the next job is unharmed.
 func TestLyingSidecar(t *testing.T) {
 	sidecar := newLyingSidecar(t, 1)
-	role := startRole(t, sidecar)
+	r := startRole(t, sidecar)
 	for _, c := range malformed {
 		t.Run(c.name, func(t *testing.T) {
 			sidecar.answers(func(request *wire.RunRequest) wire.RunReply {
@@ -165,42 +173,41 @@
 				return reply
 			})
 			spec := roleJob(1)
-			reply := role.Front().Submit(t.Context(), spec)
+			reply := r.Front().Submit(t.Context(), spec)
 			must.NotNil(t, reply.Answer, must.Sprint(reply.Refusal))
 			must.EqOp(t, model.Failed, reply.Answer.State)
 			must.EqOp(t, model.CodeTaskUnknown, reply.Answer.Code)
 			must.EqOp(t, model.Unknown, reply.Answer.Outcome)
 			must.SliceEmpty(t, reply.Answer.Results)
-			must.Eq(t, reply, role.Front().Submit(t.Context(), spec))
+			must.Eq(t, reply, r.Front().Submit(t.Context(), spec))
 			must.EqOp(t, 1, sidecar.runs())
 
 			sidecar.answers(honest)
-			next := role.Front().Submit(t.Context(), roleJob(2))
+			next := r.Front().Submit(t.Context(), roleJob(2))
 			must.NotNil(t, next.Answer, must.Sprint(next.Refusal))
 			must.EqOp(t, model.Complete, next.Answer.State)
 		})
 	}
 }
 
-// TestLyingSidecarIsLeft gives an idempotent request's first dispatch such an
-// answer, also over the network: the answer comes from the other sidecar.
+// TestLyingSidecarIsLeft gives an idempotent request such an answer, also over
+// the network, after a second sidecar has reported: that one answers.
 func TestLyingSidecarIsLeft(t *testing.T) {
 	liar, other := newLyingSidecar(t, 1), newLyingSidecar(t, 2)
+	other.answers(honest)
+	r := startRole(t, liar)
 	liar.answers(func(request *wire.RunRequest) wire.RunReply {
+		r.report(other)
 		reply := honest(request)
 		reply.Result.Body = reply.Result.Body[:1]
 		return reply
 	})
-	other.answers(honest)
-	role := startRole(t, liar, other)
-	const tries = 200
-	for try := 0; try < tries && liar.runs() == 0; try++ {
-		spec := roleJob(1)
-		spec.Idempotent = true
-		reply := role.Front().Request(t.Context(), spec)
-		must.NotNil(t, reply.Answer, must.Sprint(reply.Refusal))
-		must.EqOp(t, model.Complete, reply.Answer.State)
-	}
-	must.Positive(t, liar.runs())
-	must.Positive(t, other.runs())
+	spec := roleJob(1)
+	spec.Idempotent = true
+	spec.Tasks[0].DeclaredRun = rolePatience
+	reply := r.Front().Request(t.Context(), spec)
+	must.NotNil(t, reply.Answer, must.Sprint(reply.Refusal))
+	must.EqOp(t, model.Complete, reply.Answer.State)
+	must.EqOp(t, 1, liar.runs())
+	must.EqOp(t, 1, other.runs())
 }
