--- a/demo/system.go
+++ b/demo/system.go
@@ -110,14 +110,18 @@
 	return nil
 }
 
+// ready reports whether every entry takes work in and knows every minion, and
+// the partitions are shared out.
 func (s *System) ready(ctx context.Context) bool {
+	partitions := 0
 	for _, one := range s.entries {
 		status := one.Status(ctx)
-		if !status.Ready || readyTargets(status) < s.options.Minions {
+		if !status.Ready || status.Partitions == 0 || readyTargets(status) < s.options.Minions {
 			return false
 		}
+		partitions += status.Partitions
 	}
-	return true
+	return partitions == model.Partitions
 }
 
 func readyTargets(status entry.Status) int {
