--- /dev/null
+++ b/claims/fuzz_test.go
@@ -0,0 +1,34 @@
+package claims
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/model"
+)
+
+// FuzzDecode checks that bytes decode to claims that survive another round, or
+// are told as corrupt.
+func FuzzDecode(f *testing.F) {
+	raw, err := encode("attempt", []Claim{{Key: model.NewJobKey("caller"), Digest: 9, Tasks: 460, ClaimedUnixMs: 1}})
+	must.NoError(f, err)
+	f.Add(raw)
+	f.Add(raw[:len(raw)/2])
+	f.Add([]byte{})
+	f.Add([]byte{0x92, 0xa1, 'a', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		attempt, list, err := decode(value)
+		if err != nil {
+			must.True(t, errors.Is(err, ErrCorrupt))
+			return
+		}
+		again, err := encode(attempt, list)
+		must.NoError(t, err)
+		sameAttempt, same, err := decode(again)
+		must.NoError(t, err)
+		must.EqOp(t, attempt, sameAttempt)
+		must.Eq(t, list, same)
+	})
+}
