--- a/command/register.go
+++ b/command/register.go
@@ -6,6 +6,12 @@
 	flags "github.com/jessevdk/go-flags"
 )
 
+// rootExamples are the examples on the first help page.
+const rootExamples = `Examples:
+  figring demo --job examples/jobs/nomination-desk.json
+  figring submit --help
+  figring bundle propose --help`
+
 // subcommands lists every subcommand in the order of the help page.
 func subcommands(streams *IO) []subcommand {
 	return []subcommand{
@@ -32,7 +38,7 @@
 
 // register adds every subcommand and returns the examples of each.
 func register(parser *flags.Parser, streams *IO) (map[*flags.Command]string, error) {
-	examples := make(map[*flags.Command]string)
+	examples := map[*flags.Command]string{parser.Command: rootExamples}
 	for _, one := range subcommands(streams) {
 		if err := one.addTo(parser, examples); err != nil {
 			return nil, err
--- a/command/system_test.go
+++ b/command/system_test.go
@@ -164,6 +164,9 @@
 // TestHelpOfEverySubcommand checks that each help page shows its examples line
 // by line, and the exit codes.
 func TestHelpOfEverySubcommand(t *testing.T) {
+	code, out, _ := run("--help")
+	must.EqOp(t, ExitOK, code)
+	must.StrContains(t, out, rootExamples+"\n")
 	for _, one := range subcommands(&IO{}) {
 		helpShowsExamples(t, one, nil)
 	}
