--- a/common/metrics/entry_names.go
+++ b/common/metrics/entry_names.go
@@ -28,10 +28,25 @@
 	EntryUnknown = "entry_unknown"
 	// EntryLateResults counts results of jobs that had ended.
 	EntryLateResults = "entry_late_results"
+	// EntryRetries counts idempotent requests sent again after a bad end.
+	EntryRetries = "entry_retries"
+	// EntryHedges counts second dispatches of late idempotent requests.
+	EntryHedges = "entry_hedges"
+	// EntryBudgetRefused counts retries and hedges that a budget refused.
+	EntryBudgetRefused = "entry_budget_refused"
+	// EntryWasted counts dispatches that were open when another one answered.
+	EntryWasted = "entry_wasted"
 	// EntryWithdrawals counts messages that take tasks back.
 	EntryWithdrawals = "entry_withdrawals"
 	// EntryRevocations counts messages that end a permit early.
 	EntryRevocations = "entry_revocations"
+	// EntryDuplicates counts dispatches of tasks that the sidecar had already.
+	EntryDuplicates = "entry_duplicates"
+	// EntryEmptyWithdrawals counts withdrawals that found nothing to take back.
+	EntryEmptyWithdrawals = "entry_empty_withdrawals"
+	// EntryIdleRenewals counts renewals by sidecars whose state was known; they
+	// only prolong a permit.
+	EntryIdleRenewals = "entry_idle_renewals"
 	// EntryAnswersDropped counts answers that were not stored behind.
 	EntryAnswersDropped = "entry_answers_dropped"
 	// EntryRefused counts refusals by code.
--- a/entry/core.go
+++ b/entry/core.go
@@ -23,7 +23,7 @@
 	self    wire.EntryInfo
 	ctx     context.Context
 	cancel  context.CancelFunc
-	members *membership.Manager
+	members sessionKeeper
 	writer  *claims.Writer
 	bundles *rollout.Watcher
 	peers   *peers
@@ -72,7 +72,7 @@
 		self:       self,
 		members:    c.members,
 		writer:     c.writer,
-		dispatcher: c.newDispatcher(e.pool),
+		dispatcher: c.newDispatcher(e.pool, e.metrics),
 		adopter:    c.adopter,
 		keeper:     c.keeper,
 		pool:       e.pool,
@@ -85,12 +85,13 @@
 	return c
 }
 
-func (c *core) newDispatcher(pool rpcCaller) *dispatcher {
+func (c *core) newDispatcher(pool rpcCaller, counts *Metrics) *dispatcher {
 	return &dispatcher{
 		self:    c.self.Incarnation,
 		pool:    pool,
 		peers:   c.peers,
 		permits: c,
+		metrics: counts,
 		report:  func(end dispatchEnd) { c.owner.post(taskEnded{end}) },
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	self    wire.EntryInfo
 	pool    *wire.Pool
 	rpc     *wire.Server
+	traffic *wire.Traffic
 	bundles *rollout.Watcher
 	front   *Front
 	metrics *Metrics
@@ -45,7 +46,8 @@
 	e := &Entry{options: options.withDefaults(), drainOrdered: make(chan struct{})}
 	e.orderDrain = sync.OnceFunc(func() { close(e.drainOrdered) })
 	e.metrics = NewMetrics(options.Metrics.Scope)
-	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, options.Dialer)
+	e.traffic = wire.NewTraffic(options.Metrics.Scope)
+	e.pool = wire.NewPool(options.Secret, options.RPCClientTLS, e.traffic.Dialer(options.Dialer))
 	e.bundles = rollout.New(options.Table, rollout.Options{Logger: options.Log})
 	e.identities = identity.NewCallers(e.bundles.View().Bundle)
 	e.bundles.Subscribe(e.bundleChanged)
@@ -97,7 +99,7 @@
 		return errListen.Wrap(err)
 	}
 	e.core.Store(e.newCore())
-	go func() { _ = e.rpc.Serve(listener) }()
+	go func() { _ = e.rpc.Serve(e.traffic.Listener(listener)) }()
 	return e.listenHTTP()
 }
 
