--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -2,8 +2,8 @@
 # Runs the system as separate processes on loopback: the platform's stand-in,
 # two entries, three sidecars and three minions. Rolls out the example bundle as
 # two operators, submits both example jobs at one entry and again with the same
-# keys at the other, takes a zone out and in, stops each process with SIGTERM,
-# and checks every exit code. Exits 0 only when all of it went as it should.
+# keys at the other, takes a zone out and in, drains one entry by the bundle and
+# stops each other process with SIGTERM, and checks every exit code. Exits 0 only when all of it went as it should.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -70,18 +70,23 @@
 
 # stop NAME stops a process with SIGTERM and checks its exit code.
 stop() {
+	kill -TERM "${pids[$1]}"
+	await_end "$1"
+}
+
+# await_end NAME waits for the end of a process and checks its exit code.
+await_end() {
 	local name=$1 pid=${pids[$1]} code=0
-	kill -TERM "$pid"
 	for _ in $(seq $((stop_seconds * 20))); do
 		kill -0 "$pid" 2>/dev/null || break
 		sleep 0.05
 	done
 	if kill -0 "$pid" 2>/dev/null; then
-		fail "$name still runs $stop_seconds s after SIGTERM"
+		fail "$name still runs after $stop_seconds s"
 	fi
 	wait "$pid" || code=$?
 	unset "pids[$name]"
-	[ "$code" -eq 0 ] || fail "$name ended with $code after SIGTERM"
+	[ "$code" -eq 0 ] || fail "$name ended with $code"
 	echo "  $name: exit 0"
 }
 
@@ -152,8 +157,13 @@
 as_anna zone open garching || fail "zone open"
 as_anna status
 
-echo "stopping each process with SIGTERM"
-for name in entry-1 entry-2 minion-1 minion-2 minion-3 sidecar-1 sidecar-2 sidecar-3 platform; do
+echo "draining entry-2 by the bundle"
+as_anna drain entry entry-2 || fail "drain entry"
+await_end entry-2
+timeout 60 "$binary" submit $first --output json examples/jobs/subscription-desk.json >"$work/drained" || fail "job after the drain"
+
+echo "stopping each other process with SIGTERM"
+for name in entry-1 minion-1 minion-2 minion-3 sidecar-1 sidecar-2 sidecar-3 platform; do
 	stop "$name"
 done
 echo "OK: $tasks tasks answered, each started once; 9 processes ended with 0"
