Tell the queue of a new target at once

An entry reviewed what its targets can take only every 100 ms. One that had just become ready, with its sidecars known, refused jobs with no_capacity until the next review: TestSameKeyAtTwoEntriesAtOnce had every submission refused before, none after. The refusal was true (nothing was started); only the review was late. The queue is now told when a target is new or changes state.

--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -163,9 +163,11 @@
 	}
 }
 
-// targetRenewed takes in what a sidecar says of itself.
+// targetRenewed takes in what a sidecar says of itself. The queue learns at
+// once of one that can take work now: until then it may refuse for want of any.
 func (o *Owner) targetRenewed(e renewed) {
 	target, known := o.targets[e.target.Incarnation]
+	changed := !known || target.info.State != e.target.State
 	if !known {
 		target = &knownTarget{}
 		o.targets[e.target.Incarnation] = target
@@ -175,6 +177,9 @@
 	target.open = o.bundle.ZoneOpen(e.target.Zone) && o.bundle.TargetOpen(e.target.Sidecar)
 	o.router.Upsert(e.target, e.load, o.now)
 	o.router.SetReady(e.target.Incarnation, true)
+	if changed {
+		o.reviewCapacity()
+	}
 }
 
 // reviewCapacity tells the queue what the targets can take, and its share of
