Try a target again that was slow for a time

The router kept a target's measured network time and speed for good. A sidecar whose replies were held back for some seconds (a cut that healed) had an average of seconds, was never chosen again while the others kept up, and so was never measured again: TestNoStartInRemovedZone waited 20 s in vain for starts after 'sidecar cut from every entry'. Ruled out: permits (renewed 0.3 s ago), the bundle (open) and readiness. A measurement now fades after 2 s without a sample. TestTargetThatWasSlowIsTriedAgain fails without the fading.

--- a/decision/routing/average.go
+++ b/decision/routing/average.go
@@ -22,3 +22,14 @@
 	}
 	return a.value
 }
+
+// faded returns the average after only the share keep of what it knew is kept;
+// the rest is the prior again. Samples that follow weigh the more.
+func (a average) faded(keep, prior float64) average {
+	if keep >= 1 {
+		return a
+	}
+	a.value = prior + keep*(a.value-prior)
+	a.samples = int(keep * float64(a.samples))
+	return a
+}
--- a/decision/routing/expected.go
+++ b/decision/routing/expected.go
@@ -103,8 +103,8 @@
 }
 
 func (e *Expected) evaluate(known *target, request *Request, base float64, busy int, now time.Time) candidate {
-	run := base * known.slowness.or(1)
-	expected := run + known.networkSeconds(request.Zone) + stall(known, run, now)
+	run := base * known.slownessAt(now)
+	expected := run + known.networkSeconds(request.Zone, now) + stall(known, run, now)
 	if ahead := busy - known.info.Slots + 1; ahead > 0 {
 		expected += run * float64(ahead) / float64(known.info.Slots)
 	}
--- a/decision/routing/expected_test.go
+++ b/decision/routing/expected_test.go
@@ -112,7 +112,7 @@
 	report.QueueWait = 30 * time.Millisecond
 	report.Elapsed = testRun + report.QueueWait + 7*time.Millisecond
 	router.Finished(testTarget(0).Incarnation, report, testStart)
-	must.Eq(t, 7*time.Millisecond, seconds(router.list[0].networkSeconds("")).Round(time.Microsecond))
+	must.Eq(t, 7*time.Millisecond, seconds(router.list[0].networkSeconds("", testStart)).Round(time.Microsecond))
 }
 
 func TestFastFailingTargetIsEjected(t *testing.T) {
@@ -185,3 +185,26 @@
 	got.TasksPerSecond = 0
 	must.Eq(t, Capacity{Targets: 1, Slots: testSlots, LargestMemoryBytes: 1 << 30}, got)
 }
+
+// TestTargetThatWasSlowIsTriedAgain delays a target's replies for a time. Under
+// a load that never quite fills the others it must get work again afterwards.
+func TestTargetThatWasSlowIsTriedAgain(t *testing.T) {
+	router := NewExpected(source())
+	fill(router, 2)
+	for range networkMemory {
+		teach(router, 0, testRun)
+		teach(router, 1, testRun)
+		late := done(testRun)
+		late.Elapsed = 5 * time.Second
+		router.Finished(testTarget(0).Incarnation, late, testStart)
+	}
+	send(router, 1, testSlots, testStart)
+	picked := func(now time.Time) string {
+		router.Dispatched(testTarget(1).Incarnation, now)
+		router.Finished(testTarget(1).Incarnation, done(testRun), now)
+		choice, _ := router.Pick(testRequest, now)
+		return choice.Sidecar
+	}
+	must.Eq(t, "s1", picked(testStart))
+	must.Eq(t, "s0", picked(testStart.Add(15*time.Second)))
+}
--- a/decision/routing/fleet.go
+++ b/decision/routing/fleet.go
@@ -58,6 +58,7 @@
 	if old := f.find(f.current[info.Sidecar]); old != nil {
 		added.slowness = old.slowness
 		added.network = old.network
+		added.measuredAt = old.measuredAt
 		f.Remove(old.info.Incarnation)
 	}
 	f.position[info.Incarnation] = len(f.list)
@@ -137,7 +138,7 @@
 	known.setLoad(report.Load, now)
 	f.learnHealth(incarnation, report, now)
 	if report.verdict() == verdictGood {
-		f.learnSpeed(known, report)
+		f.learnSpeed(known, report, now)
 	}
 }
 
@@ -152,10 +153,11 @@
 }
 
 // learnSpeed splits a run time into the class's part and the target's part.
-func (f *Fleet) learnSpeed(known *target, report Report) {
+func (f *Fleet) learnSpeed(known *target, report Report, now time.Time) {
 	if report.RunTime <= 0 {
 		return
 	}
+	known.forgetOld(now)
 	key := classKey{report.Caller, report.Class}
 	seconds := report.RunTime.Seconds()
 	if expected, ok := f.estimator.known(key); ok {
--- a/decision/routing/target.go
+++ b/decision/routing/target.go
@@ -27,6 +27,12 @@
 	// loadGone is when nothing of it is assumed to be there any more: a target
 	// that was full would otherwise stay so until its next message.
 	loadGone = 4 * time.Second
+	// measureFresh is how long a measured speed or round trip is trusted without
+	// a further sample, and measureHalving the time in which it halves after
+	// that. A target that was slow for a time would otherwise never be tried
+	// again, because nothing more is measured where nothing is sent.
+	measureFresh   = 2 * time.Second
+	measureHalving = time.Second
 	// usualMemory is the number of reports that the usual load looks back on.
 	usualMemory = 16
 )
@@ -48,6 +54,8 @@
 	// slowness is the run time here relative to the mean; 2 is half as fast.
 	slowness average
 	network  average
+	// measuredAt is the time of the last sample of the two.
+	measuredAt time.Time
 	// progress is the last time at which something ended here, or at which the
 	// first of the tasks in progress was sent.
 	progress time.Time
@@ -117,11 +125,39 @@
 	t.usual.add(float64(t.others), usualMemory)
 }
 
+// kept returns the share of what was measured here that still counts.
+func (t *target) kept(now time.Time) float64 {
+	quiet := now.Sub(t.measuredAt) - measureFresh
+	if quiet <= 0 {
+		return 1
+	}
+	return math.Exp2(-quiet.Seconds() / measureHalving.Seconds())
+}
+
+// slownessAt returns the run time here relative to the mean.
+func (t *target) slownessAt(now time.Time) float64 {
+	faded := t.slowness.faded(t.kept(now), 1)
+	return faded.or(1)
+}
+
 // networkSeconds returns the expected time of a task's way there and back.
-func (t *target) networkSeconds(zone string) float64 {
-	prior := otherZoneNetwork
-	if zone == t.info.Zone {
-		prior = sameZoneNetwork
+func (t *target) networkSeconds(zone string, now time.Time) float64 {
+	prior := networkPrior(zone, t.info.Zone).Seconds()
+	faded := t.network.faded(t.kept(now), prior)
+	return faded.or(prior)
+}
+
+func networkPrior(from, to string) time.Duration {
+	if from == to {
+		return sameZoneNetwork
 	}
-	return t.network.or(prior.Seconds())
+	return otherZoneNetwork
+}
+
+// forgetOld fades what was measured before a sample is added at now.
+func (t *target) forgetOld(now time.Time) {
+	keep := t.kept(now)
+	t.slowness = t.slowness.faded(keep, 1)
+	t.network = t.network.faded(keep, otherZoneNetwork.Seconds())
+	t.measuredAt = now
 }
