Let jobs wait for the first targets of a new entry

A restarted entry owns partitions, and is ready, up to a second before the sidecars hear of it. It took that for a system without targets and refused with no_capacity: TestPlannedStopCutsNothingOff lost 54 of 392 jobs that were submitted once. For the first 5 s an entry now takes jobs in and lets them wait.

The rate measured in that wait then made the queue refuse (7 of 331 jobs: overloaded, expected wait 32 s): the queue forgets a rate from before its first target. TestBacklogBeforeFirstTarget fails without the second change.

--- a/decision/admission/drain.go
+++ b/decision/admission/drain.go
@@ -20,6 +20,8 @@
 	active   bool
 	rate     float64
 	measured time.Time
+	// restart drops what was measured before the next task is taken.
+	restart bool
 }
 
 // begin starts to measure when a backlog arises.
@@ -37,7 +39,18 @@
 	d.active = false
 }
 
+// forget drops what was measured: it was the rate of a fleet without targets.
+func (d *drain) forget() {
+	d.restart = true
+	d.measured = time.Time{}
+}
+
 func (d *drain) take(now time.Time) {
+	if d.restart {
+		d.restart = false
+		d.began = now
+		d.taken = 0
+	}
 	d.taken++
 	elapsed := now.Sub(d.began)
 	if !d.active || elapsed < drainSample {
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -65,8 +65,12 @@
 	}
 }
 
-// SetCapacity takes what the router says about the targets.
+// SetCapacity takes what the router says about the targets. The rate at which
+// tasks left while there was no target says nothing about those that came.
 func (q *Queue) SetCapacity(capacity Capacity) {
+	if q.capacity.Targets == 0 && capacity.Targets > 0 {
+		q.drain.forget()
+	}
 	q.capacity = capacity
 	q.capacityKnown = true
 }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -74,6 +74,8 @@
 	// entries is the number of entries that quotas were divided by.
 	entries      int
 	lastCapacity time.Time
+	// began is the start of the incarnation; see reviewCapacity.
+	began time.Time
 }
 
 // knownTarget is a sidecar that reported to this entry.
@@ -87,6 +89,7 @@
 func newOwner(ctx context.Context, deps ownerDeps) *Owner {
 	return &Owner{
 		ownerDeps: deps,
+		began:     time.Now(),
 		ctx:       ctx,
 		events:    make(chan event, ownerBacklog),
 		keys:      dedup.NewTable(answerBudget),
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -23,6 +23,9 @@
 	// capacityInterval is the interval at which the queue learns what the
 	// targets can take.
 	capacityInterval = 100 * time.Millisecond
+	// targetGrace is how long after its start an entry does not take it that
+	// there are no targets: sidecars hear of it with their next renewals.
+	targetGrace = 5 * time.Second
 	// minTaskTimeout is the least time that a dispatched task is given.
 	minTaskTimeout = 10 * time.Millisecond
 )
@@ -183,14 +186,17 @@
 }
 
 // reviewCapacity tells the queue what the targets can take, and its share of
-// the callers' quotas when the number of entries has changed.
+// the callers' quotas when the number of entries has changed. A new entry takes
+// jobs in before it has heard of a target, and they wait for one.
 func (o *Owner) reviewCapacity() {
 	capacity := o.router.Capacity(o.now)
-	o.queue.SetCapacity(admission.Capacity{
-		Targets:            capacity.Targets,
-		LargestMemoryBytes: capacity.LargestMemoryBytes,
-		TasksPerSecond:     capacity.TasksPerSecond,
-	})
+	if capacity.Targets > 0 || o.now.Sub(o.began) > targetGrace {
+		o.queue.SetCapacity(admission.Capacity{
+			Targets:            capacity.Targets,
+			LargestMemoryBytes: capacity.LargestMemoryBytes,
+			TasksPerSecond:     capacity.TasksPerSecond,
+		})
+	}
 	entries, _ := o.members.Entries()
 	if len(entries) != o.entries {
 		o.entries = len(entries)
