--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,10 +41,27 @@
 	t        *testing.T
 	dir      string
 	platform *process
-	entries  []*process
+	layout   layout
 	sidecars []*process
 	minions  []*process
 	editor   *rollout.Editor
+	// entryLinks and sidecarLinks stand before the listeners for calls of other
+	// processes, when the layout asks for them.
+	entryLinks   []*link
+	sidecarLinks []*link
+	// entryAddresses and sidecarAddresses hold the fixed addresses of restarted
+	// processes.
+	entryAddresses   []string
+	sidecarAddresses []sidecarAddress
+
+	mu      sync.Mutex
+	entries []*process
+}
+
+// sidecarAddress holds the listeners of a sidecar that outlive a restart.
+type sidecarAddress struct {
+	rpc      string
+	announce string
 }
 
 // layout says how many processes of each role a cluster has.
@@ -51,6 +70,10 @@
 	minions int
 	// entrySettings is merged into the settings of every entry.
 	entrySettings map[string]any
+	// sidecarSettings is merged into the settings of every sidecar.
+	sidecarSettings map[string]any
+	// linked puts a link before every entry and sidecar.
+	linked bool
 	// platformArgs are further arguments of the platform's stand-in.
 	platformArgs []string
 }
@@ -59,14 +82,17 @@
 // knows every sidecar.
 func newCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir()}
+	c := &cluster{t: t, dir: t.TempDir(), layout: l}
+	takeProcesses(t, 1+l.entries+2*l.minions)
 	c.platform = start(t, "platform", append([]string{"standin-platform", "--listen", "127.0.0.1:0"}, l.platformArgs...)...)
 	c.rollOutCallers()
+	c.prepareAddresses()
 	for i := range l.entries {
 		c.entries = append(c.entries, c.startEntry(i, l.entrySettings))
 	}
 	for i := range l.minions {
-		c.startSidecar(i)
+		c.sidecars = append(c.sidecars, c.startSidecar(i))
+		c.minions = append(c.minions, c.startMinion(i))
 	}
 	for i := range c.entries {
 		c.awaitTargets(i, l.minions)
@@ -92,39 +118,108 @@
 	return "http://" + c.platform.addresses["address"]
 }
 
+func (c *cluster) prepareAddresses() {
+	for range c.layout.entries {
+		address := freeAddress(c.t)
+		c.entryAddresses = append(c.entryAddresses, address)
+		if c.layout.linked {
+			c.entryLinks = append(c.entryLinks, newLink(c.t, address, c.sidecarNames()...))
+		}
+	}
+	for range c.layout.minions {
+		addresses := sidecarAddress{rpc: freeAddress(c.t), announce: freeAddress(c.t)}
+		c.sidecarAddresses = append(c.sidecarAddresses, addresses)
+		if c.layout.linked {
+			c.sidecarLinks = append(c.sidecarLinks, newLink(c.t, addresses.rpc, c.entryNames()...))
+		}
+	}
+}
+
+func (c *cluster) entryNames() []string {
+	var names []string
+	for index := range c.layout.entries {
+		names = append(names, entryName(index))
+	}
+	return names
+}
+
+func (c *cluster) sidecarNames() []string {
+	var names []string
+	for index := range c.layout.minions {
+		names = append(names, sidecarName(index))
+	}
+	return names
+}
+
+func entryName(index int) string { return fmt.Sprintf("entry-%d", index+1) }
+
+func sidecarName(index int) string { return fmt.Sprintf("sidecar-%d", index+1) }
+
+func zoneOf(index int) string { return zones[index%len(zones)] }
+
+// startEntry starts an entry with further settings.
 func (c *cluster) startEntry(index int, extra map[string]any) *process {
 	c.t.Helper()
-	name := fmt.Sprintf("entry-%d", index+1)
+	name := entryName(index)
 	values := map[string]any{
-		"name": name, "region": "munich", "zone": zones[index%len(zones)], "zones": zones,
+		"name": name, "region": "munich", "zone": zoneOf(index), "zones": zones,
 		"callersListen": "127.0.0.1:0", "operatorsListen": "127.0.0.1:0",
-		"rpcListen": "127.0.0.1:0", "statusListen": "127.0.0.1:0",
+		"rpcListen": c.entryAddresses[index], "statusListen": "127.0.0.1:0",
 		"platformURL": c.platformURL(), "secret": secret, "readyDelay": "50ms",
 		"operators": []map[string]string{
 			{"name": "anna", "tokenHash": identity.Hash("anna-token")},
 			{"name": "bert", "tokenHash": identity.Hash("bert-token")},
 		},
 	}
-	for key, value := range extra {
-		values[key] = value
+	if c.layout.linked {
+		values["rpcAdvertise"] = c.entryLinks[index].address
 	}
+	maps.Copy(values, extra)
 	return start(c.t, name, "entry", "--settings", c.writeSettings(name, values))
 }
 
-func (c *cluster) startSidecar(index int) {
+// startSidecar starts a sidecar; a restarted one has its former addresses.
+func (c *cluster) startSidecar(index int) *process {
 	c.t.Helper()
-	name := fmt.Sprintf("sidecar-%d", index+1)
-	worker := fmt.Sprintf("worker-%d", index+1)
-	zone := zones[index%len(zones)]
-	sidecar := start(c.t, name, "sidecar", "--settings", c.writeSettings(name, map[string]any{
-		"name": name, "zone": zone, "rack": fmt.Sprintf("rack-%d", index/3), "worker": worker,
-		"rpcListen": "127.0.0.1:0", "announceListen": "127.0.0.1:0", "statusListen": "127.0.0.1:0",
-		"platformURL": c.platformURL(), "secret": secret,
-	}))
-	c.sidecars = append(c.sidecars, sidecar)
-	c.minions = append(c.minions, start(c.t, "minion-"+worker, "standin-minion", "--listen", "127.0.0.1:0",
-		"--name", "minion-"+worker, "--worker", worker, "--zone", zone, "--slots", fmt.Sprint(minionSlots),
-		"--announce", "http://"+sidecar.addresses["announce"]))
+	name := sidecarName(index)
+	values := map[string]any{
+		"name": name, "zone": zoneOf(index), "rack": fmt.Sprintf("rack-%d", index/3), "worker": workerName(index),
+		"rpcListen": c.sidecarAddresses[index].rpc, "announceListen": c.sidecarAddresses[index].announce,
+		"statusListen": "127.0.0.1:0", "platformURL": c.platformURL(), "secret": secret,
+	}
+	if c.layout.linked {
+		values["rpcAdvertise"] = c.sidecarLinks[index].address
+	}
+	maps.Copy(values, c.layout.sidecarSettings)
+	return start(c.t, name, "sidecar", "--settings", c.writeSettings(name, values))
+}
+
+func workerName(index int) string { return fmt.Sprintf("worker-%d", index+1) }
+
+// startMinion starts a minion; its ledger outlives it.
+func (c *cluster) startMinion(index int) *process {
+	c.t.Helper()
+	name := "minion-" + workerName(index)
+	return start(c.t, name, "standin-minion", "--listen", "127.0.0.1:0", "--name", name,
+		"--worker", workerName(index), "--zone", zoneOf(index), "--slots", fmt.Sprint(minionSlots),
+		"--ledger-file", filepath.Join(c.dir, name+".ledger"),
+		"--announce", "http://"+c.sidecarAddresses[index].announce)
+}
+
+// entryList returns the entries that a balancer would send callers to.
+func (c *cluster) entryList() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*process(nil), c.entries...)
+}
+
+// restartEntry starts an entry again in the place of one that ended.
+func (c *cluster) restartEntry(index int) {
+	c.t.Helper()
+	fresh := c.startEntry(index, c.layout.entrySettings)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[index] = fresh
 }
 
 func (c *cluster) writeSettings(name string, values map[string]any) string {
@@ -151,9 +246,20 @@
 	}
 }
 
+// readyTargets counts the sidecars that take work.
+func (s *entryStatus) readyTargets() int {
+	ready := 0
+	for _, target := range s.Owner.Targets {
+		if target.State == "ready" {
+			ready++
+		}
+	}
+	return ready
+}
+
 func (c *cluster) status(entry int) (entryStatus, error) {
 	var status entryStatus
-	response, err := http.Get("http://" + c.entries[entry].addresses["status"] + "/status")
+	response, err := http.Get("http://" + c.entryList()[entry].addresses["status"] + "/status")
 	if err != nil {
 		return status, err
 	}
@@ -166,13 +272,7 @@
 	c.t.Helper()
 	c.await(fmt.Sprintf("entry %d to know %d targets", entry, targets), func() bool {
 		status, err := c.status(entry)
-		ready := 0
-		for _, target := range status.Owner.Targets {
-			if target.State == "ready" {
-				ready++
-			}
-		}
-		return err == nil && status.Ready && ready >= targets
+		return err == nil && status.Ready && status.readyTargets() >= targets
 	})
 }
 
@@ -191,7 +291,7 @@
 func (c *cluster) client(entry int) *client.Client {
 	c.t.Helper()
 	var urls []string
-	for i, process := range c.entries {
+	for i, process := range c.entryList() {
 		if entry < 0 || i == entry {
 			urls = append(urls, "http://"+process.addresses["callers"])
 		}
