Cancel a job at the entry that claimed it

After a handover the new owner of a partition answered the cancellation of a job that the former owner still ran with not_found, outcome not_run: it treated a key claimed elsewhere like an unknown one. The cancellation now goes to the claimer, as a question about the job does. TestCancelOfHandedOverJob fails without it.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -45,6 +45,8 @@
 	sidecars []*process
 	minions  []*process
 	editor   *rollout.Editor
+	// announcer speaks for a silent minion.
+	announcer *announcer
 	// entryLinks and sidecarLinks stand before the listeners for calls of other
 	// processes, when the layout asks for them.
 	entryLinks   []*link
@@ -74,6 +76,8 @@
 	sidecarSettings map[string]any
 	// linked puts a link before every entry and sidecar.
 	linked bool
+	// silentMinion keeps the first minion from announcing itself: the test does.
+	silentMinion bool
 	// platformArgs are further arguments of the platform's stand-in.
 	platformArgs []string
 }
@@ -94,6 +98,9 @@
 		c.sidecars = append(c.sidecars, c.startSidecar(i))
 		c.minions = append(c.minions, c.startMinion(i))
 	}
+	if l.silentMinion {
+		c.announcer = newAnnouncer(c)
+	}
 	for i := range c.entries {
 		c.awaitTargets(i, l.minions)
 	}
@@ -200,10 +207,15 @@
 func (c *cluster) startMinion(index int) *process {
 	c.t.Helper()
 	name := "minion-" + workerName(index)
-	return start(c.t, name, "standin-minion", "--listen", "127.0.0.1:0", "--name", name,
+	args := []string{
+		"standin-minion", "--listen", "127.0.0.1:0", "--name", name,
 		"--worker", workerName(index), "--zone", zoneOf(index), "--slots", fmt.Sprint(minionSlots),
 		"--ledger-file", filepath.Join(c.dir, name+".ledger"),
-		"--announce", "http://"+c.sidecarAddresses[index].announce)
+	}
+	if index > 0 || !c.layout.silentMinion {
+		args = append(args, "--announce", "http://"+c.sidecarAddresses[index].announce)
+	}
+	return start(c.t, name, args...)
 }
 
 // entryList returns the entries that a balancer would send callers to.
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -127,18 +127,34 @@
 	}()
 }
 
+// cancelAtClaimer cancels a job at the entry that claimed it, beside the loop.
+// When that one is gone, the job's stored answer is looked for.
+func (o *Owner) cancelAtClaimer(e cancelled, claimer model.Incarnation) {
+	info, alive := o.members.Live(claimer)
+	if !alive {
+		o.joinClaimer(joined{request: o.joinRequest(e.key, false), answer: e.answer}, claimer)
+		return
+	}
+	request := wire.CancelRequest{From: o.self.Incarnation, Key: e.key}
+	go o.callClaimer(info, wire.MethodCancel, &request, e.answer)
+}
+
 // askClaimer joins the job at the entry that claimed it, beside the loop.
 func (o *Owner) askClaimer(claimer wire.EntryInfo, e joined) {
-	go func() {
-		ctx, release := o.watch.bind(o.ctx, claimer.Incarnation)
-		defer release()
-		var reply wire.JobReply
-		err := o.pool.Call(ctx, claimer.Address, wire.MethodJoin, &e.request, &reply)
-		if err != nil || (reply.Refusal != nil && reply.Refusal.Code == model.CodeNotFound) {
-			reply = refused(ownerHasMoved())
-		}
-		e.answer <- reply
-	}()
+	go o.callClaimer(claimer, wire.MethodJoin, &e.request, e.answer)
+}
+
+// callClaimer passes on what the claimer answers. A claimer that knows nothing
+// of the job does not decide about its key any more.
+func (o *Owner) callClaimer(claimer wire.EntryInfo, method string, request any, answer chan<- wire.JobReply) {
+	ctx, release := o.watch.bind(o.ctx, claimer.Incarnation)
+	defer release()
+	var reply wire.JobReply
+	err := o.pool.Call(ctx, claimer.Address, method, request, &reply)
+	if err != nil || (reply.Refusal != nil && reply.Refusal.Code == model.CodeNotFound) {
+		reply = refused(ownerHasMoved())
+	}
+	answer <- reply
 }
 
 // applyBundle takes a new bundle into force: routing at once, and permits of
--- a/entry/owner_submit.go
+++ b/entry/owner_submit.go
@@ -240,11 +240,14 @@
 	job, running := o.jobs[e.key]
 	if !running {
 		record, known := o.keys.Lookup(e.key)
-		if !known || record.State == dedup.ClaimedElsewhere {
+		switch {
+		case !known:
 			e.answer <- refused(o.unknownKey(e.key))
-			return
+		case record.State == dedup.ClaimedElsewhere:
+			o.cancelAtClaimer(e, record.Claimer)
+		default:
+			o.joinKnown(e.key, record, e.answer, false)
 		}
-		o.joinKnown(e.key, record, e.answer, false)
 		return
 	}
 	job.waiters = append(job.waiters, e.answer)
