--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -140,3 +140,9 @@
 	}
 	return keys
 }
+
+// contextFor returns a context of the test that ends after limit.
+func contextFor(t *testing.T, limit time.Duration) (context.Context, context.CancelFunc) {
+	t.Helper()
+	return context.WithTimeout(t.Context(), limit)
+}
--- a/e2e/judge_test.go
+++ b/e2e/judge_test.go
@@ -221,3 +221,25 @@
 		return false
 	}
 }
+
+// startsOfKey returns the starts of a job.
+func (c *cluster) startsOfKey(key string) []minion.Start {
+	c.t.Helper()
+	var found []minion.Start
+	for _, start := range c.starts() {
+		if strings.HasSuffix(start.Job, "/"+key) {
+			found = append(found, start)
+		}
+	}
+	return found
+}
+
+func startsBefore(starts []minion.Start, until time.Time) []minion.Start {
+	var found []minion.Start
+	for _, start := range starts {
+		if start.StartNs < until.UnixNano() {
+			found = append(found, start)
+		}
+	}
+	return found
+}
