--- a/entry/owner.go
+++ b/entry/owner.go
@@ -74,10 +74,8 @@
 	// entries is the number of entries that quotas were divided by.
 	entries      int
 	lastCapacity time.Time
-	// began is the start of the incarnation, and metTargets is set once a target
-	// could take work; see reviewCapacity.
-	began      time.Time
-	metTargets bool
+	// began is the start of the incarnation; see reviewCapacity.
+	began time.Time
 }
 
 // knownTarget is a sidecar that reported to this entry.
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -190,8 +190,7 @@
 // jobs in before it has heard of a target, and they wait for one.
 func (o *Owner) reviewCapacity() {
 	capacity := o.router.Capacity(o.now)
-	o.metTargets = o.metTargets || capacity.Targets > 0
-	if o.metTargets || o.now.Sub(o.began) > targetGrace {
+	if capacity.Targets > 0 || o.now.Sub(o.began) > targetGrace {
 		o.queue.SetCapacity(admission.Capacity{
 			Targets:            capacity.Targets,
 			LargestMemoryBytes: capacity.LargestMemoryBytes,
