--- a/decision/routing/expected_test.go
+++ b/decision/routing/expected_test.go
@@ -112,7 +112,7 @@
 	report.QueueWait = 30 * time.Millisecond
 	report.Elapsed = testRun + report.QueueWait + 7*time.Millisecond
 	router.Finished(testTarget(0).Incarnation, report, testStart)
-	must.Eq(t, 7*time.Millisecond, seconds(router.list[0].networkSeconds("")).Round(time.Microsecond))
+	must.Eq(t, 7*time.Millisecond, seconds(router.list[0].networkSeconds("", testStart)).Round(time.Microsecond))
 }
 
 func TestFastFailingTargetIsEjected(t *testing.T) {
@@ -191,3 +191,26 @@
 	send(router, 0, 20, testStart)
 	must.EqOp(t, 0, router.Capacity(testStart).Room)
 }
+
+// TestTargetThatWasSlowIsTriedAgain delays a target's replies for a time. Under
+// a load that never quite fills the others it must get work again afterwards.
+func TestTargetThatWasSlowIsTriedAgain(t *testing.T) {
+	router := NewExpected(source())
+	fill(router, 2)
+	for range networkMemory {
+		teach(router, 0, testRun)
+		teach(router, 1, testRun)
+		late := done(testRun)
+		late.Elapsed = 5 * time.Second
+		router.Finished(testTarget(0).Incarnation, late, testStart)
+	}
+	send(router, 1, testSlots, testStart)
+	picked := func(now time.Time) string {
+		router.Dispatched(testTarget(1).Incarnation, now)
+		router.Finished(testTarget(1).Incarnation, done(testRun), now)
+		choice, _ := router.Pick(testRequest, now)
+		return choice.Sidecar
+	}
+	must.Eq(t, "s1", picked(testStart))
+	must.Eq(t, "s0", picked(testStart.Add(15*time.Second)))
+}
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -22,6 +22,9 @@
 	// capacityInterval is the interval at which the queue learns what the
 	// targets can take.
 	capacityInterval = 100 * time.Millisecond
+	// targetGrace is how long after its start an entry does not take it that
+	// there are no targets: sidecars hear of it with their next renewals.
+	targetGrace = 5 * time.Second
 	// minTaskTimeout is the least time that a dispatched task is given.
 	minTaskTimeout = 10 * time.Millisecond
 )
@@ -186,9 +189,11 @@
 	}
 }
 
-// targetRenewed takes in what a sidecar says of itself.
+// targetRenewed takes in what a sidecar says of itself. The queue learns at
+// once of one that can take work now: until then it may refuse for want of any.
 func (o *Owner) targetRenewed(e renewed) {
 	target, known := o.targets[e.target.Incarnation]
+	changed := !known || target.info.State != e.target.State
 	if !known {
 		target = &knownTarget{}
 		o.targets[e.target.Incarnation] = target
@@ -201,17 +206,23 @@
 	target.open = o.bundle.ZoneOpen(e.target.Zone) && o.bundle.TargetOpen(e.target.Sidecar)
 	o.router.Upsert(e.target, e.load, o.now)
 	o.router.SetReady(e.target.Incarnation, true)
+	if changed {
+		o.reviewCapacity()
+	}
 }
 
 // reviewCapacity tells the queue what the targets can take, and its share of
-// the callers' quotas when the number of entries has changed.
+// the callers' quotas when the number of entries has changed. A new entry takes
+// jobs in before it has heard of a target, and they wait for one.
 func (o *Owner) reviewCapacity() {
 	capacity := o.router.Capacity(o.now)
-	o.queue.SetCapacity(admission.Capacity{
-		Targets:            capacity.Targets,
-		LargestMemoryBytes: capacity.LargestMemoryBytes,
-		TasksPerSecond:     capacity.TasksPerSecond,
-	})
+	if capacity.Targets > 0 || o.now.Sub(o.began) > targetGrace {
+		o.queue.SetCapacity(admission.Capacity{
+			Targets:            capacity.Targets,
+			LargestMemoryBytes: capacity.LargestMemoryBytes,
+			TasksPerSecond:     capacity.TasksPerSecond,
+		})
+	}
 	entries, _ := o.members.Entries()
 	if len(entries) != o.entries {
 		o.entries = len(entries)
