Judge drawn schedules of the composed decisions by starts and answers

Entries and sidecars are thin shells around the decision packages, driven by one goroutine under fake time with drifting clocks. The account of an adopted job moves from entry to decision/adoption so that it can be driven too.

An entry whose lease was over repeated a failure that it had kept. It now says unknown, as it does for a failure that it has not decided yet.

--- /dev/null
+++ b/decision/adoption/doc.go
@@ -0,0 +1,3 @@
+// Package adoption decides what the sidecars' records prove about a job whose
+// owner is gone. It does no I/O and reads no clock.
+package adoption
--- a/entry/adopter.go
+++ b/entry/adopter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figring/figring/answers"
+	"github.com/figring/figring/decision/adoption"
 	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/platform"
@@ -24,8 +25,8 @@
 	adoptionBacklog = 4096
 )
 
-// adoption is what was found out about a job of a former owner.
-type adoption struct {
+// adoptionResult is what was found out about a job of a former owner.
+type adoptionResult struct {
 	key model.JobKey
 	// answer is the terminal answer that the former owner stored, if any.
 	answer *model.Answer
@@ -51,10 +52,10 @@
 	objects platform.Objects
 	pool    rpcCaller
 	orphans chan orphan
-	report  func(adoption)
+	report  func(adoptionResult)
 }
 
-func newAdopter(self model.Incarnation, table platform.Table, objects platform.Objects, pool rpcCaller, report func(adoption)) *adopter {
+func newAdopter(self model.Incarnation, table platform.Table, objects platform.Objects, pool rpcCaller, report func(adoptionResult)) *adopter {
 	return &adopter{
 		self:    self,
 		table:   table,
@@ -111,13 +112,13 @@
 	rows, err := listSidecars(ctx, a.table)
 	if err != nil {
 		for _, key := range keys {
-			a.report(adoption{key: key, err: err})
+			a.report(adoptionResult{key: key, err: err})
 		}
 		return
 	}
 	replies := a.lookupAll(ctx, rows, keys)
 	for _, key := range keys {
-		a.report(adoption{key: key, event: account(key, rows, replies)})
+		a.report(adoptionResult{key: key, event: account(key, rows, replies)})
 	}
 }
 
@@ -139,9 +140,9 @@
 	for index, job := range jobs {
 		switch {
 		case failed[index] != nil:
-			a.report(adoption{key: job.key, err: failed[index]})
+			a.report(adoptionResult{key: job.key, err: failed[index]})
 		case found[index] != nil:
-			a.report(adoption{key: job.key, answer: found[index]})
+			a.report(adoptionResult{key: job.key, answer: found[index]})
 		default:
 			rest = append(rest, job.key)
 		}
@@ -188,37 +189,11 @@
 	return &reply
 }
 
-// account sums up what the sidecars know of one job. The absence of a record
-// proves that a task was not started only when every sidecar answered and has
-// kept all its records since before the job can have been claimed.
+// account sums up what the sidecars know of one job.
 func account(key model.JobKey, rows []sidecarRow, replies []*wire.LookupReply) jobstate.Adopted {
-	event := jobstate.Adopted{AbsentProved: true}
-	since := claimFloor(key)
+	sidecars := make([]adoption.Sidecar, len(rows))
 	for index, reply := range replies {
-		if reply == nil || !accounts(reply, since) {
-			event.AbsentProved = event.AbsentProved && startedNothing(rows[index], reply, since)
-		}
-		event.Tasks = append(event.Tasks, recordsOf(key, reply)...)
-	}
-	return event
-}
-
-func recordsOf(key model.JobKey, reply *wire.LookupReply) []jobstate.AdoptedTask {
-	var tasks []jobstate.AdoptedTask
-	if reply == nil {
-		return tasks
+		sidecars[index] = adoption.Sidecar{Reply: reply, LeftAt: rows[index].leftAt()}
 	}
-	for _, record := range reply.Records {
-		if record.Ref.Key == key {
-			tasks = append(tasks, jobstate.AdoptedTask{Sidecar: reply.Sidecar, Record: record})
-		}
-	}
-	return tasks
-}
-
-// startedNothing reports whether a sidecar that can't account for itself still
-// provably started nothing of the job: it left in order before the job can
-// have been claimed.
-func startedNothing(row sidecarRow, reply *wire.LookupReply, since time.Time) bool {
-	return reply == nil && row.Left && row.LeftAt > 0 && time.UnixMilli(row.LeftAt).Before(since)
+	return adoption.Account(key, sidecars)
 }
--- a/entry/core.go
+++ b/entry/core.go
@@ -60,7 +60,7 @@
 		MinInterval: c.claimInterval,
 		Resolved:    func(resolved []claims.Claim, err error) { c.owner.claimResolved(resolved, err) },
 	})
-	c.adopter = newAdopter(self.Incarnation, e.options.Table, e.options.Objects, e.pool, func(result adoption) { c.owner.post(adopted{result}) })
+	c.adopter = newAdopter(self.Incarnation, e.options.Table, e.options.Objects, e.pool, func(result adoptionResult) { c.owner.post(adopted{result}) })
 	c.keeper = answers.NewKeeper(answers.Options{
 		Table:   e.options.Table,
 		Objects: e.options.Objects,
--- a/entry/events.go
+++ b/entry/events.go
@@ -50,7 +50,7 @@
 }
 
 // adopted reports what the sidecars know of a job of a former owner.
-type adopted struct{ result adoption }
+type adopted struct{ result adoptionResult }
 
 // acquired hands a partition over together with the claims in it.
 type acquired struct {
--- a/entry/owner_jobs.go
+++ b/entry/owner_jobs.go
@@ -62,12 +62,18 @@
 func (o *Owner) postpone(job *runningJob, answer *model.Answer) {
 	o.undecided = append(o.undecided, answer)
 	o.forget(job)
-	job.reply(refused(&model.Refusal{
-		Code:       answer.Code,
+	job.reply(refused(endUndecided(answer.Code)))
+}
+
+// endUndecided refuses in place of a failure that this entry may not tell while
+// its lease is over.
+func endUndecided(code model.Code) *model.Refusal {
+	return &model.Refusal{
+		Code:       code,
 		Outcome:    model.Unknown,
 		Detail:     "the store can't be reached, so the job's end can't be decided here; resubmit with the same key",
 		RetryAfter: storeRetryAfter,
-	}))
+	}
 }
 
 // decide takes the postponed failures once the lease is valid again.
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -69,7 +69,7 @@
 }
 
 // jobAdopted takes in what the sidecars know of a job.
-func (o *Owner) jobAdopted(result adoption) {
+func (o *Owner) jobAdopted(result adoptionResult) {
 	job, running := o.jobs[result.key]
 	if !running {
 		return
--- a/entry/owner_submit.go
+++ b/entry/owner_submit.go
@@ -207,6 +207,8 @@
 func (o *Owner) joinKnown(key model.JobKey, record dedup.Record, answer chan<- wire.JobReply, wait bool) {
 	job, running := o.jobs[key]
 	switch {
+	case record.Answer != nil && record.Answer.State == model.Failed && !o.holdsLease():
+		answer <- refused(endUndecided(record.Answer.Code))
 	case record.Answer != nil:
 		answer <- wire.JobReply{Answer: record.Answer}
 	case record.AnswerDropped():
--- a/entry/sidecar_row.go
+++ b/entry/sidecar_row.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/figring/figring/model"
 	"github.com/figring/figring/platform"
 	"github.com/figring/figring/wire"
 )
@@ -60,17 +59,10 @@
 	}
 }
 
-// accounts reports whether this incarnation would know of a task that was
-// handed to a sidecar of its name at or after the given time.
-func accounts(reply *wire.LookupReply, since time.Time) bool {
-	if reply.RecordsSince.After(since) && !(reply.First && reply.RecordsSince.Equal(reply.Started)) {
-		return false
+// leftAt returns the time of the ordered stop, and zero when there was none.
+func (r *sidecarRow) leftAt() time.Time {
+	if !r.Left || r.LeftAt <= 0 {
+		return time.Time{}
 	}
-	return reply.First || !reply.Started.After(since)
-}
-
-// claimFloor returns the earliest time at which a job of that key can have been
-// claimed. Callers' clocks may be ahead by model.KeySkew.
-func claimFloor(key model.JobKey) time.Time {
-	return key.Created().Add(-model.KeySkew)
+	return time.UnixMilli(r.LeftAt)
 }
--- /dev/null
+++ b/schedules/clock_test.go
@@ -0,0 +1,24 @@
+package schedules
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// maxDriftPermille bounds how fast or slow a clock runs, so that two clocks
+// differ by less than model.ClockMargin over a lease.
+const maxDriftPermille = 28
+
+// clock is one process's clock. Its rate is off and its reading is not.
+type clock struct{ permille int64 }
+
+func (c clock) at(now time.Time) time.Time {
+	passed := now.Sub(worldStart)
+	return worldStart.Add(passed + passed*time.Duration(c.permille)/1000)
+}
+
+func (w *world) drawClock() clock {
+	rate := rapid.SampledFrom([]int64{0, -maxDriftPermille, maxDriftPermille}).Draw(w.t, "drift")
+	return clock{permille: rate}
+}
--- /dev/null
+++ b/schedules/job_test.go
@@ -0,0 +1,147 @@
+package schedules
+
+import (
+	"slices"
+
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/model"
+)
+
+// waiter is one submission that waits at an entry. Its end is judged once.
+type waiter func(*answer)
+
+// answer is what a caller gets: a terminal answer or a refusal.
+type answer struct {
+	terminal *model.Answer
+	refusal  *model.Refusal
+	// by is the entry whose answer it is, and underLease what it held then.
+	by         *entry
+	underLease bool
+}
+
+// job is a job in progress at one entry.
+type job struct {
+	key     model.JobKey
+	state   *jobstate.Job
+	ready   []int
+	waiters []waiter
+	adopted bool
+}
+
+func (j *job) reply(by *entry, refusal *model.Refusal) {
+	j.end(&answer{refusal: refusal, by: by})
+}
+
+func (j *job) end(with *answer) {
+	for _, one := range j.waiters {
+		one(with)
+	}
+	j.waiters = nil
+}
+
+func (e *entry) jobOf(key model.JobKey) *job {
+	for _, one := range e.jobs {
+		if one.key == key {
+			return one
+		}
+	}
+	return nil
+}
+
+func (e *entry) forget(one *job) {
+	e.jobs = slices.DeleteFunc(e.jobs, func(held *job) bool { return held == one })
+}
+
+func (e *entry) newJob(key model.JobKey, waits waiter) *job {
+	one := &job{key: key, waiters: []waiter{waits}}
+	one.state = jobstate.New(jobstate.Config{
+		Key:         key,
+		Tasks:       tasksPerJob,
+		Deadline:    e.now().Add(jobTimeout),
+		MaxAttempts: maxAttempts,
+	})
+	e.jobs = append(e.jobs, one)
+	return one
+}
+
+// apply hands an event to a job and does what it asks for.
+func (e *entry) apply(one *job, event jobstate.Event) {
+	for _, action := range one.state.Apply(event, e.now()) {
+		switch a := action.(type) {
+		case jobstate.Dispatch:
+			one.ready = append(one.ready, a.Indexes...)
+		case jobstate.Attach:
+			e.attachAll(one, a.Tasks)
+		case jobstate.Withdraw:
+			e.withdraw(one, a.Tasks)
+		case jobstate.Finish:
+			e.finish(one, &a.Answer)
+		}
+	}
+}
+
+// finish gives the terminal answer. A failure without a lease is postponed.
+func (e *entry) finish(one *job, terminal *model.Answer) {
+	e.forget(one)
+	if terminal.State == model.Failed && !e.holdsLease() {
+		e.undecided = append(e.undecided, terminal)
+		one.reply(e, &model.Refusal{Code: terminal.Code, Outcome: model.Unknown})
+		return
+	}
+	e.answered(terminal)
+	one.end(&answer{terminal: terminal, by: e, underLease: e.holdsLease()})
+}
+
+// answered keeps the answer here and, behind, in the table.
+func (e *entry) answered(terminal *model.Answer) {
+	if e.keys.Answered(terminal.Key, terminal) {
+		e.w.keep(e, terminal)
+	}
+}
+
+// tick does what depends on time alone.
+func (e *entry) tick() {
+	for _, one := range slices.Clone(e.jobs) {
+		if !e.now().Before(one.state.Deadline()) {
+			e.apply(one, jobstate.DeadlinePassed{})
+		}
+	}
+	if e.holdsLease() {
+		for _, terminal := range e.undecided {
+			e.answered(terminal)
+		}
+		e.undecided = nil
+	}
+	e.keys.Expire(e.now())
+	e.dispatch()
+}
+
+// cancelled ends a job for its caller.
+func (e *entry) cancelled(key model.JobKey) {
+	if one := e.jobOf(key); one != nil && !e.fenced {
+		e.apply(one, jobstate.Cancel{})
+	}
+}
+
+func answerKey(by model.Incarnation, key model.JobKey) string {
+	return "answers/" + string(by) + "/" + key.String()
+}
+
+// keep stores an answer behind.
+func (w *world) keep(by *entry, terminal *model.Answer) {
+	w.post(message{to: w.store, what: "keep answer", act: func() {
+		if !w.store.out {
+			w.put(answerKey(by.self, terminal.Key), encode(terminal))
+		}
+	}})
+}
+
+// storedAnswer returns the answer that an entry stored, or nil.
+func (w *world) storedAnswer(by model.Incarnation, key model.JobKey) *model.Answer {
+	row := w.store.read(answerKey(by, key))
+	if row.Version == 0 {
+		return nil
+	}
+	stored := decode[model.Answer](row.Value)
+	return &stored
+}
--- /dev/null
+++ b/schedules/judge_test.go
@@ -0,0 +1,147 @@
+package schedules
+
+import (
+	"time"
+
+	"github.com/figring/figring/model"
+)
+
+// verdict is a terminal answer that was given under a lease.
+type verdict struct {
+	answer *model.Answer
+	by     *entry
+}
+
+// judge keeps the ledger of starts and the answers, and nothing of figring's.
+type judge struct {
+	w      *world
+	starts map[model.TaskRef]int
+	ended  map[model.TaskRef]bool
+	first  map[model.JobKey]verdict
+	// forgotten counts second terminal states of answers that were given just
+	// before their entry died and had not been stored; see package answers.
+	forgotten int
+	// missed are the keys whose answer was looked for and not found stored.
+	missed   map[model.JobKey]bool
+	closed   map[string]time.Time
+	claimers map[model.JobKey]model.Incarnation
+	// open counts the submissions of a key that may still be taken in.
+	open map[model.JobKey]int
+	// barred keys were answered not_run while no other submission was open.
+	barred map[model.JobKey]bool
+}
+
+func newJudge(w *world) *judge {
+	return &judge{
+		w:        w,
+		starts:   make(map[model.TaskRef]int),
+		ended:    make(map[model.TaskRef]bool),
+		first:    make(map[model.JobKey]verdict),
+		missed:   make(map[model.JobKey]bool),
+		closed:   make(map[string]time.Time),
+		claimers: make(map[model.JobKey]model.Incarnation),
+		open:     make(map[model.JobKey]int),
+		barred:   make(map[model.JobKey]bool),
+	}
+}
+
+func (j *judge) fail(format string, args ...any) {
+	j.w.t.Fatalf(format, args...)
+}
+
+// started enters a start at a minion into the ledger.
+func (j *judge) started(ref model.TaskRef, at *sidecar) {
+	j.starts[ref]++
+	if j.starts[ref] > 1 {
+		j.fail("STARTS: task %d of %s was started %d times", ref.Index, ref.Key, j.starts[ref])
+	}
+	if j.barred[ref.Key] {
+		j.fail("NOT_RUN: task %d of %s was started after the answer not_run", ref.Index, ref.Key)
+	}
+	for _, name := range []string{at.zone, at.name} {
+		accepted, closed := j.closed[name]
+		if closed && j.w.now.After(accepted.Add(model.BundleTTL+model.ClockMargin)) {
+			j.fail("CLOSED: start at %s %v after its closing was accepted", name, j.w.now.Sub(accepted))
+		}
+	}
+}
+
+// claimed enters a claim that the table took.
+func (j *judge) claimed(key model.JobKey, by model.Incarnation) {
+	if former, ok := j.claimers[key]; ok && former != by {
+		j.fail("CLAIMS: %s and %s both claimed %s", former, by, key)
+	}
+	j.claimers[key] = by
+}
+
+// submitted enters a submission that is on its way.
+func (j *judge) submitted(key model.JobKey) {
+	j.open[key]++
+	delete(j.barred, key)
+}
+
+// refused enters an answer that is not a job's result.
+func (j *judge) refused(key model.JobKey, outcome model.Outcome) {
+	j.checkNotRun(key, outcome)
+}
+
+func (j *judge) checkNotRun(key model.JobKey, outcome model.Outcome) {
+	if outcome != model.NotRun {
+		return
+	}
+	for index := range tasksPerJob {
+		if j.starts[model.TaskRef{Key: key, Index: index}] > 0 {
+			j.fail("NOT_RUN: %s was answered not_run after a start", key)
+		}
+	}
+	if j.open[key] <= 1 {
+		j.barred[key] = true
+	}
+}
+
+// answered enters a terminal answer.
+func (j *judge) answered(answer *model.Answer, by *entry, underLease bool) {
+	j.checkResults(answer)
+	j.checkNotRun(answer.Key, answer.Outcome)
+	if !underLease {
+		if answer.State != model.Complete {
+			j.fail("LEASE: %s failed %s without a lease", by.self, answer.Key)
+		}
+		return
+	}
+	former, ok := j.first[answer.Key]
+	if ok && former.answer.State != answer.State {
+		j.second(former, answer)
+	}
+	if !ok {
+		j.first[answer.Key] = verdict{answer: answer, by: by}
+	}
+}
+
+// second allows another terminal state only when the entry of the first one
+// has lost its session and its answer had not been stored when it was looked
+// for; see package answers.
+func (j *judge) second(former verdict, answer *model.Answer) {
+	alive := j.w.store.read(sessionKey(former.by.self)).Version != 0
+	if alive || !j.missed[answer.Key] {
+		j.fail("TERMINAL: %s was answered %s (%s) and then %s", answer.Key, former.answer.State, former.answer.Code, answer.State)
+	}
+	j.forgotten++
+	j.first[answer.Key] = verdict{answer: answer, by: former.by}
+}
+
+func (j *judge) checkResults(answer *model.Answer) {
+	want := 0
+	if answer.State == model.Complete {
+		want = tasksPerJob
+	}
+	if len(answer.Results) != want {
+		j.fail("RESULTS: %s answer with %d results", answer.State, len(answer.Results))
+	}
+	for index, result := range answer.Results {
+		ref := model.TaskRef{Key: answer.Key, Index: index}
+		if result.Index != index || string(result.Body) != bodyOf(ref) || !j.ended[ref] {
+			j.fail("RESULTS: result %d of %s is %q of task %d", index, answer.Key, result.Body, result.Index)
+		}
+	}
+}
--- /dev/null
+++ b/schedules/main_test.go
@@ -0,0 +1,16 @@
+package schedules
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain draws the same schedules in every run unless a seed is given.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/schedules/schedules_test.go
@@ -0,0 +1,267 @@
+package schedules
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/figring/figring/decision/bundle"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+const (
+	minSteps = 30
+	maxSteps = 90
+)
+
+// step is one thing that a schedule may do.
+type step struct {
+	name string
+	do   func(*world)
+}
+
+var steps = []step{
+	{"calm", (*world).stepCalm},
+	{"calm", (*world).stepCalm},
+	{"calm", (*world).stepCalm},
+	{"calm", (*world).stepCalm},
+	{"pass", (*world).stepPass},
+	{"submit", (*world).stepSubmit},
+	{"submit", (*world).stepSubmit},
+	{"submit", (*world).stepSubmit},
+	{"deliver", (*world).stepDeliver},
+	{"deliver", (*world).stepDeliver},
+	{"deliver", (*world).stepDeliver},
+	{"deliver", (*world).stepDeliver},
+	{"drop", (*world).stepDrop},
+	{"lose", (*world).stepLose},
+	{"double", (*world).stepDouble},
+	{"finish", (*world).stepFinish},
+	{"finish", (*world).stepFinish},
+	{"pause", (*world).stepPause},
+	{"resume", (*world).stepResume},
+	{"end entry", (*world).stepEndEntry},
+	{"end sidecar", (*world).stepEndSidecar},
+	{"outage", (*world).stepOutage},
+	{"operate", (*world).stepOperate},
+	{"cancel", (*world).stepCancel},
+	{"leave", (*world).stepLeave},
+	{"lapse", (*world).stepLapse},
+}
+
+// TestSchedules draws schedules and judges them by starts and answers alone.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		defer w.tell()
+		for range rapid.IntRange(minSteps, maxSteps).Draw(t, "steps") {
+			one := rapid.SampledFrom(steps).Draw(t, "step")
+			w.note("step %s", one.name)
+			one.do(w)
+		}
+	})
+}
+
+func (w *world) draw(limit int, what string) int {
+	return rapid.IntRange(0, limit-1).Draw(w.t, what)
+}
+
+func (w *world) drawEntry() *entry { return w.entries[w.draw(len(w.entries), "entry")] }
+
+func (w *world) drawTime() time.Duration {
+	return rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 400 * time.Millisecond, time.Second}).Draw(w.t, "passed")
+}
+
+func (w *world) stepCalm() { w.calm(w.drawTime()) }
+
+// stepPass lets time pass and the duties send, and nothing arrive.
+func (w *world) stepPass() {
+	w.now = w.now.Add(w.drawTime())
+	w.duties()
+}
+
+// stepLapse lets the leases of paused entries lapse while the others go on.
+func (w *world) stepLapse() {
+	for range 6 {
+		w.calm(900 * time.Millisecond)
+	}
+}
+
+func (w *world) stepSubmit() {
+	key := w.keys[w.draw(len(w.keys), "key")]
+	to := w.drawEntry()
+	w.judge.submitted(key)
+	end := once(func(got *answer) {
+		if got.terminal != nil {
+			w.judge.answered(got.terminal, got.by, got.underLease)
+		} else {
+			w.judge.refused(key, got.refusal.Outcome)
+		}
+		w.judge.open[key]--
+	})
+	w.post(message{to: to, what: "submit", act: func() { to.submit(key, end) }})
+}
+
+func (w *world) stepDeliver() {
+	if index, ok := w.drawMessage(); ok {
+		w.deliver(index)
+	}
+}
+
+// drawMessage draws a message whose receiver is not paused.
+func (w *world) drawMessage() (int, bool) {
+	var able []int
+	for index, one := range w.bag {
+		if one.to.awake() || !one.to.alive() {
+			able = append(able, index)
+		}
+	}
+	if len(able) == 0 {
+		return 0, false
+	}
+	return able[w.draw(len(able), "message")], true
+}
+
+// stepDrop loses a message and breaks the connection.
+func (w *world) stepDrop() {
+	if len(w.bag) == 0 {
+		return
+	}
+	one := w.take(w.draw(len(w.bag), "dropped"))
+	w.note("drop %s", one.what)
+	one.breakOff()
+}
+
+// stepLose breaks the connection while the message goes on.
+func (w *world) stepLose() {
+	if len(w.bag) == 0 {
+		return
+	}
+	index := w.draw(len(w.bag), "lost")
+	lost := w.bag[index].lost
+	w.bag[index].lost = nil
+	w.note("lose %s", w.bag[index].what)
+	if lost != nil {
+		lost()
+	}
+}
+
+// stepDouble puts a second copy of a message on its way.
+func (w *world) stepDouble() {
+	if len(w.bag) == 0 {
+		return
+	}
+	copied := w.bag[w.draw(len(w.bag), "doubled")]
+	if copied.what == "start" {
+		return
+	}
+	w.note("double %s", copied.what)
+	w.post(copied)
+}
+
+func (w *world) stepFinish() {
+	for _, one := range w.sidecars {
+		if len(one.running) > 0 && !one.paused {
+			answered := w.draw(8, "answered") > 0
+			w.note("finish at %s answered=%v", one.self, answered)
+			one.finish(w.draw(len(one.running), "running"), answered)
+			return
+		}
+	}
+}
+
+func (w *world) stepPause() {
+	if w.draw(2, "kind") == 0 {
+		w.drawEntry().paused = true
+		return
+	}
+	w.sidecars[w.draw(len(w.sidecars), "sidecar")].paused = true
+}
+
+func (w *world) stepResume() {
+	for _, one := range w.entries {
+		one.paused = false
+	}
+	for _, one := range w.sidecars {
+		one.paused = false
+	}
+}
+
+// stepEndEntry ends an entry and starts another one in its place.
+func (w *world) stepEndEntry() {
+	index := w.draw(len(w.entries), "entry")
+	w.note("end %s", w.entries[index].self)
+	w.entries[index].ended = true
+	w.entries[index] = w.newEntry()
+}
+
+// stepEndSidecar ends a sidecar with its minion and starts another one under
+// its name.
+func (w *world) stepEndSidecar() {
+	index := w.draw(len(w.sidecars), "sidecar")
+	w.note("end %s", w.sidecars[index].self)
+	w.sidecars[index].ended = true
+	w.sidecars[index] = w.newSidecar(w.sidecars[index].name)
+}
+
+func (w *world) stepOutage() { w.store.out = !w.store.out }
+
+func (w *world) stepCancel() {
+	key := w.keys[w.draw(len(w.keys), "key")]
+	to := w.drawEntry()
+	w.post(message{to: to, what: "cancel", act: func() { to.cancelled(key) }})
+}
+
+// stepLeave tells an entry to give everything away, and to end when it has.
+func (w *world) stepLeave() {
+	one := w.drawEntry()
+	if one.members.leaving && !one.paused {
+		one.close()
+	}
+	one.members.leaving = true
+}
+
+// stepOperate is one operator's change on top of the version that it read.
+func (w *world) stepOperate() {
+	at := w.sidecars[w.draw(len(w.sidecars), "sidecar")]
+	edits := []bundle.Edit{
+		bundle.CloseZone{Zone: at.zone}, bundle.OpenZone{Zone: at.zone},
+		bundle.DrainTarget{Target: at.name}, bundle.UndrainTarget{Target: at.name},
+	}
+	edit := edits[w.draw(len(edits), "edit")]
+	w.readAt(w.store, func() any { return w.store.read(bundleKey) }, func(read any) {
+		row := read.(platform.Row)
+		current := model.Bundle{}
+		if row.Version != 0 {
+			current = decode[model.Bundle](row.Value)
+		}
+		next, changed, err := bundle.Next(current, edit, bundle.Rules{Zones: []string{at.zone, "zs0", "zs1", "zs2"}})
+		if err != nil || !changed {
+			return
+		}
+		w.commit(w.store, "bundle", platform.Txn{
+			Conditions: []platform.Condition{{Key: bundleKey, Version: row.Version}},
+			Writes:     []platform.Write{{Key: bundleKey, Value: encode(next)}},
+		}, func(committed) {})
+	})
+}
+
+// put writes a row without a condition.
+func (w *world) put(key string, value []byte) {
+	_, err := w.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
+	if err != nil {
+		panic(err)
+	}
+}
+
+// tell logs the schedule of a failed check.
+func (w *world) tell() {
+	if w.t.Failed() {
+		for _, line := range w.trace {
+			w.t.Log(line)
+		}
+	}
+}
--- /dev/null
+++ b/schedules/session_test.go
@@ -0,0 +1,127 @@
+package schedules
+
+import (
+	"errors"
+	"time"
+
+	"github.com/figring/figring/decision/ownership"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+)
+
+// session is the holder's state of its rows.
+type session struct {
+	version      int64
+	fenceVersion int64
+	number       int64
+	sent         map[int64]time.Time
+	lease        ownership.Lease
+}
+
+// sessionRow is the value of a session row.
+type sessionRow struct {
+	Number  int64
+	Leaving bool
+}
+
+func sessionKey(of model.Incarnation) string { return "sessions/" + string(of) }
+func fenceKey(of model.Incarnation) string   { return "fences/" + string(of) }
+
+func (e *entry) fence() platform.Condition {
+	return platform.Condition{Key: fenceKey(e.self), Version: e.session.fenceVersion}
+}
+
+// renew writes the session row. The first time it also writes the fence row.
+func (e *entry) renew() {
+	e.session.number++
+	number := e.session.number
+	e.session.sent[number] = e.now()
+	row := sessionRow{Number: number, Leaving: e.members.leaving}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: sessionKey(e.self), Version: e.session.version}},
+		Writes:     []platform.Write{{Key: sessionKey(e.self), Value: encode(row)}},
+	}
+	if e.session.fenceVersion == 0 {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: fenceKey(e.self)})
+		txn.Writes = append(txn.Writes, platform.Write{Key: fenceKey(e.self), Value: []byte("{}")})
+	}
+	e.w.commit(e, "renew session", txn, func(reply committed) {
+		e.renewed(number, reply)
+	})
+}
+
+func (e *entry) renewed(number int64, reply committed) {
+	switch {
+	case reply.err == nil && len(reply.versions) > 1:
+		e.session.fenceVersion = reply.versions[1]
+		e.took(number, reply.versions[0])
+	case reply.err == nil:
+		e.took(number, reply.versions[0])
+	case !errors.Is(reply.err, platform.ErrUnavailable):
+		e.readSession()
+	}
+}
+
+// readSession finds out which attempt wrote the row last.
+func (e *entry) readSession() {
+	read := func() any {
+		return [2]platform.Row{e.w.store.read(sessionKey(e.self)), e.w.store.read(fenceKey(e.self))}
+	}
+	e.w.readAt(e, read, func(found any) {
+		rows := found.([2]platform.Row)
+		if rows[0].Version == 0 {
+			if e.session.fenceVersion != 0 {
+				e.endFenced()
+			}
+			return
+		}
+		e.session.fenceVersion = rows[1].Version
+		e.took(decode[sessionRow](rows[0].Value).Number, rows[0].Version)
+	})
+}
+
+// took records that the row has the version and carries the attempt.
+func (e *entry) took(number, version int64) {
+	if e.fenced || e.closing || version < e.session.version {
+		return
+	}
+	e.session.version = version
+	e.session.lease.Renewed(e.session.sent[number])
+}
+
+// endFenced ends this incarnation: its session was taken over.
+func (e *entry) endFenced() {
+	if e.fenced {
+		return
+	}
+	e.session.lease.Void()
+	e.fenced = true
+	e.undecided = nil
+	for partition := range model.Partitions {
+		e.keys.DropPartition(partition)
+	}
+	for _, one := range e.jobs {
+		one.reply(e, moved())
+	}
+	e.jobs = nil
+}
+
+// close ends the session of an entry that owns nothing and has no job.
+func (e *entry) close() {
+	if e.fenced || e.closing || len(e.jobs) > 0 || len(e.undecided) > 0 || len(e.members.assignment.Owned(e.self)) > 0 {
+		return
+	}
+	e.closing = true
+	e.deleteRows()
+}
+
+func (e *entry) deleteRows() {
+	e.w.commit(e, "close session", platform.Txn{
+		Conditions: []platform.Condition{e.fence()},
+		Writes:     []platform.Write{{Key: sessionKey(e.self), Delete: true}, {Key: fenceKey(e.self), Delete: true}},
+	}, func(reply committed) {
+		if reply.err == nil || errors.Is(reply.err, platform.ErrConflict) {
+			e.ended = true
+		}
+	})
+}
--- /dev/null
+++ b/schedules/submit_test.go
@@ -0,0 +1,245 @@
+package schedules
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/figring/figring/decision/adoption"
+	"github.com/figring/figring/decision/dedup"
+	"github.com/figring/figring/decision/jobstate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/wire"
+)
+
+// digest is that of every submission: there is one body for each key.
+const digest = 7
+
+// claimRow is the value of a claim's row.
+type claimRow struct {
+	Number  int
+	Claimer model.Incarnation
+}
+
+func claimPrefix(of model.Incarnation) string { return "claims/" + string(of) + "/" }
+
+func moved() *model.Refusal {
+	return &model.Refusal{Code: model.CodeOwnerMoved, Outcome: model.Unknown}
+}
+
+// truthful weakens a refusal that says "not run" while the lease is over.
+func (e *entry) truthful(refusal *model.Refusal) *model.Refusal {
+	if refusal.Outcome != model.NotRun || e.holdsLease() {
+		return refusal
+	}
+	weaker := *refusal
+	weaker.Outcome = model.Unknown
+	return &weaker
+}
+
+// submit decides about a submission.
+func (e *entry) submit(key model.JobKey, waits waiter) {
+	if e.fenced {
+		waits(&answer{refusal: moved(), by: e})
+		return
+	}
+	verdict, record := e.keys.Submit(key, digest, e.now())
+	switch verdict {
+	case dedup.New:
+		e.start(key, waits)
+	case dedup.Join:
+		e.joinKnown(key, record, waits)
+	case dedup.Adopt:
+		e.adopt(key, record.Claimer, waits)
+	default:
+		waits(&answer{refusal: moved(), by: e})
+	}
+}
+
+func (e *entry) start(key model.JobKey, waits waiter) {
+	if !e.admitting() {
+		e.keys.ClaimFailed(key)
+		waits(&answer{refusal: e.truthful(unavailable()), by: e})
+		return
+	}
+	e.newJob(key, waits)
+	e.claiming = append(e.claiming, key)
+	number := slices.Index(e.w.keys, key)
+	row := claimPrefix(e.self) + key.String()
+	e.claim(key, platform.Txn{
+		Conditions: []platform.Condition{e.fence(), {Key: row}},
+		Writes:     []platform.Write{{Key: row, Value: encode(claimRow{Number: number, Claimer: e.self})}},
+	}, true)
+}
+
+func unavailable() *model.Refusal {
+	return model.NewRefusal(model.CodeStoreUnavailable, 0, "the store can't be reached")
+}
+
+// claim writes the claim. What became of a write of unknown outcome is found
+// out by writing the same row again.
+func (e *entry) claim(key model.JobKey, txn platform.Txn, first bool) {
+	e.w.commit(e, "claim", txn, func(reply committed) {
+		switch {
+		case reply.err == nil:
+			e.claimEnded(key, true, nil)
+		case first && errors.Is(reply.err, platform.ErrUnavailable):
+			e.claimEnded(key, false, unavailable())
+		case errors.Is(reply.err, platform.ErrConflict):
+			e.judgeConflict(key, txn)
+		default:
+			e.claimUnknown(key)
+			e.later(func() { e.claim(key, txn, false) })
+		}
+	})
+}
+
+// claimUnknown tells those who wait; the job goes on when the claim is known.
+func (e *entry) claimUnknown(key model.JobKey) {
+	if one := e.jobOf(key); one != nil {
+		one.reply(e, &model.Refusal{Code: model.CodeStoreUnavailable, Outcome: model.Unknown})
+	}
+}
+
+func (e *entry) judgeConflict(key model.JobKey, txn platform.Txn) {
+	if e.w.store.out {
+		e.later(func() { e.claim(key, txn, false) })
+		return
+	}
+	if e.w.store.read(txn.Writes[0].Key).Version == 0 {
+		e.claimEnded(key, false, moved())
+		return
+	}
+	e.claimEnded(key, true, nil)
+}
+
+func (e *entry) claimEnded(key model.JobKey, written bool, refusal *model.Refusal) {
+	e.claiming = slices.DeleteFunc(e.claiming, func(one model.JobKey) bool { return one == key })
+	one := e.jobOf(key)
+	switch {
+	case written && one != nil:
+		e.keys.Claimed(key)
+		e.apply(one, jobstate.Claimed{})
+		e.dispatch()
+	case written:
+	default:
+		e.keys.ClaimFailed(key)
+		if one != nil {
+			e.forget(one)
+			one.reply(e, e.truthful(refusal))
+		}
+	}
+}
+
+// joinKnown answers from a record of this process.
+func (e *entry) joinKnown(key model.JobKey, record dedup.Record, waits waiter) {
+	one := e.jobOf(key)
+	switch {
+	case record.Answer != nil && record.Answer.State == model.Failed && !e.holdsLease():
+		waits(&answer{refusal: &model.Refusal{Code: model.CodeStoreUnavailable, Outcome: model.Unknown}, by: e})
+	case record.Answer != nil:
+		waits(&answer{terminal: record.Answer, by: e, underLease: e.holdsLease()})
+	case one != nil:
+		one.waiters = append(one.waiters, waits)
+	default:
+		waits(&answer{refusal: &model.Refusal{Code: model.CodeInProgress, Outcome: model.InProgress}, by: e})
+	}
+}
+
+// adopt answers a submission whose key another entry claimed.
+func (e *entry) adopt(key model.JobKey, claimer model.Incarnation, waits waiter) {
+	if e.members.live[claimer] {
+		e.askClaimer(key, claimer, waits)
+		return
+	}
+	if !e.admitting() {
+		waits(&answer{refusal: &model.Refusal{Code: model.CodeStoreUnavailable, Outcome: model.Unknown}, by: e})
+		return
+	}
+	e.keys.Adopted(key)
+	one := e.newJob(key, waits)
+	one.adopted = true
+	e.w.readAt(e, func() any { return e.w.readOrphan(claimer, key) }, func(read any) {
+		found := read.(orphan)
+		if found.answer != nil {
+			e.takeStored(key, found.answer)
+			return
+		}
+		e.lookupAll(key, found.sidecars)
+	})
+}
+
+func (e *entry) askClaimer(key model.JobKey, claimer model.Incarnation, waits waiter) {
+	to := e.w.entryOf(claimer)
+	lost := func() { waits(&answer{refusal: moved(), by: e}) }
+	if to == nil {
+		lost()
+		return
+	}
+	e.w.post(message{to: to, what: "join", lost: lost, act: func() {
+		record, known := to.keys.Lookup(key)
+		if !known || record.State == dedup.ClaimedElsewhere {
+			lost()
+			return
+		}
+		to.joinKnown(key, record, waits)
+	}})
+}
+
+// orphan is what the table says about a job whose owner is gone.
+type orphan struct {
+	answer   *model.Answer
+	sidecars []model.Incarnation
+}
+
+func (w *world) readOrphan(claimer model.Incarnation, key model.JobKey) orphan {
+	found := orphan{answer: w.storedAnswer(claimer, key)}
+	if found.answer == nil {
+		w.judge.missed[key] = true
+	}
+	for _, row := range w.store.list("sidecars/") {
+		found.sidecars = append(found.sidecars, decode[sidecarRow](row.Value).Incarnation)
+	}
+	return found
+}
+
+func (e *entry) takeStored(key model.JobKey, stored *model.Answer) {
+	one := e.jobOf(key)
+	if one == nil {
+		return
+	}
+	e.keys.Answered(key, stored)
+	e.forget(one)
+	one.end(&answer{terminal: stored, by: e, underLease: e.holdsLease()})
+}
+
+// lookupAll asks the sidecars of all rows and adopts the job when each of them
+// has answered or is given up.
+func (e *entry) lookupAll(key model.JobKey, rows []model.Incarnation) {
+	found := make([]adoption.Sidecar, len(rows))
+	left := len(rows)
+	for index, row := range rows {
+		end := once(func(reply *wire.LookupReply) {
+			found[index].Reply = reply
+			left--
+			if one := e.jobOf(key); left == 0 && one != nil {
+				e.apply(one, adoption.Account(key, found))
+				e.dispatch()
+			}
+		})
+		e.lookup(key, row, end)
+	}
+}
+
+func (e *entry) lookup(key model.JobKey, at model.Incarnation, end func(*wire.LookupReply)) {
+	to := e.w.sidecarOf(at)
+	lost := func() { end(nil) }
+	if to == nil {
+		lost()
+		return
+	}
+	e.w.post(message{to: to, what: "lookup", lost: lost, act: func() {
+		reply := to.lookup(key)
+		e.w.post(message{to: e, what: "lookup reply", lost: lost, act: func() { end(&reply) }})
+	}})
+}
--- /dev/null
+++ b/schedules/world_test.go
@@ -0,0 +1,246 @@
+package schedules
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/figring/figring/decision/ownership"
+	"github.com/figring/figring/decision/permit"
+	"github.com/figring/figring/decision/startgate"
+	"github.com/figring/figring/model"
+	"github.com/figring/figring/platform"
+	"github.com/figring/figring/platform/memory"
+)
+
+const (
+	entryCount   = 3
+	sidecarCount = 3
+	keyCount     = 3
+	tasksPerJob  = 2
+	jobTimeout   = 20 * time.Second
+)
+
+var worldStart = time.Unix(1_800_000_000, 0)
+
+// world is one schedule's processes, messages and time.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	store    *store
+	judge    *judge
+	entries  []*entry
+	sidecars []*sidecar
+	bag      []message
+	keys     []model.JobKey
+	births   int
+	trace    []string
+	// decoded is the assignment of the row's version decodedVersion.
+	decoded        ownership.Assignment
+	decodedVersion int64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: worldStart, store: &store{Table: memory.NewTable()}}
+	w.judge = newJudge(w)
+	for range entryCount {
+		w.entries = append(w.entries, w.newEntry())
+	}
+	for i := range sidecarCount {
+		w.sidecars = append(w.sidecars, w.newSidecar(fmt.Sprintf("s%d", i)))
+	}
+	for range 4 {
+		w.calm(500 * time.Millisecond)
+	}
+	for i := range keyCount {
+		w.keys = append(w.keys, w.newKey(byte(i)))
+	}
+	return w
+}
+
+func (w *world) newKey(number byte) model.JobKey {
+	id := uuid.UUID{6: 0x70, 8: 0x80, 15: number}
+	millis := w.now.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (40 - 8*i))
+	}
+	return model.JobKey{Caller: "c", ID: id}
+}
+
+func (w *world) name(of string) model.Incarnation {
+	w.births++
+	return model.Incarnation(fmt.Sprintf("%s.%03d", of, w.births))
+}
+
+// newSidecar starts an incarnation that is not in the table yet.
+func (w *world) newSidecar(name string) *sidecar {
+	s := &sidecar{w: w, name: name, zone: "z" + name, self: w.name(name), calls: make(map[uint64]sidecarCall)}
+	s.clock = w.drawClock()
+	s.startedAt = s.now()
+	s.permits = permit.NewLedger()
+	settings := startgate.Settings{Self: s.self, RecordLimit: recordLimit, ResultBytes: resultBytes}
+	s.gate = startgate.New(settings, s.permits, s.now())
+	return s
+}
+
+// sidecarRow is what a sidecar writes about itself.
+type sidecarRow struct {
+	Incarnation model.Incarnation
+	First       bool
+}
+
+// register writes the row; only then the minion is listened to.
+func (w *world) register(s *sidecar) {
+	key := "sidecars/" + s.name
+	w.readAt(s, func() any { return w.store.read(key) }, func(read any) {
+		held := read.(platform.Row)
+		row := sidecarRow{Incarnation: s.self, First: held.Version == 0}
+		if held.Version != 0 {
+			if former := decode[sidecarRow](held.Value); former.Incarnation == s.self {
+				s.registeredAs(former.First)
+				return
+			}
+		}
+		w.commit(s, "register sidecar", platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: held.Version}},
+			Writes:     []platform.Write{{Key: key, Value: encode(row)}},
+		}, func(reply committed) {
+			if reply.err == nil {
+				s.registeredAs(row.First)
+			}
+		})
+	})
+}
+
+func (s *sidecar) registeredAs(first bool) {
+	if s.registered {
+		return
+	}
+	s.registered = true
+	s.first = first
+	s.apply(startgate.MinionReady{Slots: slotsPerMinion})
+}
+
+// readAt reads from the table by messages; nothing comes back in an outage.
+func (w *world) readAt(from process, read func() any, take func(any)) {
+	w.post(message{to: w.store, what: "read", act: func() {
+		if w.store.out {
+			return
+		}
+		found := read()
+		w.post(message{to: from, what: "read reply", act: func() { take(found) }})
+	}})
+}
+
+func (w *world) post(one message) {
+	w.bag = append(w.bag, one)
+}
+
+// take removes a message from the bag.
+func (w *world) take(index int) message {
+	one := w.bag[index]
+	w.bag = append(w.bag[:index:index], w.bag[index+1:]...)
+	return one
+}
+
+// deliver lets a message arrive; at a process that has ended it is lost.
+func (w *world) deliver(index int) {
+	one := w.take(index)
+	w.note("deliver %s", one.what)
+	if !one.to.alive() {
+		one.breakOff()
+		return
+	}
+	one.act()
+}
+
+// settle delivers everything to those who are awake, in order.
+func (w *world) settle() {
+	for i := 0; i < len(w.bag); {
+		if !w.bag[i].to.awake() && w.bag[i].to.alive() {
+			i++
+			continue
+		}
+		w.deliver(i)
+	}
+}
+
+// duties lets every process that is awake do what it does by the clock.
+func (w *world) duties() {
+	for index, one := range w.entries {
+		if one.fenced || one.ended {
+			w.entries[index] = w.newEntry()
+			one = w.entries[index]
+		}
+		if !one.paused {
+			one.duties()
+		}
+	}
+	for _, one := range w.sidecars {
+		if !one.paused {
+			one.apply(startgate.Tick{})
+			one.renew()
+		}
+	}
+}
+
+func (w *world) calm(passed time.Duration) {
+	w.now = w.now.Add(passed)
+	w.duties()
+	w.settle()
+}
+
+func (w *world) entryOf(incarnation model.Incarnation) *entry {
+	for _, one := range w.entries {
+		if one.self == incarnation {
+			return one
+		}
+	}
+	return nil
+}
+
+func (w *world) sidecarOf(incarnation model.Incarnation) *sidecar {
+	for _, one := range w.sidecars {
+		if one.self == incarnation {
+			return one
+		}
+	}
+	return nil
+}
+
+// noteCommit tells the judge of claims and closings that the table took.
+func (w *world) noteCommit(txn platform.Txn, err error) {
+	if err != nil {
+		return
+	}
+	for _, write := range txn.Writes {
+		switch {
+		case strings.HasPrefix(write.Key, "claims/"):
+			claim := decode[claimRow](write.Value)
+			w.judge.claimed(w.keys[claim.Number], claim.Claimer)
+		case write.Key == bundleKey:
+			w.noteBundle(decode[model.Bundle](write.Value))
+		}
+	}
+}
+
+// noteBundle keeps the time at which each closing was accepted.
+func (w *world) noteBundle(accepted model.Bundle) {
+	closed := make(map[string]time.Time)
+	for _, name := range append(accepted.ClosedZones, accepted.DrainedTargets...) {
+		closed[name] = w.now
+		if since, ok := w.judge.closed[name]; ok {
+			closed[name] = since
+		}
+	}
+	w.judge.closed = closed
+}
+
+func (w *world) note(format string, args ...any) {
+	if len(w.trace) < 4000 {
+		w.trace = append(w.trace, fmt.Sprintf("%v ", w.now.Sub(worldStart))+fmt.Sprintf(format, args...))
+	}
+}
