Don't call a job not run before the sidecars have told of it

The schedules found a false not_run: an entry ends with both tasks of a job started, another takes its partitions over, the caller resubmits, and the resubmission's timeout (or a cancellation) comes before the sidecars have told what they know. The job's tasks were counted as idle, and so not_run. Ruled out: a start after the answer (both starts were well before it) and an answer without a lease.

--- a/decision/jobstate/job.go
+++ b/decision/jobstate/job.go
@@ -20,6 +20,9 @@
 	Deadline time.Time
 	// MaxAttempts bounds the dispatches of one task.
 	MaxAttempts int
+	// Adopting says that another entry claimed the job. Until Adopted tells what
+	// the sidecars know, any of its tasks may have been started.
+	Adopting bool
 }
 
 // Job is the state of one job. It is not safe for concurrent use.
@@ -65,6 +68,9 @@
 
 // Outcome returns what is known now about whether the job's tasks were run.
 func (j *Job) Outcome() model.Outcome {
+	if j.config.Adopting && !j.claimed {
+		return model.Unknown
+	}
 	outcome := model.NotRun
 	for i := range j.tasks {
 		outcome = outcome.Join(j.tasks[i].outcome())
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -53,8 +53,7 @@
 	}
 	o.metrics.Adoptions.Inc(1)
 	o.keys.Adopted(e.spec.Key)
-	job := o.newJob(e)
-	job.adopted = true
+	o.newJob(e, true)
 }
 
 // adoptLater refuses a resubmission that can't be looked into now. The job may
--- a/entry/owner_submit.go
+++ b/entry/owner_submit.go
@@ -63,7 +63,7 @@
 		e.answer <- refused(refusal)
 		return
 	}
-	job := o.newJob(e)
+	job := o.newJob(e, false)
 	if e.keyless {
 		o.apply(job, jobstate.Claimed{})
 		return
@@ -78,17 +78,20 @@
 	return o.queue.Admit(e.spec, o.now)
 }
 
-func (o *Owner) newJob(e submitted) *runningJob {
+// newJob enters a job. An adopted one was claimed by another entry.
+func (o *Owner) newJob(e submitted, adopted bool) *runningJob {
 	job := &runningJob{
 		spec:     e.spec,
 		received: e.received,
 		keyless:  e.keyless,
+		adopted:  adopted,
 		waiters:  []chan<- wire.JobReply{e.answer},
 		state: jobstate.New(jobstate.Config{
 			Key:         e.spec.Key,
 			Tasks:       len(e.spec.Tasks),
 			Deadline:    e.received.Add(e.spec.Timeout),
 			MaxAttempts: maxAttempts,
+			Adopting:    adopted,
 		}),
 	}
 	o.jobs[e.spec.Key] = job
--- a/schedules/dispatch_test.go
+++ b/schedules/dispatch_test.go
@@ -48,7 +48,8 @@
 		return
 	}
 	lost := func() { e.recover(ref, at, end) }
-	e.w.post(message{to: at, what: "run", lost: lost, act: func() {
+	meant := at.self
+	call := func(at *sidecar) {
 		id := at.open(e.self, e.replyTo(at, lost, func(reply wire.RunReply) {
 			if reply.Status == wire.RunDuplicate {
 				e.attach(ref, at, end)
@@ -56,8 +57,10 @@
 			}
 			end(reply)
 		}))
-		at.apply(startgate.Dispatch{ID: id, Entry: e.self, Sidecar: at.self, Permit: granted, Ref: ref, Deadline: at.now().Add(jobTimeout)})
-	}})
+		at.apply(startgate.Dispatch{ID: id, Entry: e.self, Sidecar: meant, Permit: granted, Ref: ref, Deadline: at.now().Add(jobTimeout)})
+	}
+	there := &address{w: e.w, name: at.name}
+	e.w.post(message{to: there, what: "run", lost: lost, act: func() { call(there.sidecar()) }})
 }
 
 // replyTo returns what carries a sidecar's reply to this entry.
--- a/schedules/job_test.go
+++ b/schedules/job_test.go
@@ -25,7 +25,6 @@
 	state   *jobstate.Job
 	ready   []int
 	waiters []waiter
-	adopted bool
 }
 
 func (j *job) reply(by *entry, refusal *model.Refusal) {
@@ -52,13 +51,14 @@
 	e.jobs = slices.DeleteFunc(e.jobs, func(held *job) bool { return held == one })
 }
 
-func (e *entry) newJob(key model.JobKey, waits waiter) *job {
+func (e *entry) newJob(key model.JobKey, adopted bool, waits waiter) *job {
 	one := &job{key: key, waiters: []waiter{waits}}
 	one.state = jobstate.New(jobstate.Config{
 		Key:         key,
 		Tasks:       tasksPerJob,
 		Deadline:    e.now().Add(jobTimeout),
 		MaxAttempts: maxAttempts,
+		Adopting:    adopted,
 	})
 	e.jobs = append(e.jobs, one)
 	return one
--- a/schedules/judge_test.go
+++ b/schedules/judge_test.go
@@ -22,8 +22,10 @@
 	// before their entry died and had not been stored; see package answers.
 	forgotten int
 	// missed are the keys whose answer was looked for and not found stored.
-	missed   map[model.JobKey]bool
-	closed   map[string]time.Time
+	missed map[model.JobKey]bool
+	closed map[string]time.Time
+	// version is that of the last accepted bundle.
+	version  int64
 	claimers map[model.JobKey]model.Incarnation
 	// open counts the submissions of a key that may still be taken in.
 	open map[model.JobKey]int
--- a/schedules/schedules_test.go
+++ b/schedules/schedules_test.go
@@ -30,8 +30,9 @@
 	{"calm", (*world).stepCalm},
 	{"pass", (*world).stepPass},
 	{"submit", (*world).stepSubmit},
-	{"submit", (*world).stepSubmit},
-	{"submit", (*world).stepSubmit},
+	{"submit to owner", (*world).stepSubmitToOwner},
+	{"submit to owner", (*world).stepSubmitToOwner},
+	{"submit to owner", (*world).stepSubmitToOwner},
 	{"deliver", (*world).stepDeliver},
 	{"deliver", (*world).stepDeliver},
 	{"deliver", (*world).stepDeliver},
@@ -59,7 +60,7 @@
 		defer w.tell()
 		for range rapid.IntRange(minSteps, maxSteps).Draw(t, "steps") {
 			one := rapid.SampledFrom(steps).Draw(t, "step")
-			w.note("step %s", one.name)
+			w.note("step " + one.name)
 			one.do(w)
 		}
 	})
@@ -91,8 +92,19 @@
 }
 
 func (w *world) stepSubmit() {
+	w.submit(w.keys[w.draw(len(w.keys), "key")], w.drawEntry())
+}
+
+// stepSubmitToOwner submits a key where the assignment says.
+func (w *world) stepSubmitToOwner() {
 	key := w.keys[w.draw(len(w.keys), "key")]
-	to := w.drawEntry()
+	assigned := w.decodeAssignment(w.store.read(assignmentKey))
+	if to := w.entryOf(assigned.Parts[key.Partition()].Owner); to != nil {
+		w.submit(key, to)
+	}
+}
+
+func (w *world) submit(key model.JobKey, to *entry) {
 	w.judge.submitted(key)
 	end := once(func(got *answer) {
 		if got.terminal != nil {
@@ -131,7 +143,7 @@
 		return
 	}
 	one := w.take(w.draw(len(w.bag), "dropped"))
-	w.note("drop %s", one.what)
+	w.note("drop " + one.what)
 	one.breakOff()
 }
 
@@ -143,7 +155,7 @@
 	index := w.draw(len(w.bag), "lost")
 	lost := w.bag[index].lost
 	w.bag[index].lost = nil
-	w.note("lose %s", w.bag[index].what)
+	w.note("lose " + w.bag[index].what)
 	if lost != nil {
 		lost()
 	}
@@ -158,7 +170,7 @@
 	if copied.what == "start" {
 		return
 	}
-	w.note("double %s", copied.what)
+	w.note("double " + copied.what)
 	w.post(copied)
 }
 
@@ -166,7 +178,7 @@
 	for _, one := range w.sidecars {
 		if len(one.running) > 0 && !one.paused {
 			answered := w.draw(8, "answered") > 0
-			w.note("finish at %s answered=%v", one.self, answered)
+			w.note("finish at " + string(one.self))
 			one.finish(w.draw(len(one.running), "running"), answered)
 			return
 		}
@@ -193,7 +205,7 @@
 // stepEndEntry ends an entry and starts another one in its place.
 func (w *world) stepEndEntry() {
 	index := w.draw(len(w.entries), "entry")
-	w.note("end %s", w.entries[index].self)
+	w.note("end " + string(w.entries[index].self))
 	w.entries[index].ended = true
 	w.entries[index] = w.newEntry()
 }
@@ -202,7 +214,7 @@
 // its name.
 func (w *world) stepEndSidecar() {
 	index := w.draw(len(w.sidecars), "sidecar")
-	w.note("end %s", w.sidecars[index].self)
+	w.note("end " + string(w.sidecars[index].self))
 	w.sidecars[index].ended = true
 	w.sidecars[index] = w.newSidecar(w.sidecars[index].name)
 }
@@ -261,7 +273,7 @@
 func (w *world) tell() {
 	if w.t.Failed() {
 		for _, line := range w.trace {
-			w.t.Log(line)
+			w.t.Log(line.at, line.what)
 		}
 	}
 }
--- a/schedules/submit_test.go
+++ b/schedules/submit_test.go
@@ -62,7 +62,7 @@
 		waits(&answer{refusal: e.truthful(unavailable()), by: e})
 		return
 	}
-	e.newJob(key, waits)
+	e.newJob(key, false, waits)
 	e.claiming = append(e.claiming, key)
 	number := slices.Index(e.w.keys, key)
 	row := claimPrefix(e.self) + key.String()
@@ -157,9 +157,9 @@
 		return
 	}
 	e.keys.Adopted(key)
-	one := e.newJob(key, waits)
-	one.adopted = true
-	e.w.readAt(e, func() any { return e.w.readOrphan(claimer, key) }, func(read any) {
+	one := e.newJob(key, true, waits)
+	failed := func() { e.adoptLater(one) }
+	e.w.readOr(e, failed, func() any { return e.w.readOrphan(claimer, key) }, func(read any) {
 		found := read.(orphan)
 		if found.answer != nil {
 			e.takeStored(key, found.answer)
@@ -169,6 +169,16 @@
 	})
 }
 
+// adoptLater undoes an adoption whose question the table did not answer.
+func (e *entry) adoptLater(one *job) {
+	if e.jobOf(one.key) != one {
+		return
+	}
+	e.keys.Released(one.key)
+	e.forget(one)
+	one.reply(e, &model.Refusal{Code: model.CodeStoreUnavailable, Outcome: model.Unknown})
+}
+
 func (e *entry) askClaimer(key model.JobKey, claimer model.Incarnation, waits waiter) {
 	to := e.w.entryOf(claimer)
 	lost := func() { waits(&answer{refusal: moved(), by: e}) }
--- a/schedules/world_test.go
+++ b/schedules/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,7 +38,7 @@
 	bag      []message
 	keys     []model.JobKey
 	births   int
-	trace    []string
+	trace    []traceLine
 	// decoded is the assignment of the row's version decodedVersion.
 	decoded        ownership.Assignment
 	decodedVersion int64
@@ -126,12 +127,18 @@
 
 // readAt reads from the table by messages; nothing comes back in an outage.
 func (w *world) readAt(from process, read func() any, take func(any)) {
-	w.post(message{to: w.store, what: "read", act: func() {
+	w.readOr(from, func() {}, read, take)
+}
+
+// readOr is readAt that tells when nothing comes back.
+func (w *world) readOr(from process, failed func(), read func() any, take func(any)) {
+	w.post(message{to: w.store, what: "read", lost: failed, act: func() {
 		if w.store.out {
+			failed()
 			return
 		}
 		found := read()
-		w.post(message{to: from, what: "read reply", act: func() { take(found) }})
+		w.post(message{to: from, what: "read reply", lost: failed, act: func() { take(found) }})
 	}})
 }
 
@@ -142,14 +149,14 @@
 // take removes a message from the bag.
 func (w *world) take(index int) message {
 	one := w.bag[index]
-	w.bag = append(w.bag[:index:index], w.bag[index+1:]...)
+	w.bag = slices.Delete(w.bag, index, index+1)
 	return one
 }
 
 // deliver lets a message arrive; at a process that has ended it is lost.
 func (w *world) deliver(index int) {
 	one := w.take(index)
-	w.note("deliver %s", one.what)
+	w.note("deliver " + one.what)
 	if !one.to.alive() {
 		one.breakOff()
 		return
@@ -229,6 +236,10 @@
 
 // noteBundle keeps the time at which each closing was accepted.
 func (w *world) noteBundle(accepted model.Bundle) {
+	if accepted.Version != w.judge.version+1 {
+		w.judge.fail("BUNDLE: version %d was accepted after %d", accepted.Version, w.judge.version)
+	}
+	w.judge.version = accepted.Version
 	closed := make(map[string]time.Time)
 	for _, name := range append(accepted.ClosedZones, accepted.DrainedTargets...) {
 		closed[name] = w.now
@@ -239,8 +250,12 @@
 	w.judge.closed = closed
 }
 
-func (w *world) note(format string, args ...any) {
-	if len(w.trace) < 4000 {
-		w.trace = append(w.trace, fmt.Sprintf("%v ", w.now.Sub(worldStart))+fmt.Sprintf(format, args...))
-	}
+// traceLine is one line of the log of a failed schedule.
+type traceLine struct {
+	at   time.Duration
+	what string
+}
+
+func (w *world) note(what string) {
+	w.trace = append(w.trace, traceLine{at: w.now.Sub(worldStart), what: what})
 }
