--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -53,8 +53,7 @@
 	}
 	o.metrics.Adoptions.Inc(1)
 	o.keys.Adopted(e.spec.Key)
-	job := o.newJob(e)
-	job.adopted = true
+	o.newJob(e, true)
 }
 
 // adoptLater refuses a resubmission that can't be looked into now. The job may
@@ -69,7 +68,7 @@
 }
 
 // jobAdopted takes in what the sidecars know of a job.
-func (o *Owner) jobAdopted(result adoption) {
+func (o *Owner) jobAdopted(result adoptionResult) {
 	job, running := o.jobs[result.key]
 	if !running {
 		return
