Don't count stopped tasks as failures of their workers

Cause: a task that ends with status 409 was stopped because its job had failed. It counted as a failure of the worker that it was stopped at, so that one worker that fails everything raised the failure ratio of all others until its own was no outlier any more. Such a task now says nothing about its worker.

The first ejection lasts 5 s instead of 1 s: each entry probes a failing worker by itself, and each probe costs a job.

--- a/decision/ejection/config.go
+++ b/decision/ejection/config.go
@@ -17,7 +17,7 @@
 	// minOthers is the number of results of other targets that a comparison needs.
 	minOthers = 5
 	// firstEjection is the time of a first ejection; it doubles with each.
-	firstEjection = 1 * time.Second
+	firstEjection = 5 * time.Second
 	// maxEjection bounds the time of an ejection.
 	maxEjection = 60 * time.Second
 	// probesToRestore is the number of probes in a row that must succeed.
--- a/decision/routing/report.go
+++ b/decision/routing/report.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/figring/figring/wire"
@@ -9,6 +10,10 @@
 // firstErrorStatus is the lowest task status that counts as failed.
 const firstErrorStatus = 400
 
+// stoppedStatus is the status of a task that was stopped while it ran, because
+// its job had ended. It says nothing about the target.
+const stoppedStatus = http.StatusConflict
+
 // Report tells what became of a dispatch.
 type Report struct {
 	Caller string
@@ -37,10 +42,7 @@
 func (r Report) verdict() verdict {
 	switch r.Status {
 	case wire.RunDone:
-		if r.TaskStatus >= firstErrorStatus {
-			return verdictBad
-		}
-		return verdictGood
+		return doneVerdict(r.TaskStatus)
 	case wire.RunUnknown:
 		return verdictBad
 	case wire.RunNotStarted:
@@ -50,3 +52,13 @@
 	}
 	return verdictNone
 }
+
+func doneVerdict(taskStatus int) verdict {
+	switch {
+	case taskStatus == stoppedStatus:
+		return verdictNone
+	case taskStatus >= firstErrorStatus:
+		return verdictBad
+	}
+	return verdictGood
+}
