Eject a worker after three failures and nothing else

Cause: the targets' windows are empty when a worker begins to fail right after the start, and five failures at each of three entries are a large part of the allowed loss. Three results, all failed, are enough now when three results of others are known and another target succeeded at the class. A target with successes in its window needs more failures, as before: the excess of its failure ratio over that of the others must be 0.75, or 0.3 from 20 results on. The tests of poison tasks and of the share are unchanged; the router's test allows three tasks instead of five at a failing target.

--- a/decision/ejection/config.go
+++ b/decision/ejection/config.go
@@ -7,7 +7,7 @@
 	windowResults = 32
 	// quickSamples is the number of results from which a target that fails
 	// nearly all of them is ejected.
-	quickSamples = 5
+	quickSamples = 3
 	// quickExcess is the excess over the others' failure ratio for that.
 	quickExcess = 0.75
 	// steadySamples is the number of results from which a lesser excess counts.
@@ -15,7 +15,7 @@
 	// steadyExcess is the excess over the others' failure ratio for that.
 	steadyExcess = 0.3
 	// minOthers is the number of results of other targets that a comparison needs.
-	minOthers = 5
+	minOthers = 3
 	// firstEjection is the time of a first ejection; it doubles with each.
 	firstEjection = 5 * time.Second
 	// maxEjection bounds the time of an ejection.
--- a/decision/ejection/detector_test.go
+++ b/decision/ejection/detector_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func TestFailsEveryTaskIsEjectedAfterFive(t *testing.T) {
+func TestFailsEveryTaskIsEjectedAfterThree(t *testing.T) {
 	d := fleet(11)
 	succeed(d, 11)
 	for range quickSamples - 1 {
--- a/decision/routing/expected_test.go
+++ b/decision/routing/expected_test.go
@@ -138,7 +138,7 @@
 	for range 200 {
 		step()
 	}
-	must.Eq(t, 5, sent)
+	must.Eq(t, 3, sent)
 	must.Eq(t, 3, router.Capacity(now).Targets)
 
 	now = now.Add(5 * time.Second)
