Bound a caller's burst at an entry by its share of one second's worth

The default burst is now one second's worth of the caller's rate, divided among the entries. A job larger than an entry's part is admitted when the whole part is there, and the rest is a debt that is paid at the caller's rate, so that the long-run rate holds and no job has to be refused for ever. A burst that the bundle names is divided in the same way and still bounds the size of a job.

--- a/model/bundle.go
+++ b/model/bundle.go
@@ -25,8 +25,10 @@
 	Weight int `json:"weight" validate:"min=0,max=1000"`
 	// TasksPerSecond bounds admission over the whole system; zero means no bound.
 	TasksPerSecond float64 `json:"tasksPerSecond" validate:"min=0"`
-	// Burst is the number of tasks that may be admitted at once; zero means
-	// one second's worth, and at least one job of the largest size.
+	// Burst is the number of tasks that may be admitted at once, and of the
+	// largest job; zero means one second's worth and no bound on a job. A job
+	// larger than what one entry may admit at once is taken when that is there
+	// whole, and the rest is paid at the caller's rate.
 	Burst int `json:"burst" validate:"min=0"`
 	// Concurrency bounds the caller's tasks in progress; zero means no bound.
 	Concurrency int `json:"concurrency" validate:"min=0"`
