Keep a lapsed entry in the view until it is fenced; note when a sidecar left

Cause (found by reading beside the schedules): the view left a lapsed session out before the commit that fences it. An entry that came back in between could run its jobs beside their adopter. The view now holds every session whose row exists. A sidecar's row lacked the time of its ordered stop that adoption looks at, so that a sidecar that left for good blocked the proof for ever.

--- a/entry/adopter_test.go
+++ b/entry/adopter_test.go
@@ -20,7 +20,7 @@
 // not started. Times are counted from the earliest time of the claim.
 func TestAbsentProved(t *testing.T) {
 	key := model.NewJobKey(testCaller)
-	floor := claimFloor(key)
+	floor := key.Created().Add(-model.KeySkew)
 	at := func(d time.Duration) time.Time { return floor.Add(d) }
 	reply := func(started, since time.Duration, first bool) *wire.LookupReply {
 		return &wire.LookupReply{Sidecar: "s1.a", Started: at(started), RecordsSince: at(since), First: first}
@@ -61,7 +61,7 @@
 // order of the rows does not matter.
 func TestAbsentProvedNeedsAll(t *testing.T) {
 	key := model.NewJobKey(testCaller)
-	left := sidecarRow{Left: true, LeftAt: claimFloor(key).Add(-time.Second).UnixMilli()}
+	left := sidecarRow{Left: true, LeftAt: key.Created().Add(-model.KeySkew).Add(-time.Second).UnixMilli()}
 	silent := sidecarRow{}
 	none := []*wire.LookupReply{nil, nil}
 	must.True(t, account(key, []sidecarRow{left, left}, none).AbsentProved)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -111,7 +111,7 @@
 	deps.writer = claims.New(w.table, testSelf, w.members.Fence, claims.Options{
 		Resolved: func(resolved []claims.Claim, err error) { w.owner.claimResolved(resolved, err) },
 	})
-	deps.adopter = newAdopter(testSelf, w.table, w.objects, w.pool, func(result adoption) { w.owner.post(adopted{result}) })
+	deps.adopter = newAdopter(testSelf, w.table, w.objects, w.pool, func(result adoptionResult) { w.owner.post(adopted{result}) })
 	deps.keeper = answers.NewKeeper(answers.Options{Table: w.table, Objects: w.objects, Self: testSelf, Dropped: func(int) {}})
 	deps.dispatcher = &dispatcher{
 		metrics: deps.metrics,
--- a/membership/observe.go
+++ b/membership/observe.go
@@ -33,7 +33,7 @@
 	}
 	m.watch.Observe(read.sessions, sentAt, now)
 	live, lapsed := m.split(read.sessions, now)
-	m.publish(read.assignment, read.version, liveRows(read.rows, live))
+	m.publish(read.assignment, read.version, read.rows)
 	proposal := ownership.Plan(read.assignment, live, lapsed, m.self, now)
 	m.apply(ctx, read, live, proposal)
 	return nil
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -23,6 +23,8 @@
 	First bool
 	// Left is true after an ordered stop.
 	Left bool
+	// LeftAt is the time of that stop in Unix milliseconds.
+	LeftAt int64
 	// ResultsBehind is true when calls were open at the ordered stop, so that
 	// the results of their tasks are lost with the process.
 	ResultsBehind bool
@@ -111,6 +113,7 @@
 	row := w.row
 	row.Target.State = wire.TargetDraining
 	row.Left = true
+	row.LeftAt = time.Now().UnixMilli()
 	row.ResultsBehind = resultsBehind
 	return w.commit(ctx, row, held.Version)
 }
