--- a/entry/core.go
+++ b/entry/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/figring/figring/answers"
@@ -31,6 +32,8 @@
 	owner   *Owner
 	adopter *adopter
 	keeper  *answers.Keeper
+	// closing is set once no task of this incarnation may be started any more.
+	closing atomic.Bool
 	// keepCtx ends with endKeeping; kept is closed when the keeper has written
 	// its last group after that.
 	keepCtx    context.Context
@@ -120,6 +123,18 @@
 	<-c.kept
 }
 
+// endPermits grants no more permits and waits until none given before can be
+// live, or until no dispatch is open. After it, no message of this incarnation
+// that is still on its way can start a task, so that the jobs may be adopted.
+func (c *core) endPermits(ctx context.Context) {
+	c.closing.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, model.BundleTTL+model.ClockMargin)
+	defer cancel()
+	for ctx.Err() == nil && c.owner.Status(ctx).Running > 0 {
+		pause(ctx, drainPoll)
+	}
+}
+
 // stop ends the duties.
 func (c *core) stop() {
 	c.storeAnswers()
@@ -134,6 +149,9 @@
 	view := c.bundles.View()
 	zoneOpen := view.Bundle.ZoneOpen(target.Zone)
 	targetOpen := view.Bundle.TargetOpen(target.Sidecar)
+	if c.closing.Load() {
+		return wire.Permit{Echo: echo, BundleVersion: view.Bundle.Version}
+	}
 	ttl := permit.Grant(c.members.Lease(), view.FreshUntil, zoneOpen, targetOpen, time.Now())
 	return wire.Permit{Echo: echo, TTL: ttl, BundleVersion: view.Bundle.Version}
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -32,6 +32,7 @@
 		e.operators.shutdown(ctx)
 	}
 	e.awaitIdle(ctx, c)
+	c.endPermits(ctx)
 	drainError := e.rpc.Drain(ctx)
 	c.storeAnswers()
 	closeError := c.members.Close(ctx)
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -182,9 +182,11 @@
 }
 
 // noteHandBack keeps work from a target that can't take any, until it reports.
+// A missing permit is no reason: the next dispatch names the message that came
+// with the hand-back, and so carries a live one.
 func (o *Owner) noteHandBack(end dispatchEnd) {
 	switch end.reply.Reason {
-	case wire.ReasonNoPermit, wire.ReasonWrongIncarnation, wire.ReasonDraining, wire.ReasonNoMinion, wire.ReasonUnreachable:
+	case wire.ReasonWrongIncarnation, wire.ReasonDraining, wire.ReasonNoMinion, wire.ReasonUnreachable:
 		o.router.SetReady(end.order.target.Incarnation, false)
 	}
 }
