Refuse jobs that would not end in time by their longest task

Cause: a job was admitted when its last task was expected to be given out within the timeout, without its run time. At twice the load the queue stands at that edge, so that half of the slot time went to jobs that then failed by their timeout: nearly all of them had a task of more than 3 s at a timeout of 5 s.

The queue now learns from each caller's ended tasks how long the longest of n will take, by a quantile of the latest 512 times, and adds it, or the longest declared time if that is more, to the wait. The wait counts that later smaller jobs of the caller may overtake. The estimate is dropped 10 s after the last time added, so that no caller is refused for ever by old times. Nothing is refused by an estimate while slots are free; before, any waiting task was enough, also one whose claim was being written. The router tells the number of free slots, since tasks queue at one target while another has room.

The row "expected wait" of TestRefusals is told to come back later by what may overtake. TestCapacity expects the free slots too.

--- a/decision/admission/admit.go
+++ b/decision/admission/admit.go
@@ -122,26 +122,45 @@
 	return q.activeWeight + owner.weight
 }
 
-// checkWait refuses early what would not be given out within its timeout.
+// checkWait refuses early what would not end within its timeout: the wait until
+// its last task is given out, and the time of its longest one, by what the
+// caller's tasks took lately or by what it declares. Nothing is refused by an
+// estimate unless there is a backlog.
 func (q *Queue) checkWait(owner *caller, spec model.JobSpec, now time.Time) *model.Refusal {
 	wait := q.expectedWait(owner, len(spec.Tasks), now)
-	if wait <= spec.Timeout {
+	if wait == 0 {
 		return nil
 	}
-	return model.NewRefusal(model.CodeOverloaded, clampRetry(wait-spec.Timeout), "the expected wait is %s", wait.Round(time.Millisecond))
+	need := wait + max(owner.took.of(len(spec.Tasks), now), longestDeclared(spec.Tasks))
+	if need <= spec.Timeout {
+		return nil
+	}
+	return model.NewRefusal(model.CodeOverloaded, clampRetry(need-spec.Timeout), "the expected wait is %s, the expected time %s", wait.Round(time.Millisecond), need.Round(time.Millisecond))
 }
 
 // expectedWait returns the time until the last of tasks more of a caller would
 // be given out. Fair queueing bounds it by the caller's own backlog at its
-// share of the rate, and also by the whole backlog at the whole rate.
+// share of the rate, and also by the whole backlog at the whole rate. The
+// caller's later jobs may overtake by delayPerTask for each task.
 func (q *Queue) expectedWait(owner *caller, tasks int, now time.Time) time.Duration {
 	rate := q.drain.current(q.capacity.TasksPerSecond, now)
-	if rate <= 0 || q.waiting == 0 {
+	if rate <= 0 || !q.backlogged(now) {
 		return 0
 	}
 	own := float64(owner.waiting+tasks) * q.weightWith(owner) / owner.weight
 	all := float64(q.waiting + tasks)
-	return secondsBounded(min(own, all) / rate)
+	overtaken := time.Duration(tasks-1) * delayPerTask
+	return secondsBounded(min(own, all)/rate) + overtaken
+}
+
+// backlogged reports whether a job has to wait: no slot is left over by the
+// tasks that wait here already. Other entries fill the slots too, so that with
+// none left even an empty queue means a wait, if it was longer a moment ago.
+func (q *Queue) backlogged(now time.Time) bool {
+	if q.waiting < q.capacity.Free {
+		return false
+	}
+	return q.waiting > 0 || q.drain.fresh(now)
 }
 
 // retryAfter returns the time in which the given number of tasks leaves.
--- a/decision/admission/admit_test.go
+++ b/decision/admission/admit_test.go
@@ -61,7 +61,16 @@
 		{"expected wait", func(q *Queue) {
 			q.SetCapacity(capacity)
 			q.Admit(spec("a", 2, 460), testStart)
-		}, spec("a", 1, 190), model.CodeOverloaded, 5 * time.Second},
+		}, spec("a", 1, 190), model.CodeOverloaded, 5*time.Second + 189*delayPerTask},
+		{"longest task after the wait", func(q *Queue) {
+			q.SetCapacity(capacity)
+			q.Admit(spec("a", 2, 99), testStart)
+			took(q, 2, 55*time.Second)
+		}, spec("a", 1, 1), model.CodeOverloaded, 5 * time.Second},
+		{"longest declared after the wait", func(q *Queue) {
+			q.SetCapacity(capacity)
+			q.Admit(spec("a", 2, 99), testStart)
+		}, declared(1, 0, 55*time.Second), model.CodeOverloaded, 5110 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -118,6 +127,17 @@
 			q.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 10})
 			q.Admit(spec("b", 2, 10), testStart)
 		}, spec("a", 1, 100)},
+		{"long tasks without a backlog", func(q *Queue) {
+			q.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 10})
+			q.Admit(spec("a", 2, 1), testStart)
+			took(q, 2, 2*time.Minute)
+			q.Remove(testKey("a", 2), testStart)
+		}, spec("a", 1, 5)},
+		{"long tasks while slots are free", func(q *Queue) {
+			q.SetCapacity(Capacity{Targets: 1, TasksPerSecond: 10, Free: 2})
+			q.Admit(spec("a", 2, 1), testStart)
+			took(q, 2, 2*time.Minute)
+		}, spec("a", 1, 5)},
 		{"quota of a caller that left the bundle", func(q *Queue) {
 			q.ApplyBundle(bundle(model.Limits{}, model.Caller{Name: "a", TasksPerSecond: 1, Burst: 1}), 1, testStart)
 			q.ApplyBundle(bundle(model.Limits{}), 1, testStart)
--- a/decision/admission/caller.go
+++ b/decision/admission/caller.go
@@ -13,6 +13,8 @@
 	// waiting and inProgress sum up those of its jobs.
 	waiting    int
 	inProgress int
+	// took estimates how long its tasks take once given out.
+	took longest
 	// heapIndex is the caller's place among those with ready tasks, or -1.
 	heapIndex int
 }
--- a/decision/admission/drain.go
+++ b/decision/admission/drain.go
@@ -53,7 +53,7 @@
 }
 
 func (d *drain) sample(rate float64, now time.Time) {
-	if d.measured.IsZero() || now.Sub(d.measured) > drainFresh {
+	if !d.fresh(now) {
 		d.rate = rate
 	} else {
 		d.rate += drainWeight * (rate - d.rate)
@@ -62,10 +62,15 @@
 	d.measured = now
 }
 
+// fresh reports whether the rate was measured lately.
+func (d *drain) fresh(now time.Time) bool {
+	return !d.measured.IsZero() && now.Sub(d.measured) <= drainFresh
+}
+
 // current returns the rate, or hint when nothing was measured lately. A backlog
 // from which little was taken for longer than a sample lowers the rate.
 func (d *drain) current(hint float64, now time.Time) float64 {
-	if d.measured.IsZero() || now.Sub(d.measured) > drainFresh {
+	if !d.fresh(now) {
 		return hint
 	}
 	if elapsed := now.Sub(d.began); d.active && elapsed > 2*drainSample {
--- a/decision/admission/helpers_test.go
+++ b/decision/admission/helpers_test.go
@@ -42,3 +42,19 @@
 func bundle(limits model.Limits, callers ...model.Caller) model.Bundle {
 	return model.Bundle{Callers: callers, Limits: limits}
 }
+
+// declared returns a job whose tasks declare run times.
+func declared(number int, runs ...time.Duration) model.JobSpec {
+	one := spec("a", number, len(runs))
+	for i, run := range runs {
+		one.Tasks[i].DeclaredRun = run
+	}
+	return one
+}
+
+// took tells a queue of as many ended tasks of a job as an estimate needs.
+func took(queue *Queue, number int, run time.Duration) {
+	for range longestReview {
+		queue.TaskTook(testKey("a", number), run, testStart)
+	}
+}
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -181,6 +181,13 @@
 	known.caller.inProgress--
 }
 
+// TaskTook notes the time from sending a task to its successful end.
+func (q *Queue) TaskTook(key model.JobKey, took time.Duration, now time.Time) {
+	if known := q.jobs[key]; known != nil {
+		known.caller.took.add(took, now)
+	}
+}
+
 // Remove forgets a job with all its tasks.
 func (q *Queue) Remove(key model.JobKey, now time.Time) {
 	known := q.jobs[key]
--- a/decision/routing/capacity.go
+++ b/decision/routing/capacity.go
@@ -7,6 +7,9 @@
 	// Slots and Busy sum up their slots and the tasks known to be there.
 	Slots int
 	Busy  int
+	// Free counts the slots without a task. Tasks queue at one target while
+	// another has free slots, so it is more than Slots less Busy.
+	Free int
 	// LargestMemoryBytes is the memory of the largest known target, open or
 	// not; zero while none is known or one of them does not tell.
 	LargestMemoryBytes int64
--- a/decision/routing/expected_test.go
+++ b/decision/routing/expected_test.go
@@ -186,5 +186,5 @@
 	got := router.Capacity(testStart)
 	must.Eq(t, 40, int(got.TasksPerSecond+0.5))
 	got.TasksPerSecond = 0
-	must.Eq(t, Capacity{Targets: 1, Slots: testSlots, LargestMemoryBytes: 1 << 30}, got)
+	must.Eq(t, Capacity{Targets: 1, Slots: testSlots, Free: testSlots, LargestMemoryBytes: 1 << 30}, got)
 }
--- a/decision/routing/fleet.go
+++ b/decision/routing/fleet.go
@@ -195,7 +195,9 @@
 		}
 		total.Targets++
 		total.Slots += known.info.Slots
-		total.Busy += known.busy(now)
+		busy := known.busy(now)
+		total.Busy += busy
+		total.Free += max(0, known.info.Slots-busy)
 		speed += float64(known.info.Slots) / known.slowness.or(1)
 	}
 	if mean := f.estimator.overall.or(0); mean > 0 {
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -204,3 +204,12 @@
 		must.Between(t, 850, counts[fmt.Sprintf("s%d", i)], 1150)
 	}
 }
+
+// TestFreeSlots lets tasks queue at one target: they take no slot of another.
+func TestFreeSlots(t *testing.T) {
+	router := NewExpected(source())
+	fill(router, 3)
+	send(router, 0, testSlots+2, testStart)
+	send(router, 1, 3, testStart)
+	must.Eq(t, 2*testSlots-3, router.Capacity(testStart).Free)
+}
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/figring/figring/decision/admission"
@@ -126,6 +127,7 @@
 	}
 	switch end.reply.Status {
 	case wire.RunDone:
+		o.noteTime(end)
 		o.leaveQueue(job)
 		o.apply(job, jobstate.Done{Ref: end.order.ref, Attempt: end.order.attempt, Result: end.reply.Result})
 	case wire.RunNotStarted:
@@ -138,6 +140,14 @@
 	}
 }
 
+// noteTime tells the queue how long a successful task took. A task that was
+// attached to was sent by another entry, earlier.
+func (o *Owner) noteTime(end dispatchEnd) {
+	if end.reply.Result.Status < http.StatusBadRequest && !end.order.attach {
+		o.queue.TaskTook(end.order.ref.Key, end.elapsed, o.now)
+	}
+}
+
 // leaveQueue notes that a task ended. A request that may be repeated counts
 // against its caller's concurrency until it is answered.
 func (o *Owner) leaveQueue(job *runningJob) {
@@ -200,6 +210,7 @@
 	capacity := o.router.Capacity(o.now)
 	o.queue.SetCapacity(admission.Capacity{
 		Targets:            capacity.Targets,
+		Free:               capacity.Free,
 		LargestMemoryBytes: capacity.LargestMemoryBytes,
 		TasksPerSecond:     capacity.TasksPerSecond,
 	})
