Give out a job's longest declared tasks first

Cause: tasks were given out in the order of their indexes. A job ends with its last task, so that a long one given out last prolongs it most.

--- /dev/null
+++ b/decision/admission/longestfirst.go
@@ -0,0 +1,42 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/figring/figring/model"
+)
+
+// LongestFirst returns the indexes of tasks with the longest declared run time
+// first; one without a declaration counts as the mean of the others. A job ends
+// with its last task, so a long one that starts last prolongs it most. The rule
+// is that of longest processing time (Graham, "Bounds on Multiprocessing Timing
+// Anomalies", 1969).
+func LongestFirst(tasks []model.TaskSpec, indexes []int) []int {
+	mean := meanDeclared(tasks)
+	ordered := slices.Clone(indexes)
+	slices.SortStableFunc(ordered, func(a, b int) int {
+		return cmp.Compare(declaredOr(&tasks[b], mean), declaredOr(&tasks[a], mean))
+	})
+	return ordered
+}
+
+func declaredOr(task *model.TaskSpec, mean time.Duration) time.Duration {
+	if task.DeclaredRun > 0 {
+		return task.DeclaredRun
+	}
+	return mean
+}
+
+// meanDeclared returns the mean of the declared run times; zero without any.
+func meanDeclared(tasks []model.TaskSpec) time.Duration {
+	sum, count := 0.0, 0
+	for i := range tasks {
+		if tasks[i].DeclaredRun > 0 {
+			sum += tasks[i].DeclaredRun.Seconds()
+			count++
+		}
+	}
+	return secondsBounded(sum / float64(max(1, count)))
+}
--- a/entry/owner_jobs.go
+++ b/entry/owner_jobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/figring/figring/decision/admission"
 	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/wire"
@@ -33,7 +34,7 @@
 		case jobstate.Unknown, jobstate.Done:
 			o.queue.Repeat(ref, o.now)
 		default:
-			o.queue.Enqueue(job.spec.Key, indexes, o.now)
+			o.queue.Enqueue(job.spec.Key, admission.LongestFirst(job.spec.Tasks, indexes), o.now)
 			return
 		}
 	}
