--- a/decision/admission/caller.go
+++ b/decision/admission/caller.go
@@ -16,6 +16,8 @@
 	// passed counts the suspended jobs; held keeps all the others back too.
 	passed int
 	held   bool
+	// took estimates how long its tasks take once given out.
+	took longest
 	// heapIndex is the caller's place among those with ready tasks, or -1.
 	heapIndex int
 }
--- a/decision/routing/capacity.go
+++ b/decision/routing/capacity.go
@@ -9,6 +9,9 @@
 	Busy  int
 	// Room is the number of tasks that may be sent to them beyond Busy.
 	Room int
+	// Free counts the slots without a task. Tasks queue at one target while
+	// another has free slots, so it is more than Slots less Busy.
+	Free int
 	// LargestMemoryBytes is the memory of the largest known target, open or
 	// not; zero while none is known or one of them does not tell.
 	LargestMemoryBytes int64
--- a/decision/routing/report.go
+++ b/decision/routing/report.go
@@ -46,7 +46,7 @@
 	case wire.RunUnknown:
 		return verdictBad
 	case wire.RunNotStarted:
-		if r.Reason == wire.ReasonMinionRefused || r.Reason == wire.ReasonNoMinion {
+		if r.Reason == wire.ReasonMinionRefused {
 			return verdictBad
 		}
 	}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -77,8 +77,9 @@
 	// entries is the number of entries that quotas were divided by.
 	entries      int
 	lastCapacity time.Time
-	// began is the start of the incarnation; see reviewCapacity.
-	began time.Time
+	// lastTarget is the last time at which a target took work, or the start of
+	// the incarnation; see reviewCapacity.
+	lastTarget time.Time
 }
 
 // knownTarget is a sidecar that reported to this entry.
@@ -87,19 +88,21 @@
 	heardAt time.Time
 	// open is what the bundle allowed at the last look.
 	open bool
+	// parkedUntil keeps work away until then; see noteHandBack.
+	parkedUntil time.Time
 }
 
 func newOwner(ctx context.Context, deps ownerDeps) *Owner {
 	return &Owner{
-		ownerDeps: deps,
-		began:     time.Now(),
-		ctx:       ctx,
-		events:    make(chan event, ownerBacklog),
-		keys:      dedup.NewTable(answerBudget),
-		queue:     admission.NewQueue(),
-		jobs:      make(map[model.JobKey]*runningJob),
-		targets:   make(map[model.Incarnation]*knownTarget),
-		budgets:   make(map[string]*retry.Budget),
+		ownerDeps:  deps,
+		lastTarget: time.Now(),
+		ctx:        ctx,
+		events:     make(chan event, ownerBacklog),
+		keys:       dedup.NewTable(answerBudget),
+		queue:      admission.NewQueue(),
+		jobs:       make(map[model.JobKey]*runningJob),
+		targets:    make(map[model.Incarnation]*knownTarget),
+		budgets:    make(map[string]*retry.Budget),
 	}
 }
 
--- a/entry/owner_dispatch.go
+++ b/entry/owner_dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/figring/figring/decision/admission"
@@ -22,8 +23,12 @@
 	// capacityInterval is the interval at which the queue learns what the
 	// targets can take.
 	capacityInterval = 100 * time.Millisecond
-	// targetGrace is how long after its start an entry does not take it that
-	// there are no targets: sidecars hear of it with their next renewals.
+	// parkTime is how long a target gets no work after this entry could give no
+	// permit for it.
+	parkTime = 250 * time.Millisecond
+	// targetGrace is how long after its start, and after its last target went,
+	// an entry still takes jobs in: sidecars that start, restart or hear of the
+	// entry come within it.
 	targetGrace = 5 * time.Second
 	// minTaskTimeout is the least time that a dispatched task is given.
 	minTaskTimeout = 10 * time.Millisecond
@@ -138,6 +143,7 @@
 	}
 	switch end.reply.Status {
 	case wire.RunDone:
+		o.noteTime(end)
 		o.leaveQueue(job)
 		o.apply(job, jobstate.Done{Ref: end.order.ref, Attempt: end.order.attempt, Result: end.reply.Result})
 	case wire.RunNotStarted:
@@ -150,6 +156,14 @@
 	}
 }
 
+// noteTime tells the queue how long a successful task took. A task that was
+// attached to was sent by another entry, earlier.
+func (o *Owner) noteTime(end dispatchEnd) {
+	if end.reply.Result.Status < http.StatusBadRequest && !end.order.attach {
+		o.queue.TaskTook(end.order.ref.Key, end.elapsed, o.now)
+	}
+}
+
 // leaveQueue notes that a task ended. A request that may be repeated counts
 // against its caller's concurrency until it is answered.
 func (o *Owner) leaveQueue(job *runningJob) {
@@ -182,10 +196,16 @@
 }
 
 // noteHandBack keeps work from a target that can't take any, until it reports.
-// A missing permit is no reason: the next dispatch names the message that came
-// with the hand-back, and so carries a live one.
+// A permit that was missing at the sidecar is no reason: the next dispatch names
+// the message that came with the hand-back, and so carries a live one. One that
+// this entry could not give is asked for again after parkTime.
 func (o *Owner) noteHandBack(end dispatchEnd) {
 	switch end.reply.Reason {
+	case wire.ReasonNoPermit:
+		if target, known := o.targets[end.order.target.Incarnation]; known && end.reply.Message == 0 {
+			target.parkedUntil = o.now.Add(parkTime)
+			o.router.SetReady(end.order.target.Incarnation, false)
+		}
 	case wire.ReasonWrongIncarnation, wire.ReasonDraining, wire.ReasonNoMinion, wire.ReasonUnreachable:
 		o.router.SetReady(end.order.target.Incarnation, false)
 	}
@@ -214,13 +234,19 @@
 }
 
 // reviewCapacity tells the queue what the targets can take, and its share of
-// the callers' quotas when the number of entries has changed. A new entry takes
-// jobs in before it has heard of a target, and they wait for one.
+// the callers' quotas when the number of entries has changed. For targetGrace
+// after its start, and after its last target went, an entry takes jobs in
+// without a target, and they wait for one.
 func (o *Owner) reviewCapacity() {
+	o.unpark()
 	capacity := o.router.Capacity(o.now)
-	if capacity.Targets > 0 || o.now.Sub(o.began) > targetGrace {
+	if capacity.Targets > 0 {
+		o.lastTarget = o.now
+	}
+	if capacity.Targets > 0 || o.now.Sub(o.lastTarget) > targetGrace {
 		o.queue.SetCapacity(admission.Capacity{
 			Targets:            capacity.Targets,
+			Free:               capacity.Free,
 			LargestMemoryBytes: capacity.LargestMemoryBytes,
 			TasksPerSecond:     capacity.TasksPerSecond,
 		})
@@ -232,6 +258,16 @@
 	}
 }
 
+// unpark lets targets be tried again for which no permit could be given.
+func (o *Owner) unpark() {
+	for incarnation, target := range o.targets {
+		if !target.parkedUntil.IsZero() && !o.now.Before(target.parkedUntil) {
+			target.parkedUntil = time.Time{}
+			o.router.SetReady(incarnation, true)
+		}
+	}
+}
+
 // dropSilentTargets stops sending to sidecars that are silent, and gives up
 // the open calls to those that are silent for long.
 func (o *Owner) dropSilentTargets() {
