--- a/entry/owner.go
+++ b/entry/owner.go
@@ -19,8 +19,10 @@
 	ownerBacklog = 8192
 	// ownerBatch bounds the events taken in between two rounds of dispatching.
 	ownerBatch = 256
-	// ownerTick is the interval of the loop's look at deadlines.
-	ownerTick = 20 * time.Millisecond
+	// ownerTick bounds the interval of the loop's look at what depends on time
+	// alone, and minOwnerTick is the least one.
+	ownerTick    = 100 * time.Millisecond
+	minOwnerTick = time.Millisecond
 	// answerBudget bounds the bytes of answers kept for resubmissions.
 	answerBudget = 24 << 20
 	// maxAttempts bounds the dispatches of one task. Each failed one is proved
@@ -74,6 +76,7 @@
 	undecided []*model.Answer
 	inFlight  int
 	lastSweep time.Time
+	lastTick  time.Time
 	// entries is the number of entries that quotas were divided by.
 	entries      int
 	lastCapacity time.Time
@@ -109,8 +112,8 @@
 // run takes events in until the context ends. Events are taken in batches, and
 // tasks are sent once after each batch.
 func (o *Owner) run() {
-	ticker := time.NewTicker(ownerTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(ownerTick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -119,14 +122,26 @@
 			o.now = time.Now()
 			o.take(first)
 			o.drainBatch()
-		case <-ticker.C:
+		case <-timer.C:
 			o.now = time.Now()
+			o.lastTick = o.now
 			o.tick()
 		}
 		o.dispatch()
+		timer.Reset(o.nextTick())
 	}
 }
 
+// nextTick returns the time until the next deadline of a job, or until ownerTick
+// after the last tick: events that keep coming must not put it off.
+func (o *Owner) nextTick() time.Duration {
+	wait := o.lastTick.Add(ownerTick).Sub(o.now)
+	if len(o.deadlines) > 0 {
+		wait = min(wait, o.deadlines[0].at.Sub(o.now))
+	}
+	return max(wait, minOwnerTick)
+}
+
 func (o *Owner) drainBatch() {
 	for range ownerBatch {
 		select {
--- a/loadgen/fleet/fleet.go
+++ b/loadgen/fleet/fleet.go
@@ -110,6 +110,9 @@
 	if f.Settings.Routing != "" {
 		values["routing"] = f.Settings.Routing
 	}
+	if f.Settings.ClaimMode != "" {
+		values["claimMode"] = f.Settings.ClaimMode
+	}
 	path, err := f.write(name, values)
 	if err != nil {
 		return err
--- a/loadgen/fleet/settings.go
+++ b/loadgen/fleet/settings.go
@@ -38,6 +38,8 @@
 	Workers []Worker
 	// Routing is an entry's setting of that name; empty for the default.
 	Routing string
+	// ClaimMode is an entry's setting of that name; empty for the default.
+	ClaimMode string
 	// Callers are rolled out at the start; each one's token is Token(name).
 	Callers []model.Caller
 	Limits  model.Limits
--- a/loadgen/fleet/snapshot.go
+++ b/loadgen/fleet/snapshot.go
@@ -22,6 +22,14 @@
 	// written on the connections between entries and sidecars.
 	EntryBytes   []float64
 	SidecarBytes []float64
+	// Platform counts the requests to the platform's stand-in.
+	Platform PlatformCounts
+}
+
+// PlatformCounts counts requests to the tables and objects.
+type PlatformCounts struct {
+	Reads  float64 `json:"reads"`
+	Writes float64 `json:"writes"`
 }
 
 // Snapshot reads every counter, after a wait in which they reach the pages.
@@ -32,7 +40,10 @@
 	if s.Entries, s.EntryUsage, s.EntryBytes, err = f.collect(ctx, f.Entries); err != nil {
 		return nil, err
 	}
-	s.Sidecars, s.SidecarUsage, s.SidecarBytes, err = f.collect(ctx, f.Sidecars)
+	if s.Sidecars, s.SidecarUsage, s.SidecarBytes, err = f.collect(ctx, f.Sidecars); err != nil {
+		return nil, err
+	}
+	s.Platform, err = f.platformCounts(ctx)
 	return s, err
 }
 
--- a/loadgen/measure/run.go
+++ b/loadgen/measure/run.go
@@ -29,6 +29,8 @@
 		{"faulty", (*bench).faulty},
 		{"cpu", (*bench).cpu},
 		{"control", (*bench).control},
+		{"outage", (*bench).outage},
+		{"rate", (*bench).rate},
 	}
 }
 
