--- a/e2e/not_run_test.go
+++ b/e2e/not_run_test.go
@@ -13,8 +13,9 @@
 	"github.com/figring/figring/model"
 )
 
-// newEntryGrace is longer than a new entry lets jobs wait for its first target.
-const newEntryGrace = 6 * time.Second
+// targetGrace is longer than an entry takes jobs in without a target, after its
+// start and after the last target went.
+const targetGrace = 6 * time.Second
 
 // refusalCase makes a submission that is refused before anything starts.
 type refusalCase struct {
@@ -59,6 +60,7 @@
 		status, err := c.status(0)
 		return err == nil && status.readyTargets() == 0
 	})
+	time.Sleep(targetGrace)
 }
 
 // TestNotRunIsTrue makes every refusal that says "not run" and looks into the
@@ -67,7 +69,7 @@
 	t.Parallel()
 	c := newCluster(t, layout{entries: 1, minions: 2})
 	caller := newCaller(c)
-	time.Sleep(newEntryGrace)
+	time.Sleep(targetGrace)
 	for _, one := range refusalCases {
 		job := caller.newJob(4, 10)
 		if one.change != nil {
