--- a/entry/sidecar_row.go
+++ b/entry/sidecar_row.go
@@ -28,8 +28,8 @@
 	Left bool
 	// LeftAt is the Unix time of that stop in milliseconds.
 	LeftAt int64
-	// Unreleased says that a sidecar left with results that nobody took.
-	Unreleased bool
+	// version is that of the stored row.
+	version int64
 }
 
 // listSidecars reads the rows of every sidecar that started within the last
@@ -50,6 +50,7 @@
 			if row.Target.Sidecar == "" {
 				row.Target.Sidecar = strings.TrimPrefix(stored.Key, sidecarPrefix)
 			}
+			row.version = stored.Version
 			rows = append(rows, row)
 		}
 		if page.Next == "" {
--- a/entry/status.go
+++ b/entry/status.go
@@ -20,9 +20,7 @@
 	State       string            `json:"state"`
 	Open        bool              `json:"open"`
 	Slots       int               `json:"slots"`
-	Outstanding int               `json:"outstanding"`
 	HeardMsAgo  int64             `json:"heardMsAgo"`
-	PermitMs    int64             `json:"permitMs"`
 }
 
 // Status sums up one entry.
--- a/entry/sweeper.go
+++ b/entry/sweeper.go
@@ -61,6 +61,28 @@
 	for _, prefix := range []string{claims.Prefix, answers.Prefix} {
 		s.sweepGone(ctx, prefix, before)
 	}
+	s.sweepSidecars(ctx, before)
+}
+
+// sweepSidecars deletes the rows of sidecars that left in order before the given
+// time: no key that is still recognised can have had a task there. The row of
+// one that was killed stays, because its silence here does not prove its end.
+func (s *sweeper) sweepSidecars(ctx context.Context, before time.Time) {
+	rows, err := listSidecars(ctx, s.table)
+	if err != nil {
+		return
+	}
+	for _, row := range rows {
+		left := row.leftAt()
+		if left.IsZero() || !left.Before(before) {
+			continue
+		}
+		key := sidecarPrefix + row.Target.Sidecar
+		_, _ = s.table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: row.version}},
+			Writes:     []platform.Write{{Key: key, Delete: true}},
+		})
+	}
 }
 
 func (s *sweeper) sweepOne(ctx context.Context, incarnation model.Incarnation, before time.Time) {
--- a/entry/sweeper_test.go
+++ b/entry/sweeper_test.go
@@ -99,3 +99,35 @@
 		must.True(t, strings.Contains(err.Error(), "s3"))
 	})
 }
+
+// TestSweepSidecars lets rows of sidecars grow old: only that of one that left
+// in order goes.
+func TestSweepSidecars(t *testing.T) {
+	inWorld(t, func(w *world) {
+		stopped := time.Now()
+		for _, row := range []sidecarRow{
+			{Target: wire.Target{Sidecar: "left"}, Left: true, LeftAt: stopped.UnixMilli()},
+			{Target: wire.Target{Sidecar: "killed"}},
+			{Target: wire.Target{Sidecar: "back"}, LeftAt: stopped.UnixMilli()},
+		} {
+			w.writeSidecarRow(row)
+		}
+		names := func() []string {
+			rows, err := listSidecars(w.ctx, w.table)
+			must.NoError(w.t, err)
+			var names []string
+			for _, row := range rows {
+				names = append(names, row.Target.Sidecar)
+			}
+			return names
+		}
+		w.members.set(func(m *fakeMembers) { m.owns = true })
+		sweeper := newSweeper(w.table, w.objects, testSelf, w.members)
+		time.Sleep(model.Retention)
+		sweeper.sweep(w.ctx)
+		must.Eq(t, []string{"back", "killed", "left"}, names())
+		time.Sleep(sweepMargin + time.Second)
+		sweeper.sweep(w.ctx)
+		must.Eq(t, []string{"back", "killed"}, names())
+	})
+}
--- a/operator/decode.go
+++ b/operator/decode.go
@@ -1,12 +1,12 @@
 package operator
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 
+	"github.com/figring/figring/common/strictjson"
 	"github.com/figring/figring/model"
 )
 
@@ -29,14 +29,9 @@
 
 // decodeStrict decodes exactly one JSON value without unknown fields.
 func decodeStrict(raw []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
+	if err := strictjson.Unmarshal(raw, into); err != nil {
 		return invalidRequest("the body is not the JSON that is wanted: %v", err)
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return invalidRequest("the body goes on after the JSON value")
-	}
 	return nil
 }
 
