--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -45,14 +45,14 @@
 func encoded(tb testing.TB, message any) []byte {
 	tb.Helper()
 	conn := &stream{Reader: bytes.NewReader(nil)}
-	codec := msgpackrpc.NewCodec(false, false, conn)
+	codec := msgpackrpc.NewCodecFromHandle(false, false, conn, handle)
 	must.NoError(tb, codec.WriteRequest(&rpc.Request{ServiceMethod: "Sidecar.Run", Seq: 1}, message))
 	return conn.written.Bytes()
 }
 
 // decoded reads one message into a fresh value of the same type as like.
 func decoded(raw []byte, like any) (any, error) {
-	codec := msgpackrpc.NewCodec(false, false, &stream{Reader: bytes.NewReader(raw)})
+	codec := msgpackrpc.NewCodecFromHandle(false, false, &stream{Reader: bytes.NewReader(raw)}, handle)
 	var header rpc.Request
 	if err := codec.ReadRequestHeader(&header); err != nil {
 		return nil, err
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -109,7 +109,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	codec := trackingCodec{ClientCodec: msgpackrpc.NewCodec(true, true, conn), conn: conn}
+	codec := trackingCodec{ClientCodec: msgpackrpc.NewCodecFromHandle(true, true, conn, handle), conn: conn}
 	target.client = rpc.NewClientWithCodec(codec)
 	return target.client, nil
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -101,7 +101,7 @@
 	if admit(conn, s.secret) != nil {
 		return
 	}
-	s.rpc.ServeCodec(countingCodec{ServerCodec: msgpackrpc.NewCodec(true, true, conn), open: &s.open})
+	s.rpc.ServeCodec(countingCodec{ServerCodec: msgpackrpc.NewCodecFromHandle(true, true, conn, handle), open: &s.open})
 }
 
 func (s *Server) untrack(conn net.Conn) {
