--- a/decision/jobstate/job.go
+++ b/decision/jobstate/job.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figring/figring/model"
+	"github.com/figring/figring/wire"
 )
 
 // firstErrorStatus is the lowest status of a task that counts as failed.
@@ -154,6 +155,9 @@
 
 // applyHandedBack takes the proof that a dispatch did not start its task. From
 // a sidecar that had reported the start before, it proves nothing.
+// applyHandedBack takes a task back that is proved not to have been started. A
+// sidecar that has been restarted proves nothing for its predecessor: if the
+// message came twice, the predecessor may have started the task.
 func (j *Job) applyHandedBack(e HandedBack, now time.Time) []Action {
 	handed := j.current(e.Ref, e.Attempt)
 	if handed == nil {
@@ -162,6 +166,9 @@
 	if handed.phase == phaseStarted {
 		return j.taskUnknown(handed, e.Ref.Index)
 	}
+	if e.Reason == wire.ReasonWrongIncarnation {
+		return j.taskUnknown(handed, e.Ref.Index)
+	}
 	handed.phase = phaseIdle
 	if !now.Before(j.config.Deadline) {
 		return j.failDeadline()
--- a/decision/jobstate/job_test.go
+++ b/decision/jobstate/job_test.go
@@ -22,6 +22,7 @@
 		{"cancel before claim", []Event{Cancel{}}, model.CodeCancelled, model.NotRun},
 		{"cancel before dispatch", []Event{Claimed{}, Cancel{}}, model.CodeCancelled, model.NotRun},
 		{"cancel after dispatch", []Event{Claimed{}, sent(0), Cancel{}}, model.CodeCancelled, model.Unknown},
+		{"handed back by a restarted sidecar", []Event{Claimed{}, sent(0), HandedBack{Ref: ref(0), Attempt: 1, Reason: wire.ReasonWrongIncarnation}}, model.CodeTaskUnknown, model.Unknown},
 		{"cancel after hand back", []Event{Claimed{}, sent(0), HandedBack{Ref: ref(0), Attempt: 1}, Cancel{}}, model.CodeCancelled, model.NotRun},
 		{"deadline after one ran", []Event{Claimed{}, sent(0), sent(1), Done{ref(0), 1, result(0, 200)}, DeadlinePassed{}}, model.CodeDeadline, model.Run},
 		{"deadline before dispatch", []Event{Claimed{}, DeadlinePassed{}}, model.CodeDeadline, model.NotRun},
--- a/e2e/budget_test.go
+++ b/e2e/budget_test.go
@@ -13,7 +13,7 @@
 var processBudget = semaphore.NewWeighted(maxProcesses)
 
 // takeProcesses waits until so many processes may run, for the life of a test.
-func takeProcesses(t *testing.T, count int) {
+func takeProcesses(t testing.TB, count int) {
 	t.Helper()
 	must.NoError(t, processBudget.Acquire(t.Context(), int64(count)))
 	t.Cleanup(func() { processBudget.Release(int64(count)) })
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -33,7 +33,7 @@
 
 // caller submits jobs and keeps a record of every answer, for the judge.
 type caller struct {
-	t       *testing.T
+	t       testing.TB
 	cluster *cluster
 	http    *http.Client
 
@@ -142,7 +142,7 @@
 }
 
 // contextFor returns a context of the test that ends after limit.
-func contextFor(t *testing.T, limit time.Duration) (context.Context, context.CancelFunc) {
+func contextFor(t testing.TB, limit time.Duration) (context.Context, context.CancelFunc) {
 	t.Helper()
 	return context.WithTimeout(t.Context(), limit)
 }
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -38,7 +38,7 @@
 
 // cluster is a whole system of separate processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform *process
 	layout   layout
@@ -86,7 +86,7 @@
 
 // newCluster starts the processes and waits until every entry is ready and
 // knows every sidecar.
-func newCluster(t *testing.T, l layout) *cluster {
+func newCluster(t testing.TB, l layout) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), layout: l}
 	takeProcesses(t, 1+l.entries+l.spareEntries+2*l.minions)
--- a/e2e/judge_test.go
+++ b/e2e/judge_test.go
@@ -49,7 +49,7 @@
 }
 
 // readLedger takes in a file. Each start is in it once more after its end.
-func readLedger(t *testing.T, path string, into map[startID]minion.Start) {
+func readLedger(t testing.TB, path string, into map[startID]minion.Start) {
 	t.Helper()
 	file, err := os.Open(path)
 	must.NoError(t, err)
--- a/e2e/link_test.go
+++ b/e2e/link_test.go
@@ -44,7 +44,7 @@
 }
 
 // newLink forwards to target; names tell the clients apart.
-func newLink(t *testing.T, target string, names ...string) *link {
+func newLink(t testing.TB, target string, names ...string) *link {
 	t.Helper()
 	listener, err := net.Listen("tcp", freeAddress(t))
 	must.NoError(t, err)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -22,7 +22,7 @@
 
 // process is one process of the system under test.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	command *exec.Cmd
 	// addresses holds the string fields of its line "listening".
@@ -35,7 +35,7 @@
 }
 
 // start starts the binary with args and waits until it listens.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, command: exec.Command(binary, args...), ended: make(chan struct{})}
 	stderr, err := p.command.StderrPipe()
