--- a/entry/adopter_test.go
+++ b/entry/adopter_test.go
@@ -266,3 +266,19 @@
 		w.runs(2)
 	})
 }
+
+// TestStoredFailureNeedsTheLease adopts a job whose stored answer is a failure
+// while the lease is over: the failure is told only once the lease is back.
+func TestStoredFailureNeedsTheLease(t *testing.T) {
+	inWorld(t, func(w *world) {
+		spec := w.adoptable()
+		w.storeAnswer(&model.Answer{Key: spec.Key, State: model.Failed, Outcome: model.Run, Code: model.CodeTaskFailed})
+		w.lapse()
+		answer := w.submit(spec)
+		w.settle()
+		answer.refusal(model.CodeTaskFailed, model.Unknown)
+		w.renewLease()
+		w.pass(time.Second)
+		w.submit(spec).failed(model.CodeTaskFailed, model.Run)
+	})
+}
--- a/entry/owner_partitions.go
+++ b/entry/owner_partitions.go
@@ -121,9 +121,7 @@
 		return
 	}
 	if result.answer != nil {
-		o.answered(result.answer)
-		o.forget(job)
-		job.reply(wire.JobReply{Answer: result.answer})
+		o.finish(job, *result.answer)
 		return
 	}
 	found := make(map[int]bool)
--- a/schedules/submit_test.go
+++ b/schedules/submit_test.go
@@ -257,9 +257,7 @@
 	if one == nil {
 		return
 	}
-	e.answered(stored)
-	e.forget(one)
-	one.end(&answer{terminal: stored, by: e, underLease: e.holdsLease()})
+	e.finish(one, stored)
 }
 
 // lookupAll asks the sidecars of all rows and adopts the job when each of them
