--- a/answers/answers_test.go
+++ b/answers/answers_test.go
@@ -10,23 +10,23 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
 )
 
 const writer = model.Incarnation("entry-1.a")
 
-// store is a platform with faults.
-type store struct {
-	table   platform.Table
-	objects platform.Objects
+// faultyStore is a platform with faults.
+type faultyStore struct {
+	table   store.Table
+	objects store.Objects
 	faults  *fault.Injector
 }
 
-func newStore() store {
+func newStore() faultyStore {
 	faults := fault.New(fault.Settings{ReadMillis: 1, WriteMillis: 5}, 1, nil)
-	return store{
+	return faultyStore{
 		table:   fault.NewTable(memory.NewTable(), faults),
 		objects: fault.NewObjects(memory.NewObjects(), faults),
 		faults:  faults,
--- a/answers/finder.go
+++ b/answers/finder.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // pageRows is the number of index rows in one read.
@@ -14,7 +14,7 @@
 // Find returns the answer of a key that the entry of that incarnation wrote, or
 // ErrNotKept. It reads the index rows from the key's creation on, less
 // model.KeySkew, for which callers' clocks may be ahead.
-func Find(ctx context.Context, table platform.Table, objects platform.Objects, writer model.Incarnation, key model.JobKey) (*model.Answer, error) {
+func Find(ctx context.Context, table store.Table, objects store.Objects, writer model.Incarnation, key model.JobKey) (*model.Answer, error) {
 	from := namesFrom(writer, key.Created().Add(-model.KeySkew))
 	for from != "" {
 		page, err := table.List(ctx, prefixOf(writer), from, pageRows)
@@ -36,7 +36,7 @@
 }
 
 // read looks for the key in one group. Another key may have the same hash.
-func read(ctx context.Context, objects platform.Objects, name string, key model.JobKey) (*model.Answer, error) {
+func read(ctx context.Context, objects store.Objects, name string, key model.JobKey) (*model.Answer, error) {
 	body, err := objects.Get(ctx, name)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRead, err)
--- a/answers/keeper.go
+++ b/answers/keeper.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 const (
@@ -26,8 +26,8 @@
 
 // Options configures a Keeper.
 type Options struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	Self    model.Incarnation
 	// Dropped is called with the number of answers that were not written.
 	Dropped func(count int)
@@ -116,7 +116,7 @@
 	}
 	k.sequence++
 	name := nameOf(k.options.Self, time.Now(), k.sequence)
-	row := platform.Txn{Writes: []platform.Write{{Key: name, Value: encodeIndex(group)}}}
+	row := store.Txn{Writes: []store.Write{{Key: name, Value: encodeIndex(group)}}}
 	for range tries {
 		if k.store(ctx, name, body, row) {
 			return
@@ -134,7 +134,7 @@
 	k.options.Dropped(len(group))
 }
 
-func (k *Keeper) store(ctx context.Context, name string, body []byte, row platform.Txn) bool {
+func (k *Keeper) store(ctx context.Context, name string, body []byte, row store.Txn) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := k.options.Objects.Put(ctx, name, body); err != nil {
--- a/answers/sweep.go
+++ b/answers/sweep.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Sweep deletes the groups that an entry wrote before the given time and
 // returns how many it deleted. The object goes first, so that a row without an
 // object is at worst swept again.
-func Sweep(ctx context.Context, table platform.Table, objects platform.Objects, writer model.Incarnation, before time.Time) (int, error) {
+func Sweep(ctx context.Context, table store.Table, objects store.Objects, writer model.Incarnation, before time.Time) (int, error) {
 	end := namesFrom(writer, before)
 	deleted := 0
 	for {
@@ -20,7 +20,7 @@
 		if err != nil {
 			return deleted, fmt.Errorf("%w: %w", ErrRead, err)
 		}
-		var writes []platform.Write
+		var writes []store.Write
 		for _, row := range page.Rows {
 			if row.Key >= end {
 				break
@@ -28,12 +28,12 @@
 			if err := objects.Delete(ctx, row.Key); err != nil {
 				return deleted, fmt.Errorf("%w: %w", ErrRead, err)
 			}
-			writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+			writes = append(writes, store.Write{Key: row.Key, Delete: true})
 		}
 		if len(writes) == 0 {
 			return deleted, nil
 		}
-		if _, err := table.Commit(ctx, platform.Txn{Writes: writes}); err != nil {
+		if _, err := table.Commit(ctx, store.Txn{Writes: writes}); err != nil {
 			return deleted, fmt.Errorf("%w: %w", ErrRead, err)
 		}
 		deleted += len(writes)
--- a/claims/attempt.go
+++ b/claims/attempt.go
@@ -5,14 +5,14 @@
 	"errors"
 	"fmt"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // attempt is one row that the writer tries to write. The row has a key of its
 // own that is used for nothing else, so writing it again is harmless.
 type attempt struct {
 	id  string
-	txn platform.Txn
+	txn store.Txn
 }
 
 // write performs the first attempt of a group's write. When its outcome stays
@@ -44,9 +44,9 @@
 	w.sequence++
 	key := rowKey(w.self, w.opts.Now(), w.sequence)
 	w.mu.Unlock()
-	return attempt{id: id, txn: platform.Txn{
-		Conditions: []platform.Condition{w.fence(), {Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	return attempt{id: id, txn: store.Txn{
+		Conditions: []store.Condition{w.fence(), {Key: key}},
+		Writes:     []store.Write{{Key: key, Value: value}},
 	}}, nil
 }
 
@@ -61,11 +61,11 @@
 // conflict is no such proof: the table may have applied the write and met its
 // own row when the request was sent again below.
 func provesNothingSent(err error) bool {
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, store.ErrUnknownOutcome) {
 		return false
 	}
-	return errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrInvalid) ||
+	return errors.Is(err, store.ErrUnavailable) ||
+		errors.Is(err, store.ErrInvalid) ||
 		errors.Is(err, context.Canceled) ||
 		errors.Is(err, context.DeadlineExceeded)
 }
@@ -83,7 +83,7 @@
 // decides, and the other one meets its row.
 func (w *Writer) resolve(next *group, one attempt, err error) {
 	for {
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, store.ErrConflict) {
 			if known, outcome := w.judgeConflict(one); known {
 				w.resolved(next, outcome)
 				return
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(w.ctx, w.opts.WriteTimeout)
 	defer cancel()
 	row, err := w.table.Get(ctx, one.txn.Writes[0].Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return true, ErrFenced
 	}
 	if err != nil {
--- a/claims/claimers.go
+++ b/claims/claimers.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // afterSlash is the character that follows '/': a key with it in place of the
@@ -15,7 +15,7 @@
 
 // Claimers returns the entries that have rows of claims, with one read for
 // each entry, so that the rows of those that are gone can be swept.
-func Claimers(ctx context.Context, table platform.Table) ([]model.Incarnation, error) {
+func Claimers(ctx context.Context, table store.Table) ([]model.Incarnation, error) {
 	var found []model.Incarnation
 	from := Prefix
 	for {
--- a/claims/load.go
+++ b/claims/load.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // pageRows bounds the rows of one listing.
@@ -14,7 +14,7 @@
 
 // Load returns the claims that the given entries wrote at or after since, in
 // the partitions for which partitions returns true.
-func Load(ctx context.Context, table platform.Table, incarnations []model.Incarnation, since time.Time, partitions func(int) bool) ([]Stored, error) {
+func Load(ctx context.Context, table store.Table, incarnations []model.Incarnation, since time.Time, partitions func(int) bool) ([]Stored, error) {
 	var found []Stored
 	for _, incarnation := range incarnations {
 		claims, err := loadOne(ctx, table, incarnation, since, partitions)
@@ -26,7 +26,7 @@
 	return found, nil
 }
 
-func loadOne(ctx context.Context, table platform.Table, incarnation model.Incarnation, since time.Time, partitions func(int) bool) ([]Stored, error) {
+func loadOne(ctx context.Context, table store.Table, incarnation model.Incarnation, since time.Time, partitions func(int) bool) ([]Stored, error) {
 	var found []Stored
 	from := rowsFrom(incarnation, since)
 	for from != "" {
--- a/claims/sweep.go
+++ b/claims/sweep.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Sweep deletes the rows that the entry wrote before the given time and
 // returns how many it deleted. An interrupted sweep is repeated later.
-func Sweep(ctx context.Context, table platform.Table, incarnation model.Incarnation, before time.Time) (int, error) {
+func Sweep(ctx context.Context, table store.Table, incarnation model.Incarnation, before time.Time) (int, error) {
 	end := rowsFrom(incarnation, before)
 	from := prefixOf(incarnation)
 	deleted := 0
@@ -24,7 +24,7 @@
 		if len(writes) == 0 {
 			return deleted, nil
 		}
-		if _, err := table.Commit(ctx, platform.Txn{Writes: writes}); err != nil {
+		if _, err := table.Commit(ctx, store.Txn{Writes: writes}); err != nil {
 			return deleted, fmt.Errorf("%w: %w", ErrRead, err)
 		}
 		deleted += len(writes)
@@ -33,11 +33,11 @@
 	return deleted, nil
 }
 
-func deletions(rows []platform.Row, end string) []platform.Write {
-	var writes []platform.Write
+func deletions(rows []store.Row, end string) []store.Write {
+	var writes []store.Write
 	for _, row := range rows {
 		if row.Key < end {
-			writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+			writes = append(writes, store.Write{Key: row.Key, Delete: true})
 		}
 	}
 	return writes
--- a/claims/writer.go
+++ b/claims/writer.go
@@ -9,16 +9,16 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Writer appends claims of one entry to the table. While one write is in
 // flight the next group collects, so that a lone claim costs one write and
 // load shares writes by itself.
 type Writer struct {
-	table  platform.Table
+	table  store.Table
 	self   model.Incarnation
-	fence  func() platform.Condition
+	fence  func() store.Condition
 	opts   Options
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -36,7 +36,7 @@
 
 // New returns a writer for the entry self, whose every write requires the
 // condition that fence returns.
-func New(table platform.Table, self model.Incarnation, fence func() platform.Condition, opts Options) *Writer {
+func New(table store.Table, self model.Incarnation, fence func() store.Condition, opts Options) *Writer {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Writer{
 		table:  table,
--- a/claims/writer_test.go
+++ b/claims/writer_test.go
@@ -13,9 +13,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
 )
 
 const (
@@ -26,7 +26,7 @@
 // counter counts the commits that reach the table and may delay some of them
 // beyond the answer to their sender.
 type counter struct {
-	platform.Table
+	store.Table
 	mu      sync.Mutex
 	commits int
 	// late is the delay of the next commit, which answers at once that its
@@ -34,7 +34,7 @@
 	late time.Duration
 }
 
-func (c *counter) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (c *counter) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	c.mu.Lock()
 	c.commits++
 	late := c.late
@@ -47,7 +47,7 @@
 		time.Sleep(late)
 		_, _ = c.Table.Commit(context.Background(), txn)
 	}()
-	return nil, platform.ErrUnknownOutcome
+	return nil, store.ErrUnknownOutcome
 }
 
 type bench struct {
@@ -61,15 +61,15 @@
 	b := &bench{store: memory.NewTable()}
 	b.counter = &counter{Table: b.store}
 	b.injector = fault.New(fault.Settings{}, 1, nil)
-	versions, err := b.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: fenceRow, Value: []byte("x")}}})
+	versions, err := b.store.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: fenceRow, Value: []byte("x")}}})
 	must.NoError(t, err)
-	fence := platform.Condition{Key: fenceRow, Version: versions[0]}
-	b.writer = New(fault.NewTable(b.counter, b.injector), self, func() platform.Condition { return fence }, opts)
+	fence := store.Condition{Key: fenceRow, Version: versions[0]}
+	b.writer = New(fault.NewTable(b.counter, b.injector), self, func() store.Condition { return fence }, opts)
 	return b
 }
 
 func (b *bench) takeOver(t testing.TB) {
-	_, err := b.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: fenceRow, Delete: true}}})
+	_, err := b.store.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: fenceRow, Delete: true}}})
 	must.NoError(t, err)
 }
 
--- a/command/badinput_test.go
+++ b/command/badinput_test.go
@@ -16,8 +16,8 @@
 	"github.com/figring/figring/demo"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/operatorclient"
-	"github.com/figring/figring/platform/fault"
 	"github.com/figring/figring/settings"
+	"github.com/figring/figring/store/fault"
 )
 
 const (
--- a/command/entry.go
+++ b/command/entry.go
@@ -11,9 +11,9 @@
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/entry"
 	"github.com/figring/figring/operator"
-	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/rollout"
 	"github.com/figring/figring/settings"
+	"github.com/figring/figring/store/remote"
 )
 
 const entryHelp = `Runs an entry: it takes callers' requests and owns a part of the key space. SIGTERM makes it drain: readiness turns false, the partitions go to other entries, what is held is answered, and it exits 0.
--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -5,10 +5,10 @@
 
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/common/tlsconf"
-	"github.com/figring/figring/platform/announce"
-	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/settings"
 	"github.com/figring/figring/sidecar"
+	"github.com/figring/figring/store/announce"
+	"github.com/figring/figring/store/remote"
 )
 
 const sidecarHelp = `Runs the sidecar beside a minion, the only process that starts tasks on it. SIGTERM makes it drain: what waits is handed back, what runs is finished and answered, and it exits 0.
--- a/command/standinplatform.go
+++ b/command/standinplatform.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/standin"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/standin"
 )
 
 const standinPlatformHelp = `Serves a table service and an object store over HTTP, in the place of the platform's own. Contents are kept in memory and lost at the end. SIGTERM stops it.
--- a/demo/options.go
+++ b/demo/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/figring/figring/entry"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform/fault"
+	"github.com/figring/figring/store/fault"
 	"github.com/phuslu/log"
 )
 
--- a/demo/start_worker.go
+++ b/demo/start_worker.go
@@ -6,8 +6,8 @@
 	"net"
 
 	"github.com/figring/figring/minion"
-	"github.com/figring/figring/platform/announce"
 	"github.com/figring/figring/sidecar"
+	"github.com/figring/figring/store/announce"
 )
 
 const (
--- a/demo/system.go
+++ b/demo/system.go
@@ -11,10 +11,10 @@
 	"github.com/figring/figring/entry"
 	"github.com/figring/figring/minion"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
 	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
 )
 
 const (
@@ -33,8 +33,8 @@
 	options  Options
 	secret   string
 	injector *fault.Injector
-	table    platform.Table
-	objects  platform.Objects
+	table    store.Table
+	objects  store.Objects
 	entries  []*entry.Entry
 	minions  []*minion.Minion
 	metrics  []*metrics.Root
--- a/demo/system_test.go
+++ b/demo/system_test.go
@@ -14,7 +14,7 @@
 	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/demo"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform/fault"
+	"github.com/figring/figring/store/fault"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -22,8 +22,8 @@
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/minion"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/store/remote"
 )
 
 const (
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -12,8 +12,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/minion"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/announce"
 )
 
 // leavingFault disturbs the system while a target leaves.
@@ -30,8 +30,8 @@
 func drainByOperator(c *cluster)   { c.change(0, "/v1/targets/"+sidecarName(0)+"/drain") }
 func undrainByOperator(c *cluster) { c.change(0, "/v1/targets/"+sidecarName(0)+"/undrain") }
 
-func leaveByAnnouncement(c *cluster) { c.announcer.say(platform.MinionLeaving) }
-func backByAnnouncement(c *cluster)  { c.announcer.say(platform.MinionReady) }
+func leaveByAnnouncement(c *cluster) { c.announcer.say(store.MinionLeaving) }
+func backByAnnouncement(c *cluster)  { c.announcer.say(store.MinionReady) }
 
 var leavingFaults = []leavingFault{
 	{name: "announced", leave: leaveByAnnouncement, back: backByAnnouncement},
@@ -86,7 +86,7 @@
 type announcer struct {
 	cluster *cluster
 	mu      sync.Mutex
-	state   platform.AnnouncementState
+	state   store.AnnouncementState
 }
 
 // announceInterval is the interval at which a minion announces itself.
@@ -94,7 +94,7 @@
 
 func newAnnouncer(c *cluster) *announcer {
 	a := &announcer{cluster: c}
-	a.say(platform.MinionReady)
+	a.say(store.MinionReady)
 	ended := make(chan struct{})
 	c.t.Cleanup(func() { close(ended) })
 	go func() {
@@ -111,7 +111,7 @@
 }
 
 // say changes the state and announces it at once.
-func (a *announcer) say(state platform.AnnouncementState) {
+func (a *announcer) say(state store.AnnouncementState) {
 	a.cluster.t.Helper()
 	a.mu.Lock()
 	a.state = state
@@ -123,7 +123,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	minion := a.cluster.minions[0]
-	body, err := json.Marshal(platform.Announcement{
+	body, err := json.Marshal(store.Announcement{
 		Minion: minion.name, State: a.state, Address: minion.addresses["address"],
 		Slots: minionSlots, Connections: 64, Cores: 8, MemoryBytes: 1 << 37,
 	})
--- a/entry/adopter.go
+++ b/entry/adopter.go
@@ -10,7 +10,7 @@
 	"github.com/figring/figring/decision/adoption"
 	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -51,14 +51,14 @@
 // the questions.
 type adopter struct {
 	self    model.Incarnation
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	pool    rpcCaller
 	orphans chan orphan
 	report  func(adoptionResult)
 }
 
-func newAdopter(self model.Incarnation, table platform.Table, objects platform.Objects, pool rpcCaller, report func(adoptionResult)) *adopter {
+func newAdopter(self model.Incarnation, table store.Table, objects store.Objects, pool rpcCaller, report func(adoptionResult)) *adopter {
 	return &adopter{
 		self:    self,
 		table:   table,
--- a/entry/adopter_test.go
+++ b/entry/adopter_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/figring/figring/answers"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -89,7 +89,7 @@
 }
 
 func (w *world) writeRow(key, value string) {
-	_, err := w.table.Table.Commit(w.ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}})
+	_, err := w.table.Table.Commit(w.ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}})
 	must.NoError(w.t, err)
 }
 
@@ -192,7 +192,7 @@
 	inWorld(t, func(w *world) {
 		spec := w.adoptable()
 		w.answerLookups()
-		w.table.set(nil, nil, platform.ErrUnavailable)
+		w.table.set(nil, nil, store.ErrUnavailable)
 		answer := w.submit(spec)
 		w.settle()
 		answer.refusal(model.CodeStoreUnavailable, model.Unknown)
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -13,7 +13,7 @@
 const announceTimeout = time.Second
 
 // Table returns the platform's table service.
-func (e *Entry) Table() platform.Table { return e.options.Table }
+func (e *Entry) Table() store.Table { return e.options.Table }
 
 // AnnounceBundle tells every entry that a newer bundle was accepted, so that
 // they read it at once. It does not wait: a hint that is lost costs the others
--- a/entry/fake_members_test.go
+++ b/entry/fake_members_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -17,7 +17,7 @@
 	owns     bool
 	owner    wire.EntryInfo
 	live     map[model.Incarnation]wire.EntryInfo
-	fence    platform.Condition
+	fence    store.Condition
 	refreshs int
 }
 
@@ -68,7 +68,7 @@
 
 func (m *fakeMembers) Ready() bool { return true }
 
-func (m *fakeMembers) Fence() platform.Condition {
+func (m *fakeMembers) Fence() store.Condition {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.fence
--- a/entry/fake_table_test.go
+++ b/entry/fake_table_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 )
 
 // fakeTable is a table whose requests can be made to fail. commitErr and
@@ -30,21 +30,21 @@
 	return f.commitErr, f.replyErr, f.readErr
 }
 
-func (f *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(ctx context.Context, key string) (store.Row, error) {
 	if _, _, err := f.faults(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return f.Table.Get(ctx, key)
 }
 
-func (f *fakeTable) List(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
+func (f *fakeTable) List(ctx context.Context, prefix, from string, limit int) (store.Page, error) {
 	if _, _, err := f.faults(); err != nil {
-		return platform.Page{}, err
+		return store.Page{}, err
 	}
 	return f.Table.List(ctx, prefix, from, limit)
 }
 
-func (f *fakeTable) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (f *fakeTable) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	commitErr, replyErr, _ := f.faults()
 	if commitErr != nil {
 		return nil, commitErr
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -32,7 +32,7 @@
 	// Ready reports whether the session is held and the assignment was read.
 	Ready() bool
 	// Fence returns the condition that every claim requires.
-	Fence() platform.Condition
+	Fence() store.Condition
 	// Run keeps the session until ctx ends.
 	Run(ctx context.Context) error
 	// Leave gives the partitions away.
--- a/entry/options.go
+++ b/entry/options.go
@@ -9,7 +9,7 @@
 
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/common/metrics"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -38,9 +38,9 @@
 	StatusListen    string
 	// Secret is shared by all processes of the system.
 	Secret string
-	Table  platform.Table
+	Table  store.Table
 	// Objects keeps the answers of jobs beyond the entry's life.
-	Objects platform.Objects
+	Objects store.Objects
 	// ClaimMode and Routing choose baselines to measure against.
 	ClaimMode claims.Mode
 	Routing   string
--- a/entry/owner_claim_test.go
+++ b/entry/owner_claim_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // TestNothingStartsBeforeTheClaim holds the claim's write up: the task is sent
@@ -16,7 +16,7 @@
 func TestNothingStartsBeforeTheClaim(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.report(target(1))
-		w.table.set(nil, platform.ErrUnknownOutcome, platform.ErrUnavailable)
+		w.table.set(nil, store.ErrUnknownOutcome, store.ErrUnavailable)
 		answer := w.submit(w.job(1))
 		w.runs(0)
 		w.table.set(nil, nil, nil)
@@ -33,7 +33,7 @@
 	inWorld(t, func(w *world) {
 		w.report(target(1))
 		spec := w.job(1)
-		w.table.set(platform.ErrUnavailable, nil, nil)
+		w.table.set(store.ErrUnavailable, nil, nil)
 		refusal := w.submit(spec).refusal(model.CodeStoreUnavailable, model.NotRun)
 		must.Positive(t, refusal.RetryAfter)
 		w.runs(0)
@@ -51,7 +51,7 @@
 	inWorld(t, func(w *world) {
 		w.report(target(1))
 		w.members.set(func(m *fakeMembers) { m.leaseEnd = time.Now() })
-		w.table.set(platform.ErrUnavailable, nil, nil)
+		w.table.set(store.ErrUnavailable, nil, nil)
 		w.submit(w.job(1)).refusal(model.CodeStoreUnavailable, model.Unknown)
 	})
 }
@@ -63,7 +63,7 @@
 	inWorld(t, func(w *world) {
 		w.report(target(1))
 		spec := w.job(1)
-		w.table.set(nil, platform.ErrUnknownOutcome, platform.ErrUnavailable)
+		w.table.set(nil, store.ErrUnknownOutcome, store.ErrUnavailable)
 		answer := w.submit(spec)
 		w.pass(claimPatience+500*time.Millisecond, target(1))
 		answer.refusal(model.CodeStoreUnavailable, model.Unknown)
@@ -87,7 +87,7 @@
 	inWorld(t, func(w *world) {
 		w.report(target(1))
 		spec := w.job(1)
-		w.table.set(platform.ErrUnknownOutcome, nil, platform.ErrUnavailable)
+		w.table.set(store.ErrUnknownOutcome, nil, store.ErrUnavailable)
 		answer := w.submit(spec)
 		w.pass(claimPatience+500*time.Millisecond, target(1))
 		answer.refusal(model.CodeStoreUnavailable, model.Unknown)
@@ -123,11 +123,11 @@
 				w.report(target(1))
 				spec := w.job(1)
 				spec.Timeout = 2 * time.Second
-				commitErr, replyErr := platform.ErrUnknownOutcome, error(nil)
+				commitErr, replyErr := store.ErrUnknownOutcome, error(nil)
 				if written {
-					commitErr, replyErr = nil, platform.ErrUnknownOutcome
+					commitErr, replyErr = nil, store.ErrUnknownOutcome
 				}
-				w.table.set(commitErr, replyErr, platform.ErrUnavailable)
+				w.table.set(commitErr, replyErr, store.ErrUnavailable)
 				answer := w.submit(spec)
 				w.pass(2500*time.Millisecond, target(1))
 				answer.failed(model.CodeDeadline, model.NotRun)
@@ -151,7 +151,7 @@
 		w.report(target(1))
 		spec := w.job(1)
 		spec.Timeout = 2 * time.Second
-		w.table.set(nil, platform.ErrUnknownOutcome, platform.ErrUnavailable)
+		w.table.set(nil, store.ErrUnknownOutcome, store.ErrUnavailable)
 		answer := w.submit(spec)
 		w.lapse()
 		w.pass(claimPatience+500*time.Millisecond, target(1))
--- a/entry/repeatable_test.go
+++ b/entry/repeatable_test.go
@@ -9,7 +9,7 @@
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/decision/retry"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -272,7 +272,7 @@
 func TestRequestsGoOnWithoutTheStore(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.report(target(1))
-		w.table.set(platform.ErrUnavailable, nil, platform.ErrUnavailable)
+		w.table.set(store.ErrUnavailable, nil, store.ErrUnavailable)
 		w.submit(w.single(true)).refusal(model.CodeStoreUnavailable, model.NotRun)
 		answer := w.request(w.single(true))
 		run := w.run()
--- a/entry/role_test.go
+++ b/entry/role_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
--- a/entry/sidecar_row.go
+++ b/entry/sidecar_row.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -34,7 +34,7 @@
 
 // listSidecars reads the rows of every sidecar that started within the last
 // retention time or has not been removed since.
-func listSidecars(ctx context.Context, table platform.Table) ([]sidecarRow, error) {
+func listSidecars(ctx context.Context, table store.Table) ([]sidecarRow, error) {
 	var rows []sidecarRow
 	from := ""
 	for {
--- a/entry/sweeper.go
+++ b/entry/sweeper.go
@@ -8,7 +8,7 @@
 	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 const (
@@ -26,13 +26,13 @@
 // sweeper deletes what is older than the retention time: each entry its own
 // claims and answers, and one of them those of the entries that are gone.
 type sweeper struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	self    model.Incarnation
 	members Membership
 }
 
-func newSweeper(table platform.Table, objects platform.Objects, self model.Incarnation, members Membership) *sweeper {
+func newSweeper(table store.Table, objects store.Objects, self model.Incarnation, members Membership) *sweeper {
 	return &sweeper{table: table, objects: objects, self: self, members: members}
 }
 
@@ -78,9 +78,9 @@
 			continue
 		}
 		key := sidecarPrefix + row.Target.Sidecar
-		_, _ = s.table.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: row.version}},
-			Writes:     []platform.Write{{Key: key, Delete: true}},
+		_, _ = s.table.Commit(ctx, store.Txn{
+			Conditions: []store.Condition{{Key: key, Version: row.version}},
+			Writes:     []store.Write{{Key: key, Delete: true}},
 		})
 	}
 }
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -20,8 +20,8 @@
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/decision/routing"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
@@ -131,14 +131,14 @@
 
 // raiseFence writes the row that claims require.
 func (w *world) raiseFence() {
-	versions, err := w.table.Table.Commit(w.ctx, platform.Txn{Writes: []platform.Write{{Key: testFence, Value: []byte("f")}}})
+	versions, err := w.table.Table.Commit(w.ctx, store.Txn{Writes: []store.Write{{Key: testFence, Value: []byte("f")}}})
 	must.NoError(w.t, err)
-	w.members.set(func(m *fakeMembers) { m.fence = platform.Condition{Key: testFence, Version: versions[0]} })
+	w.members.set(func(m *fakeMembers) { m.fence = store.Condition{Key: testFence, Version: versions[0]} })
 }
 
 // dropFence takes the session over.
 func (w *world) dropFence() {
-	_, err := w.table.Table.Commit(w.ctx, platform.Txn{Writes: []platform.Write{{Key: testFence, Delete: true}}})
+	_, err := w.table.Table.Commit(w.ctx, store.Txn{Writes: []store.Write{{Key: testFence, Delete: true}}})
 	must.NoError(w.t, err)
 }
 
--- a/loadgen/fleet/fleet.go
+++ b/loadgen/fleet/fleet.go
@@ -13,8 +13,8 @@
 	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform/remote"
 	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/store/remote"
 )
 
 const (
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -5,7 +5,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // apply commits a proposal. Partitions to be given away are released first, so
@@ -101,20 +101,20 @@
 // transaction requires all that the proposal rests on: the assignment, this
 // entry's own fence, the versions of the lapsed sessions, and that owners
 // without a session still have none.
-func (m *Manager) transaction(version int64, proposal ownership.Proposal) platform.Txn {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: AssignmentKey, Version: version}, m.Fence()},
-		Writes:     []platform.Write{{Key: AssignmentKey, Value: encodeAssignment(&proposal.Next)}},
+func (m *Manager) transaction(version int64, proposal ownership.Proposal) store.Txn {
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: AssignmentKey, Version: version}, m.Fence()},
+		Writes:     []store.Write{{Key: AssignmentKey, Value: encodeAssignment(&proposal.Next)}},
 	}
 	for _, owner := range proposal.Absent {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: sessionKey(owner)})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: sessionKey(owner)})
 	}
 	for _, lapsed := range proposal.Fenced {
 		key := sessionKey(lapsed.Incarnation)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: lapsed.Version})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: lapsed.Version})
 		txn.Writes = append(txn.Writes,
-			platform.Write{Key: key, Delete: true},
-			platform.Write{Key: fenceKey(lapsed.Incarnation), Delete: true})
+			store.Write{Key: key, Delete: true},
+			store.Write{Key: fenceKey(lapsed.Incarnation), Delete: true})
 	}
 	return txn
 }
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -22,11 +22,11 @@
 			must.NoError(t, err)
 			must.EqOp(t, string(encodeSession(row)), string(encodeSession(again)))
 		}
-		assignment, err := decodeAssignment(platform.Row{Value: value})
+		assignment, err := decodeAssignment(store.Row{Value: value})
 		if err != nil {
 			return
 		}
-		again, err := decodeAssignment(platform.Row{Value: encodeAssignment(&assignment)})
+		again, err := decodeAssignment(store.Row{Value: encodeAssignment(&assignment)})
 		must.NoError(t, err)
 		must.EqOp(t, string(encodeAssignment(&assignment)), string(encodeAssignment(&again)))
 	})
--- a/membership/leave.go
+++ b/membership/leave.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Leave gives all partitions away and returns when that is committed, or at
@@ -71,17 +71,17 @@
 		return nil
 	}
 	for {
-		_, err := m.commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{fence},
-			Writes: []platform.Write{
+		_, err := m.commit(ctx, store.Txn{
+			Conditions: []store.Condition{fence},
+			Writes: []store.Write{
 				{Key: sessionKey(m.self), Delete: true},
 				{Key: fence.Key, Delete: true},
 			},
 		})
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, store.ErrConflict) {
 			return nil
 		}
-		if _, readErr := m.get(ctx, fence.Key); errors.Is(readErr, platform.ErrNotFound) {
+		if _, readErr := m.get(ctx, fence.Key); errors.Is(readErr, store.ErrNotFound) {
 			return nil
 		}
 		if pause(ctx, retryInterval) != nil {
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -10,7 +10,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -153,13 +153,13 @@
 
 // Fence returns the condition that every claim must require. Before the
 // registration it is one that never holds.
-func (m *Manager) Fence() platform.Condition {
+func (m *Manager) Fence() store.Condition {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.session.registered {
-		return platform.Condition{Key: fenceKey(m.self), Version: -1}
+		return store.Condition{Key: fenceKey(m.self), Version: -1}
 	}
-	return platform.Condition{Key: fenceKey(m.self), Version: m.session.fenceVersion}
+	return store.Condition{Key: fenceKey(m.self), Version: m.session.fenceVersion}
 }
 
 // Owns reports whether this entry may decide about keys of the partition now:
--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -15,9 +15,9 @@
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
@@ -30,12 +30,12 @@
 // lateTable delivers some commits after their sender was told that the outcome
 // is unknown.
 type lateTable struct {
-	platform.Table
+	store.Table
 	mu    sync.Mutex
 	delay func() time.Duration
 }
 
-func (l *lateTable) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (l *lateTable) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	l.mu.Lock()
 	delay := l.delay()
 	l.mu.Unlock()
@@ -46,7 +46,7 @@
 		time.Sleep(delay)
 		_, _ = l.Table.Commit(context.Background(), txn)
 	}()
-	return nil, platform.ErrUnknownOutcome
+	return nil, store.ErrUnknownOutcome
 }
 
 // member is one entry: a manager, its writer of claims and its own faults.
@@ -313,7 +313,7 @@
 		must.NoError(t, <-leaver.result)
 		for _, key := range []string{sessionKey(leaver.info.Incarnation), fenceKey(leaver.info.Incarnation)} {
 			_, err := c.store.Get(t.Context(), key)
-			must.ErrorIs(t, err, platform.ErrNotFound)
+			must.ErrorIs(t, err, store.ErrNotFound)
 		}
 		// Closing without leaving hands over at the next read of the others.
 		must.NoError(t, c.members[1].Close(t.Context()))
@@ -366,7 +366,7 @@
 }
 
 type countingTable struct {
-	platform.Table
+	store.Table
 	mu    sync.Mutex
 	count [3]int
 }
@@ -383,17 +383,17 @@
 	return c.count
 }
 
-func (c *countingTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *countingTable) Get(ctx context.Context, key string) (store.Row, error) {
 	c.add(0)
 	return c.Table.Get(ctx, key)
 }
 
-func (c *countingTable) List(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
+func (c *countingTable) List(ctx context.Context, prefix, from string, limit int) (store.Page, error) {
 	c.add(1)
 	return c.Table.List(ctx, prefix, from, limit)
 }
 
-func (c *countingTable) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (c *countingTable) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	c.add(2)
 	return c.Table.Commit(ctx, txn)
 }
--- a/membership/observe.go
+++ b/membership/observe.go
@@ -7,7 +7,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // reading is one complete read of the table.
@@ -48,7 +48,7 @@
 	case err == nil:
 		read.version = row.Version
 		read.assignment, err = decodeAssignment(row)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		err = nil
 	}
 	if err != nil {
@@ -62,7 +62,7 @@
 	return read, nil
 }
 
-func (r *reading) addSessions(rows []platform.Row) {
+func (r *reading) addSessions(rows []store.Row) {
 	r.rows = make(map[model.Incarnation]SessionRow, len(rows))
 	for _, row := range rows {
 		decoded, err := DecodeSession(row.Value)
--- a/membership/options.go
+++ b/membership/options.go
@@ -8,7 +8,7 @@
 
 	"github.com/figring/figring/claims"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -26,7 +26,7 @@
 // Options configure a Manager. The callbacks are never called at the same
 // time as one another, but for OnFenced.
 type Options struct {
-	Table platform.Table
+	Table store.Table
 	Self  wire.EntryInfo
 	Log   *log.Logger
 	// OnAcquire is called before Owns reports true, with the claims that
--- a/membership/register.go
+++ b/membership/register.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // register writes the session and fence rows, repeating until it is known that
@@ -24,12 +24,12 @@
 
 func (m *Manager) registerOnce(ctx context.Context) (bool, error) {
 	number, value := m.beginAttempt()
-	versions, err := m.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	versions, err := m.commit(ctx, store.Txn{
+		Conditions: []store.Condition{
 			{Key: sessionKey(m.self)},
 			{Key: fenceKey(m.self)},
 		},
-		Writes: []platform.Write{
+		Writes: []store.Write{
 			{Key: sessionKey(m.self), Value: value},
 			{Key: fenceKey(m.self), Value: []byte(m.self)},
 		},
@@ -38,7 +38,7 @@
 		m.registered(number, versions[0], versions[1])
 		return true, nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		m.attemptFailed(number)
 		return false, nil
 	}
@@ -52,7 +52,7 @@
 		return false, nil
 	}
 	row, err := m.get(ctx, sessionKey(m.self))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return false, m.fenced()
 	}
 	if err != nil {
--- a/membership/renew.go
+++ b/membership/renew.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // renewOnce writes the session row once more. It fails only when the session
@@ -12,15 +12,15 @@
 // same session is renewed when the table is back and the row still there.
 func (m *Manager) renewOnce(ctx context.Context) error {
 	number, value := m.beginAttempt()
-	versions, err := m.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: sessionKey(m.self), Version: m.sessionVersion()}},
-		Writes:     []platform.Write{{Key: sessionKey(m.self), Value: value}},
+	versions, err := m.commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: sessionKey(m.self), Version: m.sessionVersion()}},
+		Writes:     []store.Write{{Key: sessionKey(m.self), Value: value}},
 	})
 	if err == nil {
 		m.renewed(number, versions[0])
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		m.attemptFailed(number)
 		return nil
 	}
@@ -31,7 +31,7 @@
 // not in the row yet stays open, because it may arrive later.
 func (m *Manager) readSession(ctx context.Context) error {
 	row, err := m.get(ctx, sessionKey(m.self))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return m.fenced()
 	}
 	if err != nil {
--- a/membership/rows.go
+++ b/membership/rows.go
@@ -5,7 +5,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -61,7 +61,7 @@
 	return value
 }
 
-func decodeAssignment(row platform.Row) (ownership.Assignment, error) {
+func decodeAssignment(row store.Row) (ownership.Assignment, error) {
 	var assignment ownership.Assignment
 	err := json.Unmarshal(row.Value, &assignment)
 	return assignment, err
--- a/membership/store.go
+++ b/membership/store.go
@@ -4,26 +4,26 @@
 	"context"
 	"errors"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-func (m *Manager) get(ctx context.Context, key string) (platform.Row, error) {
+func (m *Manager) get(ctx context.Context, key string) (store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	return m.opts.Table.Get(ctx, key)
 }
 
-func (m *Manager) commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (m *Manager) commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	return m.opts.Table.Commit(ctx, txn)
 }
 
 // list reads all rows with the prefix.
-func (m *Manager) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (m *Manager) list(ctx context.Context, prefix string) ([]store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	var rows []platform.Row
+	var rows []store.Row
 	from := prefix
 	for from != "" {
 		page, err := m.opts.Table.List(ctx, prefix, from, listRows)
@@ -39,7 +39,7 @@
 // provesNoEffect reports whether a failed commit surely changed nothing and
 // never will.
 func provesNoEffect(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrConflict) ||
-		errors.Is(err, platform.ErrInvalid)
+	return errors.Is(err, store.ErrUnavailable) ||
+		errors.Is(err, store.ErrConflict) ||
+		errors.Is(err, store.ErrInvalid)
 }
--- a/minion/announcer.go
+++ b/minion/announcer.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/announce"
 	"github.com/phuslu/log"
 )
 
@@ -40,7 +40,7 @@
 // repeat announces at once and then in each interval, until ctx ends. It does
 // not cut off an announcement under way, because the sidecar might take it in
 // after the next one.
-func (a *announcer) repeat(ctx context.Context, announcement platform.Announcement) {
+func (a *announcer) repeat(ctx context.Context, announcement store.Announcement) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
@@ -55,7 +55,7 @@
 
 // send announces once, and logs when the sidecar becomes reachable or stops
 // being so.
-func (a *announcer) send(ctx context.Context, announcement platform.Announcement) {
+func (a *announcer) send(ctx context.Context, announcement store.Announcement) {
 	err := a.post(ctx, announcement)
 	if err != nil && a.reached {
 		a.logger.Warn().Err(err).Msg("sidecar not reached")
@@ -66,7 +66,7 @@
 	a.reached = err == nil
 }
 
-func (a *announcer) post(ctx context.Context, announcement platform.Announcement) error {
+func (a *announcer) post(ctx context.Context, announcement store.Announcement) error {
 	body, err := json.Marshal(announcement)
 	if err != nil {
 		return err
--- a/minion/announcer_test.go
+++ b/minion/announcer_test.go
@@ -12,7 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 )
@@ -20,7 +20,7 @@
 // sidecar answers announcements in the place of the network.
 type sidecar struct {
 	status   int
-	received []platform.Announcement
+	received []store.Announcement
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -28,7 +28,7 @@
 	if s.status == 0 {
 		return nil, errors.New("refused")
 	}
-	var one platform.Announcement
+	var one store.Announcement
 	if err := json.NewDecoder(request.Body).Decode(&one); err != nil {
 		return nil, err
 	}
@@ -42,7 +42,7 @@
 		to := &sidecar{status: http.StatusNoContent}
 		announcer := newAnnouncer("http://sidecar", &log.Logger{Writer: log.IOWriter{Writer: &logged}})
 		announcer.client = &http.Client{Transport: to}
-		want := platform.Announcement{Minion: "m1", State: platform.MinionReady}
+		want := store.Announcement{Minion: "m1", State: store.MinionReady}
 		period := func(status int, length time.Duration) int {
 			to.status = status
 			before := len(to.received)
--- a/minion/serve.go
+++ b/minion/serve.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // The bounds of a connection, and of the graceful stop.
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var announcing sync.WaitGroup
 	if m.options.AnnounceURL != "" {
-		announcing.Go(func() { announcer.repeat(ctx, m.announcement(address, platform.MinionReady)) })
+		announcing.Go(func() { announcer.repeat(ctx, m.announcement(address, store.MinionReady)) })
 	}
 	var err error
 	select {
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	if m.options.AnnounceURL != "" {
-		announcer.send(ctx, m.announcement(address, platform.MinionLeaving))
+		announcer.send(ctx, m.announcement(address, store.MinionLeaving))
 	}
 	select {
 	case <-empty:
@@ -94,8 +94,8 @@
 	}
 }
 
-func (m *Minion) announcement(address string, state platform.AnnouncementState) platform.Announcement {
-	return platform.Announcement{
+func (m *Minion) announcement(address string, state store.AnnouncementState) store.Announcement {
+	return store.Announcement{
 		Minion:      m.options.Name,
 		State:       state,
 		Address:     address,
--- a/minion/serve_test.go
+++ b/minion/serve_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/figring/figring/minion"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/announce"
 	"github.com/shoenig/test/must"
 )
 
@@ -71,7 +71,7 @@
 	s := serve(t, with)
 	ready, err := receiver.Next(t.Context())
 	must.NoError(t, err)
-	must.Eq(t, platform.MinionReady, ready.State)
+	must.Eq(t, store.MinionReady, ready.State)
 	must.Eq(t, s.address, ready.Address)
 	must.Eq(t, 2, ready.Slots)
 	must.Eq(t, 4, ready.Connections)
@@ -93,7 +93,7 @@
 	for {
 		one, err := receiver.Next(t.Context())
 		must.NoError(t, err)
-		if one.State == platform.MinionLeaving {
+		if one.State == store.MinionLeaving {
 			break
 		}
 	}
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -17,35 +17,35 @@
 
 	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/decision/bundle"
-	"github.com/figring/figring/platform"
 	"github.com/figring/figring/rollout"
 	"github.com/figring/figring/settings"
+	"github.com/figring/figring/store"
 )
 
 // fakeTable is a table in memory; fail is returned by every call when set.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	version int64
 	fail    error
 	// failWrites is returned by every commit when set.
 	failWrites error
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (store.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	row, found := f.rows[key]
 	if !found && f.fail == nil {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, f.fail
 }
 
-func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (platform.Page, error) {
+func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var page platform.Page
+	var page store.Page
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) && key >= from {
 			page.Rows = append(page.Rows, row)
@@ -56,7 +56,7 @@
 	return page, f.fail
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
+func (f *fakeTable) Commit(_ context.Context, txn store.Txn) ([]int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fail != nil || f.failWrites != nil {
@@ -64,14 +64,14 @@
 	}
 	for _, condition := range txn.Conditions {
 		if f.rows[condition.Key].Version != condition.Version {
-			return nil, platform.ErrConflict
+			return nil, store.ErrConflict
 		}
 	}
 	versions := make([]int64, len(txn.Writes))
 	for i, write := range txn.Writes {
 		f.version++
 		versions[i] = f.version
-		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: f.version}
+		f.rows[write.Key] = store.Row{Key: write.Key, Value: write.Value, Version: f.version}
 	}
 	return versions, nil
 }
@@ -92,7 +92,7 @@
 
 func newRigWithTimeout(t *testing.T, timeout time.Duration) *rig {
 	t.Helper()
-	table := &fakeTable{rows: make(map[string]platform.Row)}
+	table := &fakeTable{rows: make(map[string]store.Row)}
 	watcher := rollout.New(table, rollout.Options{})
 	_, err := watcher.ReadNow(t.Context())
 	must.NoError(t, err)
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -11,8 +11,8 @@
 	"github.com/figring/figring/common/problem"
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
 	"github.com/figring/figring/rollout"
+	"github.com/figring/figring/store"
 )
 
 const wholeBundle = `{"version":0,"closedZones":[],"drainedTargets":[],"drainedEntries":[],"callers":[],"limits":{"queuedTasks":9}}`
@@ -171,7 +171,7 @@
 
 func TestStoreOutIsSaidTruly(t *testing.T) {
 	r := newRig(t)
-	r.table.fail = platform.ErrUnavailable
+	r.table.fail = store.ErrUnavailable
 	var refused problem.Details
 	response := r.send("anna", "POST", "/v1/zones/garching/close", "", &refused)
 	must.EqOp(t, http.StatusServiceUnavailable, response.StatusCode)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/figring/figring/common/problem"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // TestServerBoundsHeaders serves the interface on a listener.
@@ -45,7 +45,7 @@
 // TestRequestEndsWithItsTime keeps every write's outcome unknown.
 func TestRequestEndsWithItsTime(t *testing.T) {
 	r := newRigWithTimeout(t, 250*time.Millisecond)
-	r.table.failWrites = platform.ErrUnknownOutcome
+	r.table.failWrites = store.ErrUnknownOutcome
 	var refused problem.Details
 	response := r.send("anna", "POST", "/v1/zones/garching/close", "", &refused)
 	must.EqOp(t, http.StatusServiceUnavailable, response.StatusCode)
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // settleWait is the pause between two tries to learn the outcome of a write.
@@ -15,7 +15,7 @@
 // attempt is one transaction together with the way to recognise its effect.
 type attempt struct {
 	id  string
-	txn platform.Txn
+	txn store.Txn
 	// took reads whether this attempt's own write stands in the table.
 	took func(ctx context.Context) (bool, error)
 }
@@ -26,9 +26,9 @@
 // effect, and a failed condition followed by a read is a proof. It returns nil,
 // errLost or ErrUnavailable, which both mean that nothing was written, or an
 // UnknownError when ctx ended before the outcome was known.
-func (s store) commit(ctx context.Context, try attempt) error {
+func (s bundleTable) commit(ctx context.Context, try attempt) error {
 	_, err := s.table.Commit(ctx, try.txn)
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, store.ErrUnknownOutcome) {
 		return writeError(err)
 	}
 	for ctx.Err() == nil {
@@ -39,7 +39,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, store.ErrConflict) {
 			if took, readErr := try.took(ctx); readErr == nil {
 				return settled(took)
 			}
@@ -61,7 +61,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return errLost
 	default:
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/rollout/store.go
+++ b/rollout/bundletable.go
@@ -7,18 +7,18 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-// store reads and decodes the rows of this package.
-type store struct {
-	table platform.Table
+// bundleTable reads and decodes the rows of this package.
+type bundleTable struct {
+	table store.Table
 }
 
 // current returns the bundle in force and the version of its row, 0 if absent.
-func (s store) current(ctx context.Context) (model.Bundle, int64, error) {
+func (s bundleTable) current(ctx context.Context) (model.Bundle, int64, error) {
 	row, err := s.table.Get(ctx, CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return model.Bundle{}, 0, nil
 	}
 	if err != nil {
@@ -29,7 +29,7 @@
 }
 
 // proposal returns a proposal and the version of its row.
-func (s store) proposal(ctx context.Context, id string) (bundle.Proposal, int64, error) {
+func (s bundleTable) proposal(ctx context.Context, id string) (bundle.Proposal, int64, error) {
 	row, err := s.table.Get(ctx, proposalKey(id))
 	if err != nil {
 		return bundle.Proposal{}, 0, readError(err)
@@ -39,7 +39,7 @@
 }
 
 // entry returns the audit record of a version.
-func (s store) entry(ctx context.Context, version int64) (HistoryEntry, error) {
+func (s bundleTable) entry(ctx context.Context, version int64) (HistoryEntry, error) {
 	row, err := s.table.Get(ctx, historyKey(version))
 	if err != nil {
 		return HistoryEntry{}, readError(err)
@@ -51,7 +51,7 @@
 
 // readError turns an error of a read into one of this package.
 func readError(err error) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return ErrNotFound
 	}
 	return fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/rollout/editor.go
+++ b/rollout/editor.go
@@ -9,7 +9,7 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // AnyVersion as the base of an edit means whatever version is in force.
@@ -22,13 +22,13 @@
 // Editor changes bundles on behalf of operators. Several editors in several
 // processes may race: the table decides.
 type Editor struct {
-	store   store
+	store   bundleTable
 	options EditorOptions
 }
 
 // NewEditor returns an editor of the bundles in table.
-func NewEditor(table platform.Table, options EditorOptions) *Editor {
-	return &Editor{store: store{table: table}, options: options.withDefaults()}
+func NewEditor(table store.Table, options EditorOptions) *Editor {
+	return &Editor{store: bundleTable{table: table}, options: options.withDefaults()}
 }
 
 // Current returns the bundle in force as the table has it now.
@@ -95,12 +95,12 @@
 // entry and the extra writes, on the condition that the row of the bundle in
 // force still has version row.
 func (e *Editor) putInForce(ctx context.Context, row int64, entry HistoryEntry, extra ...conditionalWrite) (Accepted, error) {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{
+	txn := store.Txn{
+		Conditions: []store.Condition{
 			{Key: CurrentKey, Version: row},
 			{Key: historyKey(entry.Version), Version: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []store.Write{
 			{Key: CurrentKey, Value: encode(entry.Bundle)},
 			{Key: historyKey(entry.Version), Value: encode(entry)},
 		},
@@ -140,6 +140,6 @@
 
 // conditionalWrite is a write with the condition on the same row.
 type conditionalWrite struct {
-	condition platform.Condition
-	write     platform.Write
+	condition store.Condition
+	write     store.Write
 }
--- a/rollout/editor_proposal.go
+++ b/rollout/editor_proposal.go
@@ -6,7 +6,7 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Propose stores a proposal to replace version base by next.
@@ -142,14 +142,14 @@
 func proposalWrite(proposal bundle.Proposal, row int64) conditionalWrite {
 	key := proposalKey(proposal.ID)
 	return conditionalWrite{
-		condition: platform.Condition{Key: key, Version: row},
-		write:     platform.Write{Key: key, Value: encode(proposal)},
+		condition: store.Condition{Key: key, Version: row},
+		write:     store.Write{Key: key, Value: encode(proposal)},
 	}
 }
 
-func (w conditionalWrite) txn() platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{w.condition},
-		Writes:     []platform.Write{w.write},
+func (w conditionalWrite) txn() store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{w.condition},
+		Writes:     []store.Write{w.write},
 	}
 }
--- a/rollout/editor_test.go
+++ b/rollout/editor_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 var testRules = bundle.Rules{Zones: []string{"schwabing", "maxvorstadt", "garching"}}
@@ -181,7 +181,7 @@
 	*fakeTable
 }
 
-func (c *cutAfterCommit) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (c *cutAfterCommit) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	versions, err := c.fakeTable.Commit(ctx, txn)
 	c.setOut(true)
 	return versions, err
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // fault is what happens to one call of the fake table.
@@ -29,12 +29,12 @@
 // fakeTable is a table in memory with scripted delays and faults.
 type fakeTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]store.Row
 	version  int64
 	commits  []fault
 	sent     int
 	out      bool
-	late     *platform.Txn
+	late     *store.Txn
 	inFlight int
 	most     int
 	// latency delays the reply of the n-th read, counted from 0, after the
@@ -45,12 +45,12 @@
 
 func newFakeTable() *fakeTable {
 	return &fakeTable{
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]store.Row),
 		latency: func(int) time.Duration { return 0 },
 	}
 }
 
-func (f *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(ctx context.Context, key string) (store.Row, error) {
 	row, found, out, latency := f.begin(key)
 	defer f.end()
 	if latency > 0 {
@@ -58,14 +58,14 @@
 	}
 	switch {
 	case out || ctx.Err() != nil:
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	case !found:
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTable) begin(key string) (platform.Row, bool, bool, time.Duration) {
+func (f *fakeTable) begin(key string) (store.Row, bool, bool, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	latency := f.latency(f.reads)
@@ -82,13 +82,13 @@
 	f.inFlight--
 }
 
-func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (platform.Page, error) {
+func (f *fakeTable) List(_ context.Context, prefix, from string, limit int) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.out {
-		return platform.Page{}, platform.ErrUnavailable
+		return store.Page{}, store.ErrUnavailable
 	}
-	var page platform.Page
+	var page store.Page
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) && key >= from {
 			page.Rows = append(page.Rows, row)
@@ -99,7 +99,7 @@
 	return page, nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]int64, error) {
+func (f *fakeTable) Commit(_ context.Context, txn store.Txn) ([]int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent++
@@ -109,15 +109,15 @@
 	}
 	switch f.nextFault() {
 	case faultOut:
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	case faultLostReply:
 		_, _ = f.apply(txn)
-		return nil, platform.ErrUnknownOutcome
+		return nil, store.ErrUnknownOutcome
 	case faultLostRequest:
-		return nil, platform.ErrUnknownOutcome
+		return nil, store.ErrUnknownOutcome
 	case faultLate:
 		f.late = &txn
-		return nil, platform.ErrUnknownOutcome
+		return nil, store.ErrUnknownOutcome
 	}
 	return f.apply(txn)
 }
@@ -134,17 +134,17 @@
 	return next
 }
 
-func (f *fakeTable) apply(txn platform.Txn) ([]int64, error) {
+func (f *fakeTable) apply(txn store.Txn) ([]int64, error) {
 	for _, condition := range txn.Conditions {
 		if f.rows[condition.Key].Version != condition.Version {
-			return nil, platform.ErrConflict
+			return nil, store.ErrConflict
 		}
 	}
 	versions := make([]int64, len(txn.Writes))
 	for i, write := range txn.Writes {
 		f.version++
 		versions[i] = f.version
-		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: f.version}
+		f.rows[write.Key] = store.Row{Key: write.Key, Value: write.Value, Version: f.version}
 	}
 	return versions, nil
 }
@@ -155,8 +155,8 @@
 	f.out = out
 }
 
-func row(value string) platform.Row {
-	return platform.Row{Key: CurrentKey, Value: []byte(value), Version: 1}
+func row(value string) store.Row {
+	return store.Row{Key: CurrentKey, Value: []byte(value), Version: 1}
 }
 
 func (f *fakeTable) mostInFlight() int {
@@ -177,7 +177,7 @@
 	before func()
 }
 
-func (i *interleaved) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+func (i *interleaved) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	if before := i.before; before != nil {
 		i.before = nil
 		before()
--- a/rollout/watcher.go
+++ b/rollout/watcher.go
@@ -9,7 +9,7 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // maxReads bounds the reads in flight. With one read each model.BundlePoll they
@@ -23,7 +23,7 @@
 // read starts at every poll, also while earlier ones are in flight, so that a
 // slow store delays the view but doesn't make it stale.
 type Watcher struct {
-	store   store
+	store   bundleTable
 	options Options
 	reads   chan struct{}
 
@@ -41,10 +41,10 @@
 }
 
 // New returns a watcher of the bundle in table. Run starts it.
-func New(table platform.Table, options Options) *Watcher {
+func New(table store.Table, options Options) *Watcher {
 	options = options.withDefaults()
 	return &Watcher{
-		store:      store{table: table},
+		store:      bundleTable{table: table},
 		options:    options,
 		reads:      make(chan struct{}, maxReads),
 		readCount:  options.Scope.Counter("bundle_reads"),
--- a/schedules/entry_test.go
+++ b/schedules/entry_test.go
@@ -128,7 +128,7 @@
 
 // bundle returns the bundle in force.
 func (w *world) bundle() model.Bundle {
-	row := w.store.read(bundleKey)
+	row := w.table.read(bundleKey)
 	if row.Version == 0 {
 		return model.Bundle{}
 	}
--- a/schedules/job_test.go
+++ b/schedules/job_test.go
@@ -133,8 +133,8 @@
 
 // keep stores an answer behind.
 func (w *world) keep(by *entry, terminal *model.Answer) {
-	w.post(message{to: w.store, what: "keep answer", act: func() {
-		if !w.store.out {
+	w.post(message{to: w.table, what: "keep answer", act: func() {
+		if !w.table.out {
 			w.put(answerKey(by.self, terminal.Key), encode(terminal))
 		}
 	}})
@@ -142,7 +142,7 @@
 
 // storedAnswer returns the answer that an entry stored, or nil.
 func (w *world) storedAnswer(by model.Incarnation, key model.JobKey) *model.Answer {
-	row := w.store.read(answerKey(by, key))
+	row := w.table.read(answerKey(by, key))
 	if row.Version == 0 {
 		return nil
 	}
--- a/schedules/judge_test.go
+++ b/schedules/judge_test.go
@@ -130,7 +130,7 @@
 // has lost its session and its answer had not been stored when it was looked
 // for; see package answers.
 func (j *judge) second(former verdict, answer *model.Answer) {
-	alive := j.w.store.read(sessionKey(former.by.self)).Version != 0
+	alive := j.w.table.read(sessionKey(former.by.self)).Version != 0
 	if alive || !j.missed[answer.Key] {
 		j.fail("TERMINAL: %s was answered %s (%s) and then %s", answer.Key, former.answer.State, former.answer.Code, answer.State)
 	}
--- a/schedules/members_test.go
+++ b/schedules/members_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 const assignmentKey = "assignment"
@@ -52,11 +52,11 @@
 
 func (w *world) readMembers() reading {
 	var found reading
-	if row := w.store.read(assignmentKey); row.Version != 0 {
+	if row := w.table.read(assignmentKey); row.Version != 0 {
 		found.version = row.Version
 		found.assignment = w.decodeAssignment(row)
 	}
-	for _, row := range w.store.list("sessions/") {
+	for _, row := range w.table.list("sessions/") {
 		found.sessions = append(found.sessions, ownership.Session{
 			Incarnation: model.Incarnation(strings.TrimPrefix(row.Key, "sessions/")),
 			Leaving:     decode[sessionRow](row.Value).Leaving,
@@ -67,7 +67,7 @@
 }
 
 // decodeAssignment decodes each version of the row once.
-func (w *world) decodeAssignment(row platform.Row) ownership.Assignment {
+func (w *world) decodeAssignment(row store.Row) ownership.Assignment {
 	if w.decodedVersion != row.Version {
 		w.decodedVersion = row.Version
 		w.decoded = decode[ownership.Assignment](row.Value)
@@ -123,7 +123,7 @@
 		case reply.err == nil && read.version >= e.members.version:
 			e.publish(proposal.Next, reply.versions[0], live)
 			e.acquire()
-		case errors.Is(reply.err, platform.ErrUnknownOutcome):
+		case errors.Is(reply.err, store.ErrUnknownOutcome):
 			e.members.inDoubt, e.members.doubt = true, read.version
 		}
 	})
@@ -165,18 +165,18 @@
 	return false
 }
 
-func (e *entry) transaction(version int64, proposal ownership.Proposal) platform.Txn {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: assignmentKey, Version: version}, e.fence()},
-		Writes:     []platform.Write{{Key: assignmentKey, Value: encode(proposal.Next)}},
+func (e *entry) transaction(version int64, proposal ownership.Proposal) store.Txn {
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: assignmentKey, Version: version}, e.fence()},
+		Writes:     []store.Write{{Key: assignmentKey, Value: encode(proposal.Next)}},
 	}
 	for _, owner := range proposal.Absent {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: sessionKey(owner)})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: sessionKey(owner)})
 	}
 	for _, lapsed := range proposal.Fenced {
 		key := sessionKey(lapsed.Incarnation)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: lapsed.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true}, platform.Write{Key: fenceKey(lapsed.Incarnation), Delete: true})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: lapsed.Version})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true}, store.Write{Key: fenceKey(lapsed.Incarnation), Delete: true})
 	}
 	return txn
 }
@@ -218,7 +218,7 @@
 func (w *world) readClaims(formers []model.Incarnation) []claimRow {
 	var found []claimRow
 	for _, former := range formers {
-		page, _ := w.store.List(context.Background(), claimPrefix(former), "", 100)
+		page, _ := w.table.List(context.Background(), claimPrefix(former), "", 100)
 		for _, row := range page.Rows {
 			found = append(found, decode[claimRow](row.Value))
 		}
--- a/schedules/schedules_test.go
+++ b/schedules/schedules_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 const (
@@ -103,7 +103,7 @@
 // stepSubmitToOwner submits a key where the assignment says.
 func (w *world) stepSubmitToOwner() {
 	key := w.keys[w.draw(len(w.keys), "key")]
-	assigned := w.decodeAssignment(w.store.read(assignmentKey))
+	assigned := w.decodeAssignment(w.table.read(assignmentKey))
 	if to := w.entryOf(assigned.Parts[key.Partition()].Owner); to != nil {
 		w.submit(key, to)
 	}
@@ -241,7 +241,7 @@
 	w.sidecars[index] = w.newSidecar(w.sidecars[index].name)
 }
 
-func (w *world) stepOutage() { w.store.out = !w.store.out }
+func (w *world) stepOutage() { w.table.out = !w.table.out }
 
 func (w *world) stepCancel() {
 	key := w.keys[w.draw(len(w.keys), "key")]
@@ -266,8 +266,8 @@
 		bundle.DrainTarget{Target: at.name}, bundle.UndrainTarget{Target: at.name},
 	}
 	edit := edits[w.draw(len(edits), "edit")]
-	w.readAt(w.store, func() any { return w.store.read(bundleKey) }, func(read any) {
-		row := read.(platform.Row)
+	w.readAt(w.table, func() any { return w.table.read(bundleKey) }, func(read any) {
+		row := read.(store.Row)
 		current := model.Bundle{}
 		if row.Version != 0 {
 			current = decode[model.Bundle](row.Value)
@@ -276,16 +276,16 @@
 		if err != nil || !changed {
 			return
 		}
-		w.commit(w.store, "bundle", platform.Txn{
-			Conditions: []platform.Condition{{Key: bundleKey, Version: row.Version}},
-			Writes:     []platform.Write{{Key: bundleKey, Value: encode(next)}},
+		w.commit(w.table, "bundle", store.Txn{
+			Conditions: []store.Condition{{Key: bundleKey, Version: row.Version}},
+			Writes:     []store.Write{{Key: bundleKey, Value: encode(next)}},
 		}, func(committed) {})
 	})
 }
 
 // put writes a row without a condition.
 func (w *world) put(key string, value []byte) {
-	_, err := w.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
+	_, err := w.table.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
 	if err != nil {
 		panic(err)
 	}
--- a/schedules/session_test.go
+++ b/schedules/session_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // session is the holder's state of its rows.
@@ -27,8 +27,8 @@
 func sessionKey(of model.Incarnation) string { return "sessions/" + string(of) }
 func fenceKey(of model.Incarnation) string   { return "fences/" + string(of) }
 
-func (e *entry) fence() platform.Condition {
-	return platform.Condition{Key: fenceKey(e.self), Version: e.session.fenceVersion}
+func (e *entry) fence() store.Condition {
+	return store.Condition{Key: fenceKey(e.self), Version: e.session.fenceVersion}
 }
 
 // renew writes the session row. The first time it also writes the fence row.
@@ -37,13 +37,13 @@
 	number := e.session.number
 	e.session.sent[number] = e.now()
 	row := sessionRow{Number: number, Leaving: e.members.leaving}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: sessionKey(e.self), Version: e.session.version}},
-		Writes:     []platform.Write{{Key: sessionKey(e.self), Value: encode(row)}},
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: sessionKey(e.self), Version: e.session.version}},
+		Writes:     []store.Write{{Key: sessionKey(e.self), Value: encode(row)}},
 	}
 	if e.session.fenceVersion == 0 {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: fenceKey(e.self)})
-		txn.Writes = append(txn.Writes, platform.Write{Key: fenceKey(e.self), Value: []byte("{}")})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: fenceKey(e.self)})
+		txn.Writes = append(txn.Writes, store.Write{Key: fenceKey(e.self), Value: []byte("{}")})
 	}
 	e.w.commit(e, "renew session", txn, func(reply committed) {
 		e.renewed(number, reply)
@@ -57,7 +57,7 @@
 		e.took(number, reply.versions[0])
 	case reply.err == nil:
 		e.took(number, reply.versions[0])
-	case !errors.Is(reply.err, platform.ErrUnavailable):
+	case !errors.Is(reply.err, store.ErrUnavailable):
 		e.readSession()
 	}
 }
@@ -65,10 +65,10 @@
 // readSession finds out which attempt wrote the row last.
 func (e *entry) readSession() {
 	read := func() any {
-		return [2]platform.Row{e.w.store.read(sessionKey(e.self)), e.w.store.read(fenceKey(e.self))}
+		return [2]store.Row{e.w.table.read(sessionKey(e.self)), e.w.table.read(fenceKey(e.self))}
 	}
 	e.w.readAt(e, read, func(found any) {
-		rows := found.([2]platform.Row)
+		rows := found.([2]store.Row)
 		if rows[0].Version == 0 {
 			if e.session.fenceVersion != 0 {
 				e.endFenced()
@@ -116,11 +116,11 @@
 }
 
 func (e *entry) deleteRows() {
-	e.w.commit(e, "close session", platform.Txn{
-		Conditions: []platform.Condition{e.fence()},
-		Writes:     []platform.Write{{Key: sessionKey(e.self), Delete: true}, {Key: fenceKey(e.self), Delete: true}},
+	e.w.commit(e, "close session", store.Txn{
+		Conditions: []store.Condition{e.fence()},
+		Writes:     []store.Write{{Key: sessionKey(e.self), Delete: true}, {Key: fenceKey(e.self), Delete: true}},
 	}, func(reply committed) {
-		if reply.err == nil || errors.Is(reply.err, platform.ErrConflict) {
+		if reply.err == nil || errors.Is(reply.err, store.ErrConflict) {
 			e.ended = true
 		}
 	})
--- a/schedules/submit_test.go
+++ b/schedules/submit_test.go
@@ -9,7 +9,7 @@
 	"github.com/figring/figring/decision/dedup"
 	"github.com/figring/figring/decision/jobstate"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -74,9 +74,9 @@
 	number := slices.Index(e.w.keys, key)
 	row := claimPrefix(e.self) + key.String() + "-" + strconv.Itoa(adoptions)
 	value := encode(claimRow{Number: number, Claimer: e.self, Adoptions: adoptions})
-	e.claim(key, platform.Txn{
-		Conditions: []platform.Condition{e.fence(), {Key: row}},
-		Writes:     []platform.Write{{Key: row, Value: value}},
+	e.claim(key, store.Txn{
+		Conditions: []store.Condition{e.fence(), {Key: row}},
+		Writes:     []store.Write{{Key: row, Value: value}},
 	}, true)
 }
 
@@ -86,14 +86,14 @@
 
 // claim writes the claim. What became of a write of unknown outcome is found
 // out by writing the same row again.
-func (e *entry) claim(key model.JobKey, txn platform.Txn, first bool) {
+func (e *entry) claim(key model.JobKey, txn store.Txn, first bool) {
 	e.w.commit(e, "claim", txn, func(reply committed) {
 		switch {
 		case reply.err == nil:
 			e.claimEnded(key, true, nil)
-		case first && errors.Is(reply.err, platform.ErrUnavailable):
+		case first && errors.Is(reply.err, store.ErrUnavailable):
 			e.claimEnded(key, false, unavailable())
-		case errors.Is(reply.err, platform.ErrConflict):
+		case errors.Is(reply.err, store.ErrConflict):
 			e.judgeConflict(key, txn)
 		default:
 			e.claimUnknown(key)
@@ -109,12 +109,12 @@
 	}
 }
 
-func (e *entry) judgeConflict(key model.JobKey, txn platform.Txn) {
-	if e.w.store.out {
+func (e *entry) judgeConflict(key model.JobKey, txn store.Txn) {
+	if e.w.table.out {
 		e.later(func() { e.claim(key, txn, false) })
 		return
 	}
-	if e.w.store.read(txn.Writes[0].Key).Version == 0 {
+	if e.w.table.read(txn.Writes[0].Key).Version == 0 {
 		e.claimEnded(key, false, moved())
 		return
 	}
@@ -246,7 +246,7 @@
 	if found.answer == nil {
 		w.judge.missed[key] = true
 	}
-	for _, row := range w.store.list("sidecars/") {
+	for _, row := range w.table.list("sidecars/") {
 		found.sidecars = append(found.sidecars, decode[sidecarRow](row.Value).Incarnation)
 	}
 	return found
--- a/schedules/store_test.go
+++ b/schedules/tableservice_test.go
@@ -4,29 +4,29 @@
 	"context"
 	"encoding/json"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 )
 
-// store is the platform's table with outages. It is a process that never ends.
-type store struct {
+// tableService is the platform's table with outages. It is a process that never ends.
+type tableService struct {
 	*memory.Table
 	out bool
 }
 
-func (s *store) alive() bool { return true }
-func (s *store) awake() bool { return true }
+func (s *tableService) alive() bool { return true }
+func (s *tableService) awake() bool { return true }
 
 // read returns the row of the key; the zero row when there is none.
-func (s *store) read(key string) platform.Row {
+func (s *tableService) read(key string) store.Row {
 	row, err := s.Get(context.Background(), key)
 	if err != nil {
-		return platform.Row{}
+		return store.Row{}
 	}
 	return row
 }
 
-func (s *store) list(prefix string) []platform.Row {
+func (s *tableService) list(prefix string) []store.Row {
 	page, err := s.List(context.Background(), prefix, "", 10_000)
 	if err != nil {
 		panic(err)
@@ -42,13 +42,13 @@
 
 // commit sends a transaction to the table and its reply back. Either may be
 // lost, and a request that counts as lost may still arrive.
-func (w *world) commit(from process, what string, txn platform.Txn, done func(committed)) {
+func (w *world) commit(from process, what string, txn store.Txn, done func(committed)) {
 	end := once(done)
-	lost := func() { end(committed{err: platform.ErrUnknownOutcome}) }
-	w.post(message{to: w.store, what: what, lost: lost, act: func() {
-		reply := committed{err: platform.ErrUnavailable}
-		if !w.store.out {
-			reply.versions, reply.err = w.store.Commit(context.Background(), txn)
+	lost := func() { end(committed{err: store.ErrUnknownOutcome}) }
+	w.post(message{to: w.table, what: what, lost: lost, act: func() {
+		reply := committed{err: store.ErrUnavailable}
+		if !w.table.out {
+			reply.versions, reply.err = w.table.Commit(context.Background(), txn)
 			w.noteCommit(txn, reply.err)
 		}
 		w.post(message{to: from, what: what + " reply", lost: lost, act: func() { end(reply) }})
--- a/schedules/world_test.go
+++ b/schedules/world_test.go
@@ -13,8 +13,8 @@
 	"github.com/figring/figring/decision/permit"
 	"github.com/figring/figring/decision/startgate"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 )
 
 const (
@@ -31,7 +31,7 @@
 type world struct {
 	t        *rapid.T
 	now      time.Time
-	store    *store
+	table    *tableService
 	judge    *judge
 	entries  []*entry
 	sidecars []*sidecar
@@ -47,7 +47,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: worldStart, store: &store{Table: memory.NewTable()}}
+	w := &world{t: t, now: worldStart, table: &tableService{Table: memory.NewTable()}}
 	w.judge = newJudge(w)
 	for range entryCount {
 		w.entries = append(w.entries, w.newEntry())
@@ -98,8 +98,8 @@
 // register writes the row; only then the minion is listened to.
 func (w *world) register(s *sidecar) {
 	key := "sidecars/" + s.name
-	w.readAt(s, func() any { return w.store.read(key) }, func(read any) {
-		held := read.(platform.Row)
+	w.readAt(s, func() any { return w.table.read(key) }, func(read any) {
+		held := read.(store.Row)
 		row := sidecarRow{Incarnation: s.self, First: held.Version == 0}
 		if held.Version != 0 {
 			if former := decode[sidecarRow](held.Value); former.Incarnation == s.self {
@@ -107,9 +107,9 @@
 				return
 			}
 		}
-		w.commit(s, "register sidecar", platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: held.Version}},
-			Writes:     []platform.Write{{Key: key, Value: encode(row)}},
+		w.commit(s, "register sidecar", store.Txn{
+			Conditions: []store.Condition{{Key: key, Version: held.Version}},
+			Writes:     []store.Write{{Key: key, Value: encode(row)}},
 		}, func(reply committed) {
 			if reply.err == nil {
 				s.registeredAs(row.First)
@@ -134,8 +134,8 @@
 
 // readOr is readAt that tells when nothing comes back.
 func (w *world) readOr(from process, failed func(), read func() any, take func(any)) {
-	w.post(message{to: w.store, what: "read", lost: failed, act: func() {
-		if w.store.out {
+	w.post(message{to: w.table, what: "read", lost: failed, act: func() {
+		if w.table.out {
 			failed()
 			return
 		}
@@ -222,7 +222,7 @@
 }
 
 // noteCommit tells the judge of claims and closings that the table took.
-func (w *world) noteCommit(txn platform.Txn, err error) {
+func (w *world) noteCommit(txn store.Txn, err error) {
 	if err != nil {
 		return
 	}
--- a/sidecar/announced.go
+++ b/sidecar/announced.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/figring/figring/decision/startgate"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // announced takes what the minion says of itself. A minion at another address
@@ -13,7 +13,7 @@
 	said := m.said
 	c.connect(said)
 	c.target.MemoryBytes = said.MemoryBytes
-	if said.State == platform.MinionLeaving {
+	if said.State == store.MinionLeaving {
 		c.apply(startgate.MinionLeaving{}, now)
 		c.tell("minion leaving")
 		return
@@ -22,7 +22,7 @@
 	c.tell("minion ready")
 }
 
-func (c *core) connect(said platform.Announcement) {
+func (c *core) connect(said store.Announcement) {
 	if c.minion != nil {
 		if c.minion.serves(said) {
 			return
--- a/sidecar/fakes_test.go
+++ b/sidecar/fakes_test.go
@@ -17,8 +17,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
@@ -61,29 +61,29 @@
 // fakeBeats announces a minion every interval until it is silenced.
 type fakeBeats struct {
 	mu     sync.Mutex
-	said   platform.Announcement
+	said   store.Announcement
 	silent atomic.Bool
 	begun  atomic.Bool
 }
 
 const beatInterval = 100 * time.Millisecond
 
-func (b *fakeBeats) Next(ctx context.Context) (platform.Announcement, error) {
+func (b *fakeBeats) Next(ctx context.Context) (store.Announcement, error) {
 	if b.begun.Swap(true) {
 		if err := pause(ctx, beatInterval, nil); err != nil {
-			return platform.Announcement{}, err
+			return store.Announcement{}, err
 		}
 	}
 	if b.silent.Load() {
 		<-ctx.Done()
-		return platform.Announcement{}, ctx.Err()
+		return store.Announcement{}, ctx.Err()
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.said, nil
 }
 
-func (b *fakeBeats) say(state platform.AnnouncementState) {
+func (b *fakeBeats) say(state store.AnnouncementState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.said.State = state
@@ -132,7 +132,7 @@
 	entry   *fakeEntry
 	beats   *fakeBeats
 	minion  *fakeMinion
-	table   platform.Table
+	table   store.Table
 	sidecar *Sidecar
 	pool    *wire.Pool
 	key     model.JobKey
@@ -150,15 +150,15 @@
 	return r
 }
 
-func newIdleRig(t *testing.T, slots int, table platform.Table) *rig {
+func newIdleRig(t *testing.T, slots int, table store.Table) *rig {
 	return newTLSRig(t, slots, table, nil, nil)
 }
 
-func newTLSRig(t *testing.T, slots int, table platform.Table, server, client *tls.Config) *rig {
+func newTLSRig(t *testing.T, slots int, table store.Table, server, client *tls.Config) *rig {
 	r := &rig{t: t, server: server, client: client, entry: &fakeEntry{}, minion: newFakeMinion(t), table: table, key: model.NewJobKey("desk")}
 	r.entry.ttl.Store(int64(2 * time.Second))
 	address := strings.TrimPrefix(r.minion.server.URL, "http://")
-	r.beats = &fakeBeats{said: platform.Announcement{Minion: "m", State: platform.MinionReady, Address: address, Slots: slots, Connections: slots + 1}}
+	r.beats = &fakeBeats{said: store.Announcement{Minion: "m", State: store.MinionReady, Address: address, Slots: slots, Connections: slots + 1}}
 	r.serveEntry()
 	r.pool = wire.NewPool(secret, client, nil)
 	t.Cleanup(r.pool.Close)
@@ -175,7 +175,7 @@
 	row := sessionRow{Entry: wire.EntryInfo{Incarnation: entryName, Name: "e", Address: listener.Addr().String()}}
 	value, err := json.Marshal(row)
 	must.NoError(r.t, err)
-	_, err = r.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: sessionPrefix + "e", Value: value}}})
+	_, err = r.table.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: sessionPrefix + "e", Value: value}}})
 	must.NoError(r.t, err)
 }
 
--- a/sidecar/message.go
+++ b/sidecar/message.go
@@ -5,7 +5,7 @@
 
 	"github.com/figring/figring/decision/startgate"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -53,7 +53,7 @@
 type registeredMessage struct{ first bool }
 
 // minionMessage carries an announcement that differs from the one before.
-type minionMessage struct{ said platform.Announcement }
+type minionMessage struct{ said store.Announcement }
 
 // minionLostMessage says that the minion fell silent.
 type minionLostMessage struct{}
--- a/sidecar/minion.go
+++ b/sidecar/minion.go
@@ -18,7 +18,7 @@
 
 	"github.com/figring/figring/decision/startgate"
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // The headers of a request to a minion.
@@ -71,7 +71,7 @@
 	transport *http.Transport
 }
 
-func newMinion(said platform.Announcement, worker string) *minion {
+func newMinion(said store.Announcement, worker string) *minion {
 	dialer := &net.Dialer{Timeout: minionDialTimeout}
 	return &minion{
 		address: said.Address,
@@ -207,7 +207,7 @@
 }
 
 // serves reports whether the client fits the announcement.
-func (m *minion) serves(said platform.Announcement) bool {
+func (m *minion) serves(said store.Announcement) bool {
 	return m.address == said.Address && m.transport.MaxConnsPerHost == said.Connections
 }
 
--- a/sidecar/parts.go
+++ b/sidecar/parts.go
@@ -7,14 +7,14 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
 // Parts are what a sidecar is built on.
 type Parts struct {
-	Table         platform.Table
-	Announcements platform.Announcements
+	Table         store.Table
+	Announcements store.Announcements
 	// Announce is served at Settings.AnnounceListen; nil serves nothing.
 	Announce http.Handler
 	// Metrics is served at /metrics; nil serves nothing.
--- a/sidecar/row.go
+++ b/sidecar/row.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/figring/figring/wire"
 )
 
@@ -35,7 +35,7 @@
 
 // rowWriter writes this sidecar's row.
 type rowWriter struct {
-	table platform.Table
+	table store.Table
 	row   Row
 }
 
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	held, err := w.table.Get(ctx, RowKey(w.row.Target.Sidecar))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return Error.Wrap(err)
 	}
 	if err == nil && w.own(held) {
@@ -73,7 +73,7 @@
 }
 
 // own reports whether the row is this incarnation's, and takes First from it.
-func (w *rowWriter) own(held platform.Row) bool {
+func (w *rowWriter) own(held store.Row) bool {
 	var row Row
 	if json.Unmarshal(held.Value, &row) != nil {
 		return false
@@ -101,7 +101,7 @@
 
 func (w *rowWriter) tryLeave(ctx context.Context, resultsBehind bool) error {
 	held, err := w.table.Get(ctx, RowKey(w.row.Target.Sidecar))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -124,9 +124,9 @@
 		return Error.Wrap(err)
 	}
 	key := RowKey(row.Target.Sidecar)
-	_, err = w.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	_, err = w.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: version}},
+		Writes:     []store.Write{{Key: key, Value: value}},
 	})
 	return Error.Wrap(err)
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -12,8 +12,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/model"
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
@@ -227,10 +227,10 @@
 
 func TestLeavingMinionGetsNoMore(t *testing.T) {
 	r := newRig(t, 1)
-	r.beats.say(platform.MinionLeaving)
+	r.beats.say(store.MinionLeaving)
 	r.eventually("draining", func() bool { return r.state() == wire.TargetDraining })
 	must.Eq(t, wire.ReasonDraining, wait(t, r.run(r.request(0))).Reason)
-	r.beats.say(platform.MinionReady)
+	r.beats.say(store.MinionReady)
 	r.eventually("ready", func() bool { return r.state() == wire.TargetReady })
 }
 
@@ -261,7 +261,7 @@
 	for _, path := range []string{"/livez", "/readyz"} {
 		must.Eq(t, 200, r.get(path))
 	}
-	r.beats.say(platform.MinionLeaving)
+	r.beats.say(store.MinionLeaving)
 	r.eventually("draining", func() bool { return r.state() == wire.TargetDraining })
 	must.Eq(t, 200, r.get("/livez"))
 	must.Eq(t, 503, r.get("/readyz"))
--- a/sidecar/tls_test.go
+++ b/sidecar/tls_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
 )
 
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 const (
@@ -17,7 +17,7 @@
 
 // watch passes changed announcements on, and the silence of the minion.
 func (s *Sidecar) watch(ctx context.Context) {
-	var last platform.Announcement
+	var last store.Announcement
 	present := false
 	heard := time.Now()
 	for ctx.Err() == nil {
@@ -39,7 +39,7 @@
 }
 
 // next waits for an announcement, for a present minion at most until silent.
-func (s *Sidecar) next(ctx context.Context, silent time.Time, present bool) (platform.Announcement, error) {
+func (s *Sidecar) next(ctx context.Context, silent time.Time, present bool) (store.Announcement, error) {
 	if present {
 		bounded, cancel := context.WithDeadline(ctx, silent)
 		defer cancel()
--- a/platform/announce/fuzz_test.go
+++ b/store/announce/fuzz_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/figring/figring/platform/announce"
+	"github.com/figring/figring/store/announce"
 )
 
 // FuzzReceiver checks that an announcement is delivered exactly when it was
--- a/platform/announce/receiver.go
+++ b/store/announce/receiver.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/go-playground/validator/v10"
 )
 
@@ -20,21 +20,21 @@
 const maxPending = 16
 
 // Receiver is the HTTP handler for announcements. It implements
-// platform.Announcements: announcements are delivered in order, and the oldest
+// store.Announcements: announcements are delivered in order, and the oldest
 // is dropped when too many wait. One that equals the last waiting one is
 // delivered once.
 type Receiver struct {
 	validate *validator.Validate
 
 	mu      sync.Mutex
-	pending []platform.Announcement
+	pending []store.Announcement
 	// arrived has one item while pending is not empty and nobody is woken.
 	arrived chan struct{}
 }
 
 var (
-	_ http.Handler           = (*Receiver)(nil)
-	_ platform.Announcements = (*Receiver)(nil)
+	_ http.Handler        = (*Receiver)(nil)
+	_ store.Announcements = (*Receiver)(nil)
 )
 
 // NewReceiver returns a receiver without announcements.
@@ -52,7 +52,7 @@
 		http.Error(w, "use POST", http.StatusMethodNotAllowed)
 		return
 	}
-	var announcement platform.Announcement
+	var announcement store.Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxBody))
 	if err := decoder.Decode(&announcement); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -66,7 +66,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (r *Receiver) push(announcement platform.Announcement) {
+func (r *Receiver) push(announcement store.Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := len(r.pending) - 1
@@ -80,8 +80,8 @@
 	r.wake()
 }
 
-// Next implements platform.Announcements.
-func (r *Receiver) Next(ctx context.Context) (platform.Announcement, error) {
+// Next implements store.Announcements.
+func (r *Receiver) Next(ctx context.Context) (store.Announcement, error) {
 	for {
 		if announcement, ok := r.pop(); ok {
 			return announcement, nil
@@ -89,16 +89,16 @@
 		select {
 		case <-r.arrived:
 		case <-ctx.Done():
-			return platform.Announcement{}, ctx.Err()
+			return store.Announcement{}, ctx.Err()
 		}
 	}
 }
 
-func (r *Receiver) pop() (platform.Announcement, bool) {
+func (r *Receiver) pop() (store.Announcement, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.pending) == 0 {
-		return platform.Announcement{}, false
+		return store.Announcement{}, false
 	}
 	announcement := r.pending[0]
 	r.pending = r.pending[1:]
--- a/platform/announce/receiver_test.go
+++ b/store/announce/receiver_test.go
@@ -9,9 +9,9 @@
 	"strings"
 	"testing"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/announce"
-	"github.com/figring/figring/platform/contract"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/announce"
+	"github.com/figring/figring/store/contract"
 	"github.com/shoenig/test/must"
 )
 
@@ -22,9 +22,9 @@
 }
 
 func TestReceiver_Contract(t *testing.T) {
-	contract.Announcements(t, func(*testing.T) (platform.Announcements, func(platform.Announcement) error) {
+	contract.Announcements(t, func(*testing.T) (store.Announcements, func(store.Announcement) error) {
 		receiver := announce.NewReceiver()
-		return receiver, func(one platform.Announcement) error {
+		return receiver, func(one store.Announcement) error {
 			body, err := json.Marshal(one)
 			if err != nil {
 				return err
--- a/platform/contract/faults.go
+++ b/store/contract/faults.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
 	"github.com/shoenig/test/must"
 )
 
@@ -43,18 +43,18 @@
 func faultCases() []faultCase {
 	return []faultCase{
 		{"none", fault.Settings{}, nil, nil, true, 0},
-		{"outage", fault.Settings{Outage: true}, platform.ErrUnavailable, platform.ErrUnavailable, false, 0},
-		{"hang", fault.Settings{Hang: true}, platform.ErrUnavailable, platform.ErrUnknownOutcome, false, shortWait},
-		{"slow before", fault.Settings{BeforeMillis: 60_000}, platform.ErrUnavailable, platform.ErrUnknownOutcome, false, shortWait},
-		{"slow after", fault.Settings{AfterMillis: 60_000}, platform.ErrUnavailable, platform.ErrUnknownOutcome, true, longWait},
-		{"reply lost", fault.Settings{ReplyLoss: 1}, nil, platform.ErrUnknownOutcome, true, 0},
-		{"write lost", fault.Settings{WriteLoss: 1}, nil, platform.ErrUnknownOutcome, false, 0},
+		{"outage", fault.Settings{Outage: true}, store.ErrUnavailable, store.ErrUnavailable, false, 0},
+		{"hang", fault.Settings{Hang: true}, store.ErrUnavailable, store.ErrUnknownOutcome, false, shortWait},
+		{"slow before", fault.Settings{BeforeMillis: 60_000}, store.ErrUnavailable, store.ErrUnknownOutcome, false, shortWait},
+		{"slow after", fault.Settings{AfterMillis: 60_000}, store.ErrUnavailable, store.ErrUnknownOutcome, true, longWait},
+		{"reply lost", fault.Settings{ReplyLoss: 1}, nil, store.ErrUnknownOutcome, true, 0},
+		{"write lost", fault.Settings{WriteLoss: 1}, nil, store.ErrUnknownOutcome, false, 0},
 	}
 }
 
 // TableFaults tests what a table tells its client under faults. Every call of
 // open returns an empty table and the function that switches its faults.
-func TableFaults(t *testing.T, open func(t *testing.T) (platform.Table, func(fault.Settings))) {
+func TableFaults(t *testing.T, open func(t *testing.T) (store.Table, func(fault.Settings))) {
 	for _, one := range faultCases() {
 		t.Run(one.name, func(t *testing.T) {
 			table, change := open(t)
@@ -76,7 +76,7 @@
 }
 
 // mustOutcome tests that a read tells whether the write took effect.
-func mustOutcome(t *testing.T, table platform.Table, before int64, applied bool) {
+func mustOutcome(t *testing.T, table store.Table, before int64, applied bool) {
 	t.Helper()
 	if applied {
 		must.Greater(t, before, mustValue(t, table, "a", "2").Version)
@@ -86,7 +86,7 @@
 }
 
 // ObjectsFaults tests what an object store tells its client under faults.
-func ObjectsFaults(t *testing.T, open func(t *testing.T) (platform.Objects, func(fault.Settings))) {
+func ObjectsFaults(t *testing.T, open func(t *testing.T) (store.Objects, func(fault.Settings))) {
 	for _, one := range faultCases() {
 		t.Run(one.name, func(t *testing.T) {
 			objects, change := open(t)
@@ -116,8 +116,8 @@
 	}
 	must.ErrorIs(t, err, want)
 	kinds := []error{
-		platform.ErrUnavailable, platform.ErrConflict, platform.ErrUnknownOutcome,
-		platform.ErrNotFound, platform.ErrInvalid,
+		store.ErrUnavailable, store.ErrConflict, store.ErrUnknownOutcome,
+		store.ErrNotFound, store.ErrInvalid,
 	}
 	found := 0
 	for _, kind := range kinds {
--- a/platform/contract/objects.go
+++ b/store/contract/objects.go
@@ -4,16 +4,16 @@
 	"context"
 	"testing"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/shoenig/test/must"
 )
 
-// Objects tests what platform.Objects promises. Every call of open returns an
+// Objects tests what store.Objects promises. Every call of open returns an
 // empty store.
-func Objects(t *testing.T, open func(t *testing.T) platform.Objects) {
+func Objects(t *testing.T, open func(t *testing.T) store.Objects) {
 	cases := []struct {
 		name string
-		run  func(t *testing.T, objects platform.Objects)
+		run  func(t *testing.T, objects store.Objects)
 	}{
 		{"absent object", absentObject},
 		{"put, replace and delete", putReplaceDelete},
@@ -28,30 +28,30 @@
 	}
 }
 
-func mustPut(t *testing.T, objects platform.Objects, name, body string) {
+func mustPut(t *testing.T, objects store.Objects, name, body string) {
 	t.Helper()
 	must.NoError(t, objects.Put(t.Context(), name, []byte(body)))
 }
 
-func mustBody(t *testing.T, objects platform.Objects, name, body string) {
+func mustBody(t *testing.T, objects store.Objects, name, body string) {
 	t.Helper()
 	got, err := objects.Get(t.Context(), name)
 	must.NoError(t, err)
 	must.Eq(t, body, string(got))
 }
 
-func mustNoObject(t *testing.T, objects platform.Objects, name string) {
+func mustNoObject(t *testing.T, objects store.Objects, name string) {
 	t.Helper()
 	_, err := objects.Get(t.Context(), name)
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, store.ErrNotFound)
 }
 
-func absentObject(t *testing.T, objects platform.Objects) {
+func absentObject(t *testing.T, objects store.Objects) {
 	mustNoObject(t, objects, "a")
 	must.NoError(t, objects.Delete(t.Context(), "a"))
 }
 
-func putReplaceDelete(t *testing.T, objects platform.Objects) {
+func putReplaceDelete(t *testing.T, objects store.Objects) {
 	mustPut(t, objects, "a", "\x00\xff 1")
 	mustBody(t, objects, "a", "\x00\xff 1")
 	mustPut(t, objects, "a", "2")
@@ -60,7 +60,7 @@
 	mustNoObject(t, objects, "a")
 }
 
-func bodiesAreCopies(t *testing.T, objects platform.Objects) {
+func bodiesAreCopies(t *testing.T, objects store.Objects) {
 	body := []byte("1")
 	must.NoError(t, objects.Put(t.Context(), "a", body))
 	body[0] = '2'
@@ -71,12 +71,12 @@
 	mustBody(t, objects, "a", "1")
 }
 
-func emptyBody(t *testing.T, objects platform.Objects) {
+func emptyBody(t *testing.T, objects store.Objects) {
 	must.NoError(t, objects.Put(t.Context(), "a", nil))
 	mustBody(t, objects, "a", "")
 }
 
-func listingOfNames(t *testing.T, objects platform.Objects) {
+func listingOfNames(t *testing.T, objects store.Objects) {
 	for _, name := range []string{"p/b", "q", "p/a", "p/c", "o"} {
 		mustPut(t, objects, name, "x")
 	}
@@ -100,23 +100,23 @@
 	}
 }
 
-func invalidObjectRequests(t *testing.T, objects platform.Objects) {
-	must.ErrorIs(t, objects.Put(t.Context(), "", nil), platform.ErrInvalid)
-	must.ErrorIs(t, objects.Put(t.Context(), "\xff", nil), platform.ErrInvalid)
+func invalidObjectRequests(t *testing.T, objects store.Objects) {
+	must.ErrorIs(t, objects.Put(t.Context(), "", nil), store.ErrInvalid)
+	must.ErrorIs(t, objects.Put(t.Context(), "\xff", nil), store.ErrInvalid)
 	// JSON would turn the invalid byte into this character.
 	mustPut(t, objects, "\uFFFD", "x")
 	mustNoObject(t, objects, "\xff")
 	must.NoError(t, objects.Delete(t.Context(), "\xff"))
 	mustBody(t, objects, "\uFFFD", "x")
 	_, err := objects.List(t.Context(), "", "", 0)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 	_, err = objects.List(t.Context(), "\xff", "", 1)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 	_, err = objects.List(t.Context(), "", "\xff", 1)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 }
 
-func endedObjectContext(t *testing.T, objects platform.Objects) {
+func endedObjectContext(t *testing.T, objects store.Objects) {
 	mustPut(t, objects, "kept", "x")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/platform/contract/table.go
+++ b/store/contract/table.go
@@ -6,19 +6,19 @@
 	"sync"
 	"testing"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 	"github.com/shoenig/test/must"
 )
 
 // racers is the number of concurrent commits in the test of one winner.
 const racers = 16
 
-// Table tests what platform.Table promises. Every call of open returns an
+// Table tests what store.Table promises. Every call of open returns an
 // empty table.
-func Table(t *testing.T, open func(t *testing.T) platform.Table) {
+func Table(t *testing.T, open func(t *testing.T) store.Table) {
 	cases := []struct {
 		name string
-		run  func(t *testing.T, table platform.Table)
+		run  func(t *testing.T, table store.Table)
 	}{
 		{"absent row", absentRow},
 		{"committed row is read", committedRow},
@@ -39,17 +39,17 @@
 	}
 }
 
-func set(key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func set(key, value string) store.Txn {
+	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}}
 }
 
-func setIf(key, value string, version int64) platform.Txn {
+func setIf(key, value string, version int64) store.Txn {
 	txn := set(key, value)
-	txn.Conditions = []platform.Condition{{Key: key, Version: version}}
+	txn.Conditions = []store.Condition{{Key: key, Version: version}}
 	return txn
 }
 
-func mustCommit(t *testing.T, table platform.Table, txn platform.Txn) []int64 {
+func mustCommit(t *testing.T, table store.Table, txn store.Txn) []int64 {
 	t.Helper()
 	versions, err := table.Commit(t.Context(), txn)
 	must.NoError(t, err)
@@ -57,13 +57,13 @@
 	return versions
 }
 
-func mustAbsent(t *testing.T, table platform.Table, key string) {
+func mustAbsent(t *testing.T, table store.Table, key string) {
 	t.Helper()
 	_, err := table.Get(t.Context(), key)
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, store.ErrNotFound)
 }
 
-func mustValue(t *testing.T, table platform.Table, key, value string) platform.Row {
+func mustValue(t *testing.T, table store.Table, key, value string) store.Row {
 	t.Helper()
 	row, err := table.Get(t.Context(), key)
 	must.NoError(t, err)
@@ -72,7 +72,7 @@
 	return row
 }
 
-func absentRow(t *testing.T, table platform.Table) {
+func absentRow(t *testing.T, table store.Table) {
 	mustAbsent(t, table, "a")
 	page, err := table.List(t.Context(), "", "", 10)
 	must.NoError(t, err)
@@ -80,18 +80,18 @@
 	must.Eq(t, "", page.Next)
 }
 
-func committedRow(t *testing.T, table platform.Table) {
+func committedRow(t *testing.T, table store.Table) {
 	versions := mustCommit(t, table, set("a", "\x00\xff one"))
 	row := mustValue(t, table, "a", "\x00\xff one")
 	must.Eq(t, versions[0], row.Version)
 	must.Positive(t, row.Version)
 }
 
-func versionsGrow(t *testing.T, table platform.Table) {
+func versionsGrow(t *testing.T, table store.Table) {
 	first := mustCommit(t, table, set("a", "1"))[0]
 	second := mustCommit(t, table, set("a", "2"))[0]
 	must.Greater(t, first, second)
-	deleted := platform.Txn{Writes: []platform.Write{{Key: "a", Delete: true}}}
+	deleted := store.Txn{Writes: []store.Write{{Key: "a", Delete: true}}}
 	must.Eq(t, []int64{0}, mustCommit(t, table, deleted))
 	mustAbsent(t, table, "a")
 	must.Eq(t, []int64{0}, mustCommit(t, table, deleted))
@@ -99,35 +99,35 @@
 	must.Greater(t, second, third)
 }
 
-func conflictWritesNothing(t *testing.T, table platform.Table) {
+func conflictWritesNothing(t *testing.T, table store.Table) {
 	version := mustCommit(t, table, set("a", "1"))[0]
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: "a", Version: version}, {Key: "fence", Version: 1}},
-		Writes:     []platform.Write{{Key: "a", Value: []byte("2")}, {Key: "b", Value: []byte("2")}},
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: "a", Version: version}, {Key: "fence", Version: 1}},
+		Writes:     []store.Write{{Key: "a", Value: []byte("2")}, {Key: "b", Value: []byte("2")}},
 	}
 	_, err := table.Commit(t.Context(), txn)
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, store.ErrConflict)
 	must.Eq(t, version, mustValue(t, table, "a", "1").Version)
 	mustAbsent(t, table, "b")
 }
 
-func conditionOnAbsence(t *testing.T, table platform.Table) {
+func conditionOnAbsence(t *testing.T, table store.Table) {
 	version := mustCommit(t, table, setIf("a", "1", 0))[0]
 	_, err := table.Commit(t.Context(), setIf("a", "2", 0))
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, store.ErrConflict)
 	mustCommit(t, table, setIf("a", "3", version))
 	mustValue(t, table, "a", "3")
 }
 
-func conditionOnPresence(t *testing.T, table platform.Table) {
+func conditionOnPresence(t *testing.T, table store.Table) {
 	version := mustCommit(t, table, set("a", "1"))[0]
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "a", Delete: true}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "a", Delete: true}}})
 	_, err := table.Commit(t.Context(), setIf("a", "2", version))
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, store.ErrConflict)
 	mustAbsent(t, table, "a")
 }
 
-func oneWinner(t *testing.T, table platform.Table) {
+func oneWinner(t *testing.T, table store.Table) {
 	errs := make([]error, racers)
 	var wait sync.WaitGroup
 	for i := range racers {
@@ -143,13 +143,13 @@
 			winner = i
 			continue
 		}
-		must.ErrorIs(t, err, platform.ErrConflict)
+		must.ErrorIs(t, err, store.ErrConflict)
 	}
 	must.NotEq(t, -1, winner)
 	mustValue(t, table, "a", fmt.Sprint(winner))
 }
 
-func noLostUpdate(t *testing.T, table platform.Table) {
+func noLostUpdate(t *testing.T, table store.Table) {
 	mustCommit(t, table, set("n", ""))
 	errs := make([]error, racers)
 	var wait sync.WaitGroup
@@ -166,7 +166,7 @@
 }
 
 // appendOne appends a byte to row n, however often it meets a conflict.
-func appendOne(ctx context.Context, table platform.Table) error {
+func appendOne(ctx context.Context, table store.Table) error {
 	for {
 		row, err := table.Get(ctx, "n")
 		if err != nil {
@@ -182,7 +182,7 @@
 	}
 }
 
-func listingInPages(t *testing.T, table platform.Table) {
+func listingInPages(t *testing.T, table store.Table) {
 	for _, key := range []string{"p/c", "p/a", "q", "p/e", "p/b", "o", "p/d"} {
 		mustCommit(t, table, set(key, "value of "+key))
 	}
@@ -206,11 +206,11 @@
 	must.Eq(t, []string{"p/a", "p/b", "p/c", "p/d", "p/e"}, keys)
 }
 
-func listingOfPrefix(t *testing.T, table platform.Table) {
+func listingOfPrefix(t *testing.T, table store.Table) {
 	for _, key := range []string{"a", "ab", "b"} {
 		mustCommit(t, table, set(key, ""))
 	}
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "ab", Delete: true}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "ab", Delete: true}}})
 	cases := []struct {
 		prefix, from string
 		limit        int
@@ -239,35 +239,35 @@
 	}
 }
 
-func invalidTableRequests(t *testing.T, table platform.Table) {
+func invalidTableRequests(t *testing.T, table store.Table) {
 	cases := []struct {
 		name string
-		txn  platform.Txn
+		txn  store.Txn
 	}{
 		{"empty key", set("", "1")},
-		{"condition on an empty key", platform.Txn{Conditions: []platform.Condition{{}}, Writes: set("a", "1").Writes}},
+		{"condition on an empty key", store.Txn{Conditions: []store.Condition{{}}, Writes: set("a", "1").Writes}},
 		{"key that is no text", set("\xff", "1")},
-		{"condition on a key that is no text", platform.Txn{Conditions: []platform.Condition{{Key: "\xff"}}, Writes: set("a", "1").Writes}},
+		{"condition on a key that is no text", store.Txn{Conditions: []store.Condition{{Key: "\xff"}}, Writes: set("a", "1").Writes}},
 		{"negative version", setIf("a", "1", -1)},
-		{"two writes of one row", platform.Txn{Writes: []platform.Write{{Key: "a"}, {Key: "a"}}}},
+		{"two writes of one row", store.Txn{Writes: []store.Write{{Key: "a"}, {Key: "a"}}}},
 	}
 	for _, one := range cases {
 		_, err := table.Commit(t.Context(), one.txn)
-		must.ErrorIs(t, err, platform.ErrInvalid, must.Sprint(one.name))
+		must.ErrorIs(t, err, store.ErrInvalid, must.Sprint(one.name))
 	}
 	mustAbsent(t, table, "a")
 	// JSON would turn the invalid byte into this character.
 	mustCommit(t, table, set("\uFFFD", "1"))
 	mustAbsent(t, table, "\xff")
 	_, err := table.List(t.Context(), "", "", 0)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 	_, err = table.List(t.Context(), "\xff", "", 1)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 	_, err = table.List(t.Context(), "", "\xff", 1)
-	must.ErrorIs(t, err, platform.ErrInvalid)
+	must.ErrorIs(t, err, store.ErrInvalid)
 }
 
-func endedContext(t *testing.T, table platform.Table) {
+func endedContext(t *testing.T, table store.Table) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := table.Commit(ctx, set("a", "1"))
@@ -279,9 +279,9 @@
 	mustAbsent(t, table, "a")
 }
 
-func valuesAreCopies(t *testing.T, table platform.Table) {
+func valuesAreCopies(t *testing.T, table store.Table) {
 	value := []byte("1")
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "a", Value: value}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "a", Value: value}}})
 	value[0] = '2'
 	row := mustValue(t, table, "a", "1")
 	row.Value[0] = '3'
--- a/platform/fault/fault_test.go
+++ b/store/fault/fault_test.go
@@ -8,34 +8,34 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/contract"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/contract"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
 	"github.com/shoenig/test/must"
 )
 
 func TestTable_Contract(t *testing.T) {
-	contract.Table(t, func(*testing.T) platform.Table {
+	contract.Table(t, func(*testing.T) store.Table {
 		return fault.NewTable(memory.NewTable(), fault.New(fault.Settings{}, 1, nil))
 	})
 }
 
 func TestObjects_Contract(t *testing.T) {
-	contract.Objects(t, func(*testing.T) platform.Objects {
+	contract.Objects(t, func(*testing.T) store.Objects {
 		return fault.NewObjects(memory.NewObjects(), fault.New(fault.Settings{}, 1, nil))
 	})
 }
 
 func TestTable_Faults(t *testing.T) {
-	contract.TableFaults(t, func(*testing.T) (platform.Table, func(fault.Settings)) {
+	contract.TableFaults(t, func(*testing.T) (store.Table, func(fault.Settings)) {
 		injector := fault.New(fault.Settings{}, 1, nil)
 		return fault.NewTable(memory.NewTable(), injector), injector.Set
 	})
 }
 
 func TestObjects_Faults(t *testing.T) {
-	contract.ObjectsFaults(t, func(*testing.T) (platform.Objects, func(fault.Settings)) {
+	contract.ObjectsFaults(t, func(*testing.T) (store.Objects, func(fault.Settings)) {
 		injector := fault.New(fault.Settings{}, 1, nil)
 		return fault.NewObjects(memory.NewObjects(), injector), injector.Set
 	})
@@ -84,10 +84,10 @@
 		key := fmt.Sprint(i)
 		_, err := table.Commit(t.Context(), write(key))
 		if err != nil {
-			must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+			must.ErrorIs(t, err, store.ErrUnknownOutcome)
 		}
 		_, absent := inner.Get(t.Context(), key)
-		pattern = append(pattern, symbol(err != nil, errors.Is(absent, platform.ErrNotFound)))
+		pattern = append(pattern, symbol(err != nil, errors.Is(absent, store.ErrNotFound)))
 	}
 	must.StrContains(t, string(pattern), "r")
 	must.StrContains(t, string(pattern), "w")
@@ -105,6 +105,6 @@
 	}
 }
 
-func write(key string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte("x")}}}
+func write(key string) store.Txn {
+	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte("x")}}}
 }
--- a/platform/fault/injector.go
+++ b/store/fault/injector.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Injector holds the settings that a decorated table and a decorated object
@@ -62,15 +62,15 @@
 	}
 	if settings.Hang {
 		<-ctx.Done()
-		return unanswered(platform.ErrUnavailable)
+		return unanswered(store.ErrUnavailable)
 	}
 	half := settings.ReadMillis / 2
 	if i.sleep(ctx, (half+settings.BeforeMillis).Duration()) != nil {
-		return unanswered(platform.ErrUnavailable)
+		return unanswered(store.ErrUnavailable)
 	}
 	err := effect()
 	if i.sleep(ctx, (half+settings.AfterMillis).Duration()) != nil {
-		return unanswered(platform.ErrUnavailable)
+		return unanswered(store.ErrUnavailable)
 	}
 	return err
 }
@@ -86,21 +86,21 @@
 	}
 	if settings.Hang {
 		<-ctx.Done()
-		return unanswered(platform.ErrUnknownOutcome)
+		return unanswered(store.ErrUnknownOutcome)
 	}
 	half := settings.WriteMillis / 2
 	if i.sleep(ctx, (half+settings.BeforeMillis).Duration()) != nil || writeLost {
-		return unanswered(platform.ErrUnknownOutcome)
+		return unanswered(store.ErrUnknownOutcome)
 	}
 	err := effect()
 	if i.sleep(ctx, (half+settings.AfterMillis).Duration()) != nil || replyLost {
-		return unanswered(platform.ErrUnknownOutcome)
+		return unanswered(store.ErrUnknownOutcome)
 	}
 	return err
 }
 
 func outage() error {
-	return fmt.Errorf("injected outage: %w", platform.ErrUnavailable)
+	return fmt.Errorf("injected outage: %w", store.ErrUnavailable)
 }
 
 func unanswered(kind error) error {
--- a/platform/fault/objects.go
+++ b/store/fault/objects.go
@@ -3,30 +3,30 @@
 import (
 	"context"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-// Objects decorates a platform.Objects with the faults of an Injector.
+// Objects decorates a store.Objects with the faults of an Injector.
 type Objects struct {
-	inner    platform.Objects
+	inner    store.Objects
 	injector *Injector
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
 // NewObjects returns inner with the faults of injector.
-func NewObjects(inner platform.Objects, injector *Injector) *Objects {
+func NewObjects(inner store.Objects, injector *Injector) *Objects {
 	return &Objects{inner: inner, injector: injector}
 }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
 	return o.injector.write(ctx, func() error {
 		return o.inner.Put(context.WithoutCancel(ctx), name, body)
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	var body []byte
 	err := o.injector.read(ctx, func() (err error) {
@@ -39,7 +39,7 @@
 	return body, nil
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o *Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	var names []string
 	err := o.injector.read(ctx, func() (err error) {
@@ -52,7 +52,7 @@
 	return names, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements store.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
 	return o.injector.write(ctx, func() error {
 		return o.inner.Delete(context.WithoutCancel(ctx), name)
--- a/platform/fault/table.go
+++ b/store/fault/table.go
@@ -3,50 +3,50 @@
 import (
 	"context"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-// Table decorates a platform.Table with the faults of an Injector.
+// Table decorates a store.Table with the faults of an Injector.
 type Table struct {
-	inner    platform.Table
+	inner    store.Table
 	injector *Injector
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ store.Table = (*Table)(nil)
 
 // NewTable returns inner with the faults of injector.
-func NewTable(inner platform.Table, injector *Injector) *Table {
+func NewTable(inner store.Table, injector *Injector) *Table {
 	return &Table{inner: inner, injector: injector}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, key string) (store.Row, error) {
+	var row store.Row
 	err := t.injector.read(ctx, func() (err error) {
 		row, err = t.inner.Get(context.WithoutCancel(ctx), key)
 		return err
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
-	var page platform.Page
+// List implements store.Table.
+func (t *Table) List(ctx context.Context, prefix, from string, limit int) (store.Page, error) {
+	var page store.Page
 	err := t.injector.read(ctx, func() (err error) {
 		page, err = t.inner.List(context.WithoutCancel(ctx), prefix, from, limit)
 		return err
 	})
 	if err != nil {
-		return platform.Page{}, err
+		return store.Page{}, err
 	}
 	return page, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	var versions []int64
 	err := t.injector.write(ctx, func() (err error) {
 		versions, err = t.inner.Commit(context.WithoutCancel(ctx), txn)
--- a/platform/memory/objects.go
+++ b/store/memory/objects.go
@@ -6,33 +6,33 @@
 	"fmt"
 	"sync"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-// Objects implements platform.Objects.
+// Objects implements store.Objects.
 type Objects struct {
 	mu     sync.RWMutex
 	bodies map[string][]byte
 	names  names
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects {
 	return &Objects{bodies: make(map[string][]byte)}
 }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if err := platform.CheckText(name); err != nil {
+	if err := store.CheckText(name); err != nil {
 		return err
 	}
 	if name == "" {
-		return fmt.Errorf("object with an empty name: %w", platform.ErrInvalid)
+		return fmt.Errorf("object with an empty name: %w", store.ErrInvalid)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
@@ -50,21 +50,21 @@
 	defer o.mu.RUnlock()
 	body, ok := o.bodies[name]
 	if !ok {
-		return nil, fmt.Errorf("object %q: %w", name, platform.ErrNotFound)
+		return nil, fmt.Errorf("object %q: %w", name, store.ErrNotFound)
 	}
 	return bytes.Clone(body), nil
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o *Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if err := platform.CheckText(prefix, after); err != nil {
+	if err := store.CheckText(prefix, after); err != nil {
 		return nil, err
 	}
 	if limit < 1 {
-		return nil, fmt.Errorf("limit %d: %w", limit, platform.ErrInvalid)
+		return nil, fmt.Errorf("limit %d: %w", limit, store.ErrInvalid)
 	}
 	from := ""
 	if after != "" {
@@ -77,7 +77,7 @@
 	return page, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements store.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
 	if err := ctx.Err(); err != nil {
 		return err
--- a/platform/memory/table.go
+++ b/store/memory/table.go
@@ -6,62 +6,62 @@
 	"fmt"
 	"sync"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
-// Table implements platform.Table. Versions are drawn from one counter for the
+// Table implements store.Table. Versions are drawn from one counter for the
 // whole table, so that they also grow when a row is deleted and written again.
 type Table struct {
 	mu       sync.RWMutex
-	rows     map[string]platform.Row
+	rows     map[string]store.Row
 	keys     names
 	revision int64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ store.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]store.Row)}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, key string) (store.Row, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, fmt.Errorf("row %q: %w", key, platform.ErrNotFound)
+		return store.Row{}, fmt.Errorf("row %q: %w", key, store.ErrNotFound)
 	}
 	return copyRow(row), nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
+// List implements store.Table.
+func (t *Table) List(ctx context.Context, prefix, from string, limit int) (store.Page, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Page{}, err
+		return store.Page{}, err
 	}
-	if err := platform.CheckText(prefix, from); err != nil {
-		return platform.Page{}, err
+	if err := store.CheckText(prefix, from); err != nil {
+		return store.Page{}, err
 	}
 	if limit < 1 {
-		return platform.Page{}, fmt.Errorf("limit %d: %w", limit, platform.ErrInvalid)
+		return store.Page{}, fmt.Errorf("limit %d: %w", limit, store.ErrInvalid)
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	keys, next := t.keys.page(prefix, from, limit)
-	page := platform.Page{Next: next}
+	page := store.Page{Next: next}
 	for _, key := range keys {
 		page.Rows = append(page.Rows, copyRow(t.rows[key]))
 	}
 	return page, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]int64, error) {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, txn store.Txn) ([]int64, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -76,19 +76,19 @@
 	return t.apply(txn.Writes), nil
 }
 
-func (t *Table) check(conditions []platform.Condition) error {
+func (t *Table) check(conditions []store.Condition) error {
 	for _, condition := range conditions {
 		// The zero row of an absent key has version 0.
 		found := t.rows[condition.Key].Version
 		if found != condition.Version {
 			return fmt.Errorf("row %q has version %d, want %d: %w",
-				condition.Key, found, condition.Version, platform.ErrConflict)
+				condition.Key, found, condition.Version, store.ErrConflict)
 		}
 	}
 	return nil
 }
 
-func (t *Table) apply(writes []platform.Write) []int64 {
+func (t *Table) apply(writes []store.Write) []int64 {
 	versions := make([]int64, 0, len(writes))
 	for _, write := range writes {
 		if write.Delete {
@@ -98,7 +98,7 @@
 			continue
 		}
 		t.revision++
-		t.rows[write.Key] = platform.Row{Key: write.Key, Value: bytes.Clone(write.Value), Version: t.revision}
+		t.rows[write.Key] = store.Row{Key: write.Key, Value: bytes.Clone(write.Value), Version: t.revision}
 		t.keys.add(write.Key)
 		versions = append(versions, t.revision)
 	}
@@ -107,30 +107,30 @@
 
 // validate refuses keys that are empty or no text, negative versions, and two
 // writes of one row.
-func validate(txn platform.Txn) error {
+func validate(txn store.Txn) error {
 	if err := txn.CheckTexts(); err != nil {
 		return err
 	}
 	for _, condition := range txn.Conditions {
 		if condition.Key == "" || condition.Version < 0 {
 			return fmt.Errorf("condition on row %q, version %d: %w",
-				condition.Key, condition.Version, platform.ErrInvalid)
+				condition.Key, condition.Version, store.ErrInvalid)
 		}
 	}
 	seen := make(map[string]struct{}, len(txn.Writes))
 	for _, write := range txn.Writes {
 		if write.Key == "" {
-			return fmt.Errorf("write with an empty key: %w", platform.ErrInvalid)
+			return fmt.Errorf("write with an empty key: %w", store.ErrInvalid)
 		}
 		if _, twice := seen[write.Key]; twice {
-			return fmt.Errorf("two writes of row %q: %w", write.Key, platform.ErrInvalid)
+			return fmt.Errorf("two writes of row %q: %w", write.Key, store.ErrInvalid)
 		}
 		seen[write.Key] = struct{}{}
 	}
 	return nil
 }
 
-func copyRow(row platform.Row) platform.Row {
+func copyRow(row store.Row) store.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
--- a/platform/protocol/failure.go
+++ b/store/protocol/failure.go
@@ -4,7 +4,7 @@
 	"errors"
 	"net/http"
 
-	"github.com/figring/figring/platform"
+	"github.com/figring/figring/store"
 )
 
 // Failure is the body of every reply whose status is not 200.
@@ -21,10 +21,10 @@
 }
 
 var kinds = []kind{
-	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
-	{"conflict", http.StatusConflict, platform.ErrConflict},
-	{"not_found", http.StatusNotFound, platform.ErrNotFound},
-	{"invalid", http.StatusBadRequest, platform.ErrInvalid},
+	{"unavailable", http.StatusServiceUnavailable, store.ErrUnavailable},
+	{"conflict", http.StatusConflict, store.ErrConflict},
+	{"not_found", http.StatusNotFound, store.ErrNotFound},
+	{"invalid", http.StatusBadRequest, store.ErrInvalid},
 }
 
 // NewFailure returns the status and the body for err. It returns false when
--- a/platform/protocol/table.go
+++ b/store/protocol/table.go
@@ -1,8 +1,8 @@
 package protocol
 
-import "github.com/figring/figring/platform"
+import "github.com/figring/figring/store"
 
-// Row is a platform.Row; its value is base64 in JSON.
+// Row is a store.Row; its value is base64 in JSON.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
@@ -27,13 +27,13 @@
 	Next string `json:"next"`
 }
 
-// Condition is a platform.Condition.
+// Condition is a store.Condition.
 type Condition struct {
 	Key     string `json:"key"`
 	Version int64  `json:"version"`
 }
 
-// Write is a platform.Write.
+// Write is a store.Write.
 type Write struct {
 	Key    string `json:"key"`
 	Value  []byte `json:"value"`
@@ -52,7 +52,7 @@
 }
 
 // NewCommitRequest returns the message for txn.
-func NewCommitRequest(txn platform.Txn) CommitRequest {
+func NewCommitRequest(txn store.Txn) CommitRequest {
 	var request CommitRequest
 	for _, condition := range txn.Conditions {
 		request.Conditions = append(request.Conditions, Condition(condition))
@@ -64,19 +64,19 @@
 }
 
 // Txn returns the transaction of the message.
-func (r CommitRequest) Txn() platform.Txn {
-	var txn platform.Txn
+func (r CommitRequest) Txn() store.Txn {
+	var txn store.Txn
 	for _, condition := range r.Conditions {
-		txn.Conditions = append(txn.Conditions, platform.Condition(condition))
+		txn.Conditions = append(txn.Conditions, store.Condition(condition))
 	}
 	for _, write := range r.Writes {
-		txn.Writes = append(txn.Writes, platform.Write(write))
+		txn.Writes = append(txn.Writes, store.Write(write))
 	}
 	return txn
 }
 
 // NewListReply returns the message for page.
-func NewListReply(page platform.Page) ListReply {
+func NewListReply(page store.Page) ListReply {
 	reply := ListReply{Next: page.Next}
 	for _, row := range page.Rows {
 		reply.Rows = append(reply.Rows, Row(row))
@@ -85,10 +85,10 @@
 }
 
 // Page returns the page of the message.
-func (r ListReply) Page() platform.Page {
-	page := platform.Page{Next: r.Next}
+func (r ListReply) Page() store.Page {
+	page := store.Page{Next: r.Next}
 	for _, row := range r.Rows {
-		page.Rows = append(page.Rows, platform.Row(row))
+		page.Rows = append(page.Rows, store.Row(row))
 	}
 	return page
 }
--- a/platform/remote/client.go
+++ b/store/remote/client.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/protocol"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/protocol"
 )
 
 // The bounds of the connections to the platform.
@@ -80,12 +80,12 @@
 
 // read sends a request that has no effect.
 func (c *Client) read(ctx context.Context, path string, request, reply any) error {
-	return c.call(ctx, path, request, reply, platform.ErrUnavailable)
+	return c.call(ctx, path, request, reply, store.ErrUnavailable)
 }
 
 // write sends a request that may have an effect.
 func (c *Client) write(ctx context.Context, path string, request, reply any) error {
-	return c.call(ctx, path, request, reply, platform.ErrUnknownOutcome)
+	return c.call(ctx, path, request, reply, store.ErrUnknownOutcome)
 }
 
 // call sends one request. An error after the request may have been sent wraps
@@ -96,14 +96,14 @@
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
-		return fmt.Errorf("%s: %v: %w", path, err, platform.ErrInvalid)
+		return fmt.Errorf("%s: %v: %w", path, err, store.ErrInvalid)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var sent atomic.Bool
 	response, err := c.send(ctx, path, body, &sent)
 	if err != nil && !sent.Load() {
-		return fmt.Errorf("%s: not sent: %v: %w", path, err, platform.ErrUnavailable)
+		return fmt.Errorf("%s: not sent: %v: %w", path, err, store.ErrUnavailable)
 	}
 	if err != nil {
 		return fmt.Errorf("%s: %v: %w", path, err, lost)
--- a/platform/remote/objects.go
+++ b/store/remote/objects.go
@@ -4,30 +4,30 @@
 	"context"
 	"fmt"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/protocol"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/protocol"
 )
 
-// Objects implements platform.Objects.
+// Objects implements store.Objects.
 type Objects struct {
 	client *Client
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
-	if err := platform.CheckText(name); err != nil {
+	if err := store.CheckText(name); err != nil {
 		return err
 	}
 	request := protocol.PutRequest{Name: name, Body: body}
 	return o.client.write(ctx, protocol.PathObjectsPut, request, &protocol.Empty{})
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
-	if platform.CheckText(name) != nil {
-		return nil, fmt.Errorf("object %q: %w", name, platform.ErrNotFound)
+	if store.CheckText(name) != nil {
+		return nil, fmt.Errorf("object %q: %w", name, store.ErrNotFound)
 	}
 	var reply protocol.ObjectReply
 	err := o.client.read(ctx, protocol.PathObjectsGet, protocol.NameRequest{Name: name}, &reply)
@@ -37,9 +37,9 @@
 	return reply.Body, nil
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o *Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
-	if err := platform.CheckText(prefix, after); err != nil {
+	if err := store.CheckText(prefix, after); err != nil {
 		return nil, err
 	}
 	var reply protocol.NamesReply
@@ -50,9 +50,9 @@
 	return reply.Names, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements store.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
-	if platform.CheckText(name) != nil {
+	if store.CheckText(name) != nil {
 		return ctx.Err() // No object can have this name.
 	}
 	request := protocol.NameRequest{Name: name}
--- a/platform/remote/remote_test.go
+++ b/store/remote/remote_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/contract"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/remote"
-	"github.com/figring/figring/platform/standin"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/contract"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/remote"
+	"github.com/figring/figring/store/standin"
 	"github.com/shoenig/test/must"
 )
 
@@ -35,34 +35,34 @@
 }
 
 func TestTable_Contract(t *testing.T) {
-	contract.Table(t, func(t *testing.T) platform.Table {
+	contract.Table(t, func(t *testing.T) store.Table {
 		client, _ := open(t, fault.Settings{})
 		return client.Table()
 	})
 }
 
 func TestObjects_Contract(t *testing.T) {
-	contract.Objects(t, func(t *testing.T) platform.Objects {
+	contract.Objects(t, func(t *testing.T) store.Objects {
 		client, _ := open(t, fault.Settings{})
 		return client.Objects()
 	})
 }
 
 func TestTable_Faults(t *testing.T) {
-	contract.TableFaults(t, func(t *testing.T) (platform.Table, func(fault.Settings)) {
+	contract.TableFaults(t, func(t *testing.T) (store.Table, func(fault.Settings)) {
 		client, injector := open(t, fault.Settings{})
 		return client.Table(), injector.Set
 	})
 }
 
 func TestObjects_Faults(t *testing.T) {
-	contract.ObjectsFaults(t, func(t *testing.T) (platform.Objects, func(fault.Settings)) {
+	contract.ObjectsFaults(t, func(t *testing.T) (store.Objects, func(fault.Settings)) {
 		client, injector := open(t, fault.Settings{})
 		return client.Objects(), injector.Set
 	})
 }
 
-var oneWrite = platform.Txn{Writes: []platform.Write{{Key: "a", Value: []byte("1")}}}
+var oneWrite = store.Txn{Writes: []store.Write{{Key: "a", Value: []byte("1")}}}
 
 func TestClient_RefusedConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -71,9 +71,9 @@
 	must.NoError(t, listener.Close())
 	table := client(t, base).Table()
 	_, err = table.Commit(t.Context(), oneWrite)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, store.ErrUnavailable)
 	_, err = table.Get(t.Context(), "a")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, store.ErrUnavailable)
 }
 
 // TestClient_LostReplies tests what replies that are not of the protocol tell,
@@ -118,10 +118,10 @@
 			_, err := table.Commit(t.Context(), oneWrite)
 			must.NoError(t, err)
 			_, err = table.Commit(t.Context(), oneWrite)
-			must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+			must.ErrorIs(t, err, store.ErrUnknownOutcome)
 			must.Eq(t, 2, received.Load())
 			_, err = table.Get(t.Context(), "a")
-			must.ErrorIs(t, err, platform.ErrUnavailable)
+			must.ErrorIs(t, err, store.ErrUnavailable)
 			must.Eq(t, 3, received.Load())
 		})
 	}
--- a/platform/standin/service.go
+++ b/store/standin/service.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"sync/atomic"
 
-	"github.com/figring/figring/platform"
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/memory"
-	"github.com/figring/figring/platform/protocol"
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/memory"
+	"github.com/figring/figring/store/protocol"
 	"github.com/go-playground/validator/v10"
 )
 
@@ -22,8 +22,8 @@
 
 // Service is the HTTP handler of the two services and of their control.
 type Service struct {
-	table    platform.Table
-	objects  platform.Objects
+	table    store.Table
+	objects  store.Objects
 	injector *fault.Injector
 	initial  fault.Settings
 	counters counters
@@ -103,7 +103,7 @@
 
 func (s *Service) tableCommit(ctx context.Context, request protocol.CommitRequest) (protocol.CommitReply, error) {
 	versions, err := s.table.Commit(ctx, request.Txn())
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		s.counters.conflicts.Add(1)
 	}
 	return protocol.CommitReply{Versions: versions}, err
@@ -138,7 +138,7 @@
 		return
 	}
 	if err := s.validate.Struct(settings); err != nil {
-		fail(w, fmt.Errorf("%v: %w", err, platform.ErrInvalid))
+		fail(w, fmt.Errorf("%v: %w", err, store.ErrInvalid))
 		return
 	}
 	s.injector.Set(settings)
@@ -155,12 +155,12 @@
 	// has gone only after that.
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		return fmt.Errorf("body: %v: %w", err, platform.ErrInvalid)
+		return fmt.Errorf("body: %v: %w", err, store.ErrInvalid)
 	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return fmt.Errorf("body: %v: %w", err, platform.ErrInvalid)
+		return fmt.Errorf("body: %v: %w", err, store.ErrInvalid)
 	}
 	return nil
 }
--- a/platform/standin/standin_test.go
+++ b/store/standin/standin_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"github.com/figring/figring/platform/fault"
-	"github.com/figring/figring/platform/standin"
+	"github.com/figring/figring/store/fault"
+	"github.com/figring/figring/store/standin"
 	"github.com/shoenig/test/must"
 )
 
--- a/platform/text.go
+++ b/store/text.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"fmt"
