--- a/command/register.go
+++ b/command/register.go
@@ -18,6 +18,8 @@
 		{name: "demo", short: "Run a whole system in one process", long: demoLong, data: &demoCommand{streams: streams}},
 		{name: "entry", short: "Run an entry", long: entryHelp, data: &entryCommand{streams: streams}},
 		{name: "sidecar", short: "Run the sidecar beside a minion", long: sidecarHelp, data: &sidecarCommand{streams: streams}},
+		{name: "dispatcher", short: "Run an entry for minions with leases", long: dispatcherHelp, data: &dispatcherCommand{streams: streams}},
+		{name: "executor", short: "Run the sidecar beside a minion with leases", long: executorHelp, data: &executorCommand{streams: streams}},
 		{name: "standin-platform", short: "Serve a stand-in for the platform", long: standinPlatformHelp, data: &standinPlatformCommand{streams: streams}},
 		{name: "standin-minion", short: "Serve a stand-in for a minion", long: standinMinionHelp, data: &standinMinionCommand{streams: streams}},
 		{name: "submit", short: "Submit a job and print its answer", long: submitLong, data: &submitCommand{streams: streams}},
--- /dev/null
+++ b/decision/execution/actions.go
@@ -0,0 +1,92 @@
+package execution
+
+import "github.com/figring/figring/work"
+
+// Action is a call to the minion that the core asks for.
+type Action interface{ action() }
+
+// Start orders the minion to start a run.
+type Start struct {
+	Task   work.TaskKey
+	Number int
+	Spec   string
+	Fence  int64
+}
+
+// Stop orders the minion to stop a run.
+type Stop struct {
+	Task   work.TaskKey
+	Number int
+	Fence  int64
+}
+
+// Look asks for the minion's lists at once, under the fence.
+type Look struct{ Fence int64 }
+
+// Wake says that news wait for an entry.
+type Wake struct{ Entry string }
+
+func (Start) action() {}
+func (Stop) action()  {}
+func (Look) action()  {}
+func (Wake) action()  {}
+
+// StartOutcome is the minion's answer to a start.
+type StartOutcome int
+
+const (
+	// Started means that the run is there.
+	Started StartOutcome = iota + 1
+	// StartFenced means that the minion has seen a higher fence; nothing was done.
+	StartFenced
+	// StartOld means that the run's number is used up; nothing was done.
+	StartOld
+	// StartLate means that the order came after its own deadline; nothing was done.
+	StartLate
+	// StartNoRoom means that the minion has no room; nothing was done.
+	StartNoRoom
+	// StartRejected means that the minion does not take the order; nothing was done.
+	StartRejected
+	// StartUnanswered means that the order may be carried out, now or later.
+	StartUnanswered
+)
+
+var startOutcomeNames = map[StartOutcome]string{
+	Started:         "started",
+	StartFenced:     "fenced",
+	StartOld:        "old",
+	StartLate:       "late",
+	StartNoRoom:     "no_room",
+	StartRejected:   "rejected",
+	StartUnanswered: "unanswered",
+}
+
+// String returns the name of the outcome for logs.
+func (o StartOutcome) String() string { return startOutcomeNames[o] }
+
+// Listing is the minion's account of its runs.
+type Listing struct {
+	// Look numbers the call that the listing answers, in the order of sending.
+	Look uint64
+	// Fence is the fence that the call carried.
+	Fence    int64
+	Born     int64
+	Running  []RunningRun
+	Finished []FinishedRun
+}
+
+// RunningRun is a run at work.
+type RunningRun struct {
+	Task    work.TaskKey
+	Number  int
+	Percent int
+}
+
+// FinishedRun is a run that ended and that the minion was not told to forget.
+type FinishedRun struct {
+	// Sequence numbers the ends of an incarnation from 1.
+	Sequence uint64
+	Task     work.TaskKey
+	Number   int
+	End      work.End
+}
--- /dev/null
+++ b/decision/execution/bounds.go
@@ -0,0 +1,38 @@
+package execution
+
+import "time"
+
+const (
+	// SilenceLimit is the age of an entry's newest echo beyond which its runs
+	// are stopped. A caller sends a job again more than a second after its
+	// connection broke; by then the runs have to be gone.
+	SilenceLimit = 450 * time.Millisecond
+	// OrderMaxAge is the age beyond which an order is refused, because the
+	// entry may have given up on it and placed it elsewhere.
+	OrderMaxAge = 400 * time.Millisecond
+	// Lease is the time for which runs go on without a renewal.
+	Lease = 600 * time.Millisecond
+	// BlindAfter is the time without an answered look after which the minion
+	// gets no starts and no renewals.
+	BlindAfter = 350 * time.Millisecond
+	// lapseMargin covers a minion's clock that is 2 % slow and the way of a
+	// renewal.
+	lapseMargin = Lease/50 + 30*time.Millisecond
+	// StopRetry is the time after which an unanswered stop is sent again.
+	StopRetry = 150 * time.Millisecond
+	// minStuck is the shortest time without progress that makes a run stuck.
+	minStuck = 400 * time.Millisecond
+	// stuckShare is the part of the estimate without progress that makes a run
+	// stuck.
+	stuckShare = 0.5
+	// maxRunBumps bounds the run numbers tried when the minion says that a
+	// number is used up.
+	maxRunBumps = 6
+	// fenceStep is added to a fence that the minion has seen a higher one of.
+	// Fences start at the Unix time in milliseconds, so a step is an hour.
+	fenceStep = int64(time.Hour / time.Millisecond)
+	// maxQueued bounds the orders that wait for room.
+	maxQueued = 512
+	// defaultResidual stands for the rest of run times when nothing runs.
+	defaultResidual = 100 * time.Millisecond
+)
--- /dev/null
+++ b/decision/execution/core.go
@@ -0,0 +1,143 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/workerhealth"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Core is the state of one sidecar. It is not safe for concurrent use.
+type Core struct {
+	fence int64
+
+	minion     session.Minion
+	minionSeen bool
+	leaving    bool
+	// bornListed is the incarnation that the newest listing came from.
+	bornListed int64
+	// listed is true once a listing under this life's fence was read.
+	listed bool
+	looks  uint64
+	// answeredAt is when the newest look was answered; renewedAt when the
+	// newest one that may have renewed the lease was sent.
+	answeredAt time.Time
+	renewedAt  time.Time
+	// blind is true while looks are not answered.
+	blind bool
+
+	draining  bool
+	evacuated bool
+
+	runs    map[work.TaskKey]*run
+	queue   []*run
+	entries map[string]*entryState
+	health  *workerhealth.Judge
+
+	// ends holds the listed ends that entries have not taken note of, by the
+	// minion's sequence number.
+	ends      map[uint64]pendingEnd
+	newestEnd uint64
+
+	// reportBorn and reportSequence are those of the newest report of the
+	// minion about itself.
+	reportBorn     int64
+	reportSequence uint64
+
+	actions    []Action
+	notes      []Note
+	wasSuspect bool
+}
+
+// pendingEnd ties a listed end to the event that reports it.
+type pendingEnd struct {
+	entry string
+	event uint64
+}
+
+// New returns the core of a sidecar that has just started. The fence must be
+// higher than those of the sidecar's former lives.
+func New(fence int64) *Core {
+	return &Core{
+		fence:   fence,
+		runs:    make(map[work.TaskKey]*run),
+		entries: make(map[string]*entryState),
+		ends:    make(map[uint64]pendingEnd),
+		health:  workerhealth.New(),
+	}
+}
+
+// Fence returns the fence that calls to the minion have to carry now.
+func (c *Core) Fence() int64 { return c.fence }
+
+// NextLook numbers a look at the minion that is about to be sent.
+func (c *Core) NextLook() uint64 {
+	c.looks++
+	return c.looks
+}
+
+// MayRenew says whether a look that is about to be sent may renew the lease. A
+// minion that does not answer is not renewed further, so that its runs lapse
+// for certain.
+func (c *Core) MayRenew(now time.Time) bool {
+	if c.blind {
+		return false
+	}
+	c.renewedAt = now
+	return true
+}
+
+// Take returns the actions asked for since the last call.
+func (c *Core) Take() []Action {
+	taken := c.actions
+	c.actions = nil
+	return taken
+}
+
+func (c *Core) ask(action Action) { c.actions = append(c.actions, action) }
+
+// SetEvacuated says whether the availability zone is taken out.
+func (c *Core) SetEvacuated(now time.Time, evacuated bool) {
+	if c.evacuated == evacuated {
+		return
+	}
+	c.evacuated = evacuated
+	c.settle(now)
+}
+
+// Drain begins the planned stop: nothing new is started.
+func (c *Core) Drain(now time.Time) {
+	c.draining = true
+	c.settle(now)
+}
+
+// Idle reports whether nothing is at work for anybody.
+func (c *Core) Idle() bool {
+	return len(c.runs) == 0
+}
+
+// refusal returns why the sidecar takes no orders at all, if so.
+func (c *Core) refusal() session.Refusal {
+	switch {
+	case c.draining || c.leaving:
+		return session.RefusedDraining
+	case c.evacuated:
+		return session.RefusedZone
+	case !c.minionSeen || !c.listed || c.blind:
+		return session.RefusedNoMinion
+	}
+	return session.RefusedNone
+}
+
+// settle hands back what may no longer start, starts what has room, and tells
+// every entry that the state has changed.
+func (c *Core) settle(now time.Time) {
+	if reason := c.refusal(); reason != session.RefusedNone && reason != session.RefusedNoMinion {
+		c.handBackQueue(now)
+	}
+	c.startQueued(now)
+	for name := range c.entries {
+		c.ask(Wake{Entry: name})
+	}
+}
--- /dev/null
+++ b/decision/execution/listed.go
@@ -0,0 +1,195 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Heartbeat takes the minion's report about itself.
+func (c *Core) Heartbeat(now time.Time, minion session.Minion, leaving bool) {
+	if c.minionSeen && c.minion.Born != minion.Born {
+		c.newIncarnation(now)
+	}
+	changed := !c.minionSeen || c.minion.ID != minion.ID || c.minion.Capacity != minion.Capacity || c.leaving != leaving
+	c.minion = minion
+	c.minionSeen = true
+	c.leaving = leaving
+	if changed {
+		c.settle(now)
+	}
+}
+
+// Deregister takes note that the minion has ended.
+func (c *Core) Deregister(now time.Time) {
+	c.leaving = true
+	c.settle(now)
+}
+
+// newIncarnation forgets everything that was at the former incarnation: it
+// ended, and its runs with it.
+func (c *Core) newIncarnation(now time.Time) {
+	for _, run := range c.runs {
+		if run.occupies() {
+			c.finish(run, work.EndGone, 0)
+		}
+	}
+	c.ends = make(map[uint64]pendingEnd)
+	c.newestEnd = 0
+	c.leaving = false
+	c.minionSeen = false
+	c.listed = false
+	c.bornListed = 0
+	c.health.Reset()
+}
+
+// Listed takes the answer to a look.
+func (c *Core) Listed(now time.Time, listing Listing) {
+	c.answeredAt = now
+	c.blind = false
+	if listing.Fence != c.fence {
+		// A start under a lower fence may still be under way, and the list says
+		// nothing about the time after the raise. Its ends hold all the same.
+		c.takeEnds(now, listing.Finished)
+		return
+	}
+	if c.bornListed != 0 && listing.Born != c.bornListed {
+		c.newIncarnation(now)
+	}
+	first := !c.listed
+	c.bornListed = listing.Born
+	c.listed = true
+	c.takeEnds(now, listing.Finished)
+	c.takeRunning(now, listing)
+	c.takeAbsent(now, listing)
+	if first {
+		c.settleWaitingClaims(now)
+	}
+	c.startQueued(now)
+}
+
+// LookFailed takes a look without an answer. A refused connection proves that
+// the minion has ended, and all its runs with it.
+func (c *Core) LookFailed(now time.Time, refused bool) {
+	if refused {
+		c.newIncarnation(now)
+		c.settle(now)
+		return
+	}
+	if now.Sub(c.answeredAt) > BlindAfter && !c.blind {
+		c.blind = true
+		c.noted(Note{Kind: NoteBlind})
+		c.settle(now)
+	}
+}
+
+// lapseBlind ends the runs of a minion that does not answer when their lease
+// must have lapsed.
+func (c *Core) lapseBlind(now time.Time) {
+	if !c.blind || now.Sub(c.renewedAt) <= Lease+lapseMargin {
+		return
+	}
+	for _, run := range c.runs {
+		if run.occupies() && run.phase != starting && run.phase != unproved {
+			c.finish(run, work.EndLapsed, 0)
+		}
+	}
+}
+
+// takeEnds takes each end that was not seen before.
+func (c *Core) takeEnds(now time.Time, finished []FinishedRun) {
+	for _, end := range finished {
+		if end.Sequence <= c.newestEnd {
+			continue
+		}
+		c.newestEnd = end.Sequence
+		c.takeEnd(now, end)
+	}
+}
+
+func (c *Core) takeEnd(now time.Time, end FinishedRun) {
+	run, ok := c.runs[end.Task]
+	if !ok || run.phase == queued || run.number != end.Number {
+		return
+	}
+	took := now.Sub(run.startedAt)
+	reported := end.End
+	if reported == work.EndStopped && run.stopEnd != 0 {
+		reported = run.stopEnd
+	}
+	c.health.Ended(now, string(run.task.Job), reported, took, run.estimate)
+	if event := c.finish(run, reported, took); event != 0 {
+		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event}
+	}
+}
+
+func (c *Core) takeRunning(now time.Time, listing Listing) {
+	for _, listed := range listing.Running {
+		run, ok := c.runs[listed.Task]
+		if !ok {
+			c.found(now, listed)
+			continue
+		}
+		if run.number != listed.Number {
+			continue
+		}
+		if run.phase == unproved {
+			run.phase = running
+			run.listedBy = listing.Look
+			if run.withdrawn {
+				c.stop(now, run, work.EndStopped)
+			}
+		}
+		if listed.Percent != run.percent {
+			run.percent = listed.Percent
+			run.progressAt = now
+		}
+	}
+}
+
+// found keeps a run that the sidecar knows nothing of until an entry claims
+// it: a former life of the sidecar has started it.
+func (c *Core) found(now time.Time, listed RunningRun) {
+	c.runs[listed.Task] = &run{
+		task:       listed.Task,
+		phase:      running,
+		number:     listed.Number,
+		percent:    listed.Percent,
+		startedAt:  now,
+		progressAt: now,
+	}
+}
+
+// takeAbsent settles runs that the listing should show and does not.
+func (c *Core) takeAbsent(now time.Time, listing Listing) {
+	shown := make(map[work.TaskKey]int, len(listing.Running))
+	for _, listed := range listing.Running {
+		shown[listed.Task] = listed.Number
+	}
+	for _, run := range c.runs {
+		if number, ok := shown[run.task]; ok && number == run.number {
+			continue
+		}
+		switch run.phase {
+		case unproved:
+			if listing.Fence >= run.proofFence {
+				run.number++
+				c.again(now, run)
+			}
+		case running, stopping:
+			if listing.Look >= run.listedBy && run.listedBy > 0 {
+				c.finish(run, work.EndGone, 0)
+			}
+		}
+	}
+}
+
+func (c *Core) settleWaitingClaims(now time.Time) {
+	for name, known := range c.entries {
+		claims := known.claims
+		known.claims = nil
+		c.settleClaims(now, name, claims)
+	}
+	c.settle(now)
+}
--- /dev/null
+++ b/decision/execution/note.go
@@ -0,0 +1,91 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/figring/figring/work"
+)
+
+// Note is something that the core has decided or come to believe, for the log.
+type Note struct {
+	Kind     NoteKind
+	Task     work.TaskKey
+	Entry    string
+	End      work.End
+	Took     time.Duration
+	Estimate time.Duration
+}
+
+// NoteKind says what a note is about.
+type NoteKind int
+
+const (
+	// NoteEnded is the end of a run.
+	NoteEnded NoteKind = iota + 1
+	// NoteSilent is an entry that was not heard from; its runs are stopped.
+	NoteSilent
+	// NoteSuspect is a minion that gets no more than trials.
+	NoteSuspect
+	// NoteTrusted is a minion that was suspect and is not any more.
+	NoteTrusted
+	// NoteBlind is a minion that does not answer.
+	NoteBlind
+)
+
+func (c *Core) noted(note Note) { c.notes = append(c.notes, note) }
+
+// Notes returns the notes since the last call.
+func (c *Core) Notes() []Note {
+	c.noteHealth()
+	taken := c.notes
+	c.notes = nil
+	return taken
+}
+
+func (c *Core) noteHealth() {
+	suspect := c.health.Suspect()
+	if suspect == c.wasSuspect {
+		return
+	}
+	c.wasSuspect = suspect
+	kind := NoteTrusted
+	if suspect {
+		kind = NoteSuspect
+	}
+	c.noted(Note{Kind: kind})
+}
+
+// Room returns what is free and what waits for room, in thousandths of a core.
+func (c *Core) Room() (free, queued int64) {
+	return c.free().MilliCPU, c.queuedNeed().MilliCPU
+}
+
+// NewestEnd returns the number of the newest end that the minion has listed.
+func (c *Core) NewestEnd() uint64 { return c.newestEnd }
+
+// OtherIncarnation reports whether a listing comes from another incarnation of
+// the minion than the ones before.
+func (c *Core) OtherIncarnation(born int64) bool {
+	return c.bornListed != 0 && born != c.bornListed
+}
+
+// FreshReport reports whether a report of the minion about itself is newer
+// than all that were taken, and takes note of its number.
+func (c *Core) FreshReport(born int64, sequence uint64) bool {
+	if born < c.reportBorn || (born == c.reportBorn && sequence <= c.reportSequence) {
+		return false
+	}
+	c.reportBorn = born
+	c.reportSequence = sequence
+	return true
+}
+
+// Told reports whether the connected entries have taken note of all events.
+func (c *Core) Told() bool {
+	for _, known := range c.entries {
+		if len(known.events) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/decision/execution/order.go
@@ -0,0 +1,187 @@
+package execution
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Order takes or refuses the tasks of a request. A refused task is not run.
+func (c *Core) Order(now time.Time, entry string, request *session.StartRequest) []session.Refusal {
+	refusals := make([]session.Refusal, len(request.Tasks))
+	known, ok := c.entries[entry]
+	if !ok {
+		return fill(refusals, session.RefusedStale)
+	}
+	c.Echo(entry, request.Echo)
+	known.seen = max(known.seen, request.Number)
+	if now.Sub(request.Echo.Time()) > OrderMaxAge {
+		return fill(refusals, session.RefusedStale)
+	}
+	for i := range request.Tasks {
+		refusals[i] = c.orderOne(now, entry, request.Spec, &request.Tasks[i])
+	}
+	c.startQueued(now)
+	return refusals
+}
+
+func fill(refusals []session.Refusal, reason session.Refusal) []session.Refusal {
+	for i := range refusals {
+		refusals[i] = reason
+	}
+	return refusals
+}
+
+func (c *Core) orderOne(now time.Time, entry, spec string, task *session.StartTask) session.Refusal {
+	if reason := c.refusal(); reason != session.RefusedNone {
+		return reason
+	}
+	if _, taken := c.runs[task.Task]; taken {
+		return session.RefusedTaken
+	}
+	if c.health.Suspect() && (len(c.runs) > 0 || !c.health.TrialDue(now)) {
+		return session.RefusedSuspect
+	}
+	if !c.minion.Capacity.Fits(task.Need) || len(c.queue) >= maxQueued {
+		return session.RefusedRoom
+	}
+	if c.expectedWait(now, task) > task.MaxWait {
+		return session.RefusedRoom
+	}
+	c.enqueue(&run{
+		task:      task.Task,
+		entry:     entry,
+		spec:      spec,
+		need:      task.Need,
+		needKnown: true,
+		estimate:  task.Estimate,
+		number:    1,
+		startBy:   now.Add(task.Slack),
+		giveUp:    now.Add(task.MaxWait),
+	})
+	return session.RefusedNone
+}
+
+// expectedWait estimates the wait for room from what is due before the task.
+func (c *Core) expectedWait(now time.Time, task *session.StartTask) time.Duration {
+	startBy := now.Add(task.Slack)
+	lacking := task.Need.Sub(c.free()).MilliCPU
+	for _, queued := range c.queue {
+		if queued.startBy.Before(startBy) {
+			lacking += queued.need.MilliCPU
+		}
+	}
+	if lacking <= 0 || c.minion.Capacity.MilliCPU <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.residual(now)) * float64(lacking) / float64(c.minion.Capacity.MilliCPU))
+}
+
+// enqueue inserts the run by the time at which it has to start.
+func (c *Core) enqueue(added *run) {
+	added.phase = queued
+	c.runs[added.task] = added
+	at, _ := slices.BinarySearchFunc(c.queue, added, func(one, other *run) int {
+		return one.startBy.Compare(other.startBy)
+	})
+	c.queue = slices.Insert(c.queue, at, added)
+}
+
+// startQueued starts, in the order of the queue, everything that fits.
+func (c *Core) startQueued(now time.Time) {
+	if c.refusal() != session.RefusedNone || len(c.queue) == 0 {
+		return
+	}
+	free := c.free()
+	kept := c.queue[:0]
+	for _, waiting := range c.queue {
+		if !free.Fits(waiting.need) || c.heldByTrial() {
+			kept = append(kept, waiting)
+			continue
+		}
+		free = free.Sub(waiting.need)
+		c.start(now, waiting)
+	}
+	clear(c.queue[len(kept):])
+	c.queue = kept
+}
+
+// heldByTrial reports whether a suspect minion is busy with its trial.
+func (c *Core) heldByTrial() bool {
+	if !c.health.Suspect() {
+		return false
+	}
+	for _, run := range c.runs {
+		if run.occupies() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) start(now time.Time, run *run) {
+	run.phase = starting
+	run.startedAt = now
+	run.progressAt = now
+	run.percent = 0
+	c.ask(Start{Task: run.task, Number: run.number, Spec: run.spec, Fence: c.fence})
+}
+
+// StopJob ends everything that the entry has of a job.
+func (c *Core) StopJob(now time.Time, entry string, job work.JobID) {
+	for _, run := range c.runs {
+		if run.entry == entry && run.task.Job == job {
+			c.withdraw(now, run)
+		}
+	}
+	c.settle(now)
+}
+
+// withdraw takes a queued run back and stops any other. Nobody waits for it.
+func (c *Core) withdraw(now time.Time, run *run) {
+	run.withdrawn = true
+	if run.phase == queued {
+		c.unqueue(run)
+		c.finish(run, work.EndNotRun, 0)
+		return
+	}
+	c.stop(now, run, work.EndStopped)
+}
+
+// stop orders the end of a run whose start was answered; one that was not is
+// stopped when its fate is known.
+func (c *Core) stop(now time.Time, run *run, end work.End) {
+	if run.phase != running {
+		return
+	}
+	run.phase = stopping
+	run.stopEnd = end
+	run.stopSentAt = now
+	c.ask(Stop{Task: run.task, Number: run.number, Fence: c.fence})
+}
+
+func (c *Core) unqueue(run *run) {
+	at := slices.Index(c.queue, run)
+	if at >= 0 {
+		c.queue = slices.Delete(c.queue, at, at+1)
+	}
+}
+
+// handBackQueue reports everything that waits as not run.
+func (c *Core) handBackQueue(now time.Time) {
+	waiting := c.queue
+	c.queue = nil
+	for _, run := range waiting {
+		c.finish(run, work.EndNotRun, 0)
+	}
+}
+
+// finish forgets a run and reports its end to its entry. It returns the number
+// of the event, 0 when there is none.
+func (c *Core) finish(run *run, end work.End, took time.Duration) uint64 {
+	delete(c.runs, run.task)
+	c.noted(Note{Kind: NoteEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate})
+	return c.report(run.entry, run.task, end, took)
+}
--- /dev/null
+++ b/decision/execution/run.go
@@ -0,0 +1,63 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/figring/figring/work"
+)
+
+// phase is how far a run has come.
+type phase int
+
+const (
+	// queued runs wait for room; nothing was sent to the minion.
+	queued phase = iota
+	// starting runs were sent and not answered yet.
+	starting
+	// unproved runs were sent, not answered in time, and may start later.
+	unproved
+	// running runs are at work, as far as is known.
+	running
+	// stopping runs were ordered to stop and are not listed as ended yet.
+	stopping
+)
+
+// run is one task at the minion.
+type run struct {
+	task  work.TaskKey
+	entry string
+	spec  string
+	need  work.Room
+	// needKnown is false for a run that was found at the minion and that no
+	// entry has claimed yet.
+	needKnown bool
+	estimate  time.Duration
+
+	phase   phase
+	number  int
+	bumps   int
+	startBy time.Time
+	giveUp  time.Time
+
+	startedAt time.Time
+	// listedBy is the number of the first look that must show the run.
+	listedBy uint64
+	// proofFence is the fence whose list decides about an unproved run.
+	proofFence int64
+
+	percent    int
+	progressAt time.Time
+	stopSentAt time.Time
+	// stopEnd is the end to report when the run was stopped.
+	stopEnd work.End
+	// withdrawn means that nobody waits for the run.
+	withdrawn bool
+}
+
+// occupies reports whether the run may be at work or may still begin.
+func (r *run) occupies() bool { return r.phase != queued }
+
+// stuckAfter returns the time without progress that makes the run stuck.
+func (r *run) stuckAfter() time.Duration {
+	return max(minStuck, time.Duration(float64(r.estimate)*stuckShare))
+}
--- /dev/null
+++ b/decision/heldjob/actions.go
@@ -0,0 +1,45 @@
+package heldjob
+
+import (
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Action is something that the core asks for.
+type Action interface{ action() }
+
+// Order sends tasks of a job to a sidecar.
+type Order struct {
+	Sidecar string
+	Job     work.JobID
+	Request session.StartRequest
+}
+
+// StopJob ends what a sidecar has of a job.
+type StopJob struct {
+	Sidecar string
+	Job     work.JobID
+}
+
+// Reply answers a waiting submission.
+type Reply struct {
+	Waiter uint64
+	Answer Answer
+}
+
+func (Order) action()   {}
+func (StopJob) action() {}
+func (Reply) action()   {}
+
+// Submission is a job that a caller has handed in.
+type Submission struct {
+	// Waiter names the open request that is to be answered.
+	Waiter uint64
+	Job    work.Job
+	Host   string
+	Path   string
+	// Patience is how long the caller waits for the answer; 0 when unknown.
+	Patience time.Duration
+}
--- /dev/null
+++ b/decision/heldjob/answer.go
@@ -0,0 +1,61 @@
+package heldjob
+
+import "time"
+
+// Outcome is what a caller is told about its submission.
+type Outcome int
+
+const (
+	// Completed means that all tasks are done.
+	Completed Outcome = iota + 1
+	// Failed means that a task has failed as often as its route allows.
+	Failed
+	// Refused means that the job has not run and never will by this submission.
+	Refused
+	// GivenUp means that the job may have run in part and is not continued.
+	GivenUp
+	// NoRoute means that no route takes the job.
+	NoRoute
+	// Invalid means that the job can't be run by anybody.
+	Invalid
+	// Cancelled means that a caller has cancelled the job.
+	Cancelled
+)
+
+var outcomeNames = map[Outcome]string{
+	Completed: "completed",
+	Failed:    "failed",
+	Refused:   "refused",
+	GivenUp:   "given_up",
+	NoRoute:   "no_route",
+	Invalid:   "invalid",
+	Cancelled: "cancelled",
+}
+
+// String returns the name of the outcome for logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Reason says why a job was refused or given up.
+type Reason string
+
+const (
+	ReasonNone        Reason = ""
+	ReasonOverload    Reason = "overload"
+	ReasonNoManifest  Reason = "no_manifest"
+	ReasonNoTargets   Reason = "no_targets"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonUnsupported Reason = "unsupported"
+	ReasonTooLate     Reason = "too_late"
+	ReasonDeadline    Reason = "deadline"
+	ReasonCallerGone  Reason = "caller_gone"
+	ReasonTaskFailed  Reason = "task_failed"
+	ReasonDraining    Reason = "draining"
+)
+
+// Answer ends a submission.
+type Answer struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when a refused caller should come back; 0 for never.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/decision/heldjob/bounds.go
@@ -0,0 +1,38 @@
+package heldjob
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/execution"
+)
+
+const (
+	// leaseDrift covers a minion's clock that is up to 2 % slow, and the way
+	// of a renewal.
+	leaseDrift = execution.Lease/50 + 30*time.Millisecond
+	// stopTime is how long a minion takes to stop a run, with the way of the
+	// order.
+	stopTime = 100 * time.Millisecond
+	// DeadAfter is the time after the newest sign of the entry at a sidecar
+	// after which no run of the entry can be at work there: the sidecar stops
+	// them after its limit of silence, and if it is frozen then, the lease that
+	// it renewed last has lapsed.
+	DeadAfter = execution.SilenceLimit + stopTime + execution.Lease + leaseDrift
+	// lateFactor is how many times its objective a job may take and still be
+	// of use to its caller.
+	lateFactor = 3
+	// answerMargin is kept free before the caller's deadline for the answer.
+	answerMargin = 40 * time.Millisecond
+	// recentAnswers bounds the answers that are kept for callers who ask again.
+	recentAnswers = 4096
+	// minRetryAfter is the shortest time after which a refused caller is told
+	// to come back.
+	minRetryAfter = time.Second
+	// defaultStretch stands for a route without one.
+	defaultStretch = 1.5
+	// startMargin is kept free of a job's slack for the way of its messages.
+	startMargin = 10 * time.Millisecond
+	// replaceInterval is the least time between two tries to place tasks that
+	// found no room.
+	replaceInterval = 5 * time.Millisecond
+)
--- /dev/null
+++ b/decision/heldjob/place.go
@@ -0,0 +1,132 @@
+package heldjob
+
+import (
+	"time"
+
+	"github.com/figring/figring/decision/placement"
+	"github.com/figring/figring/session"
+)
+
+// plan is the placement of the unplaced tasks of a job.
+type plan struct {
+	complete bool
+	reason   Reason
+	// wait is the longest expected wait of a task.
+	wait time.Duration
+	// age is that of the oldest state that was used.
+	age     time.Duration
+	choices []plannedTask
+}
+
+type plannedTask struct {
+	task    *task
+	choice  placement.Choice
+	sidecar *sidecar
+	number  uint64
+}
+
+// plan chooses a place for each unplaced task. The choices count as sent, so
+// that the tasks of a job see each other.
+func (c *Core) plan(now time.Time, job *job) plan {
+	planned := plan{complete: true}
+	limit := max(job.slack(now), 0)
+	if job.begun {
+		limit = max(limit, job.useless.Sub(now)-job.chain())
+	}
+	numbers := make(map[*sidecar]uint64)
+	for _, task := range job.tasks {
+		if task.phase != unplaced {
+			continue
+		}
+		if !c.planTask(now, job, task, limit, &planned, numbers) {
+			c.undo(planned)
+			planned.complete = false
+			return planned
+		}
+	}
+	return planned
+}
+
+func (c *Core) planTask(now time.Time, job *job, task *task, limit time.Duration, planned *plan, numbers map[*sidecar]uint64) bool {
+	step := job.steps[task.step]
+	wanted := placement.Task{
+		Service:      job.route.Service,
+		Need:         step.Need,
+		Estimate:     step.Estimate,
+		FailedBefore: task.failures > 0,
+	}
+	choice, ok := c.chooser.Choose(c.candidates, wanted, task.avoided)
+	if !ok {
+		planned.reason = ReasonNoTargets
+		return false
+	}
+	planned.wait = max(planned.wait, choice.Wait)
+	planned.age = max(planned.age, now.Sub(choice.Candidate.StateAt))
+	if choice.Wait > limit {
+		planned.reason = ReasonOverload
+		return false
+	}
+	chosen := c.sidecars[choice.Candidate.Name]
+	number, ok := numbers[chosen]
+	if !ok {
+		number = chosen.requests + 1
+		numbers[chosen] = number
+	}
+	chosen.candidate.Sent(number, step.Need)
+	planned.choices = append(planned.choices, plannedTask{task, choice, chosen, number})
+	return true
+}
+
+// undo takes the choices of an incomplete plan back.
+func (c *Core) undo(planned plan) {
+	for _, one := range planned.choices {
+		one.sidecar.candidate.Unsend(one.number)
+	}
+}
+
+// send orders the planned tasks, one request for each sidecar.
+func (c *Core) send(now time.Time, job *job, planned plan) {
+	requests := make(map[*sidecar]*session.StartRequest)
+	var order []*sidecar
+	slack := max(job.slack(now), 0)
+	for _, one := range planned.choices {
+		request, ok := requests[one.sidecar]
+		if !ok {
+			request = &session.StartRequest{Number: one.number, Spec: job.spec}
+			requests[one.sidecar] = request
+			order = append(order, one.sidecar)
+			one.sidecar.requests = one.number
+		}
+		step := job.steps[one.task.step]
+		request.Tasks = append(request.Tasks, session.StartTask{
+			Task: one.task.key, Need: step.Need, Estimate: step.Estimate,
+			Slack: slack, MaxWait: max(job.useless.Sub(now)-step.Estimate, slack),
+		})
+		one.task.phase = ordered
+		one.task.sidecar = one.sidecar.candidate.Name
+		one.sidecar.placed[one.task.key] = one.task
+		job.unplacedLeft--
+	}
+	for _, target := range order {
+		c.ask(Order{Sidecar: target.candidate.Name, Job: job.id, Request: *requests[target]})
+	}
+}
+
+// place tries to place the tasks of a job that have no run.
+func (c *Core) place(now time.Time, job *job) {
+	if job.unplacedLeft == 0 || now.Before(job.nextTry) {
+		return
+	}
+	job.nextTry = now.Add(replaceInterval)
+	planned := c.plan(now, job)
+	if planned.complete {
+		c.send(now, job, planned)
+		return
+	}
+	if !job.begun && c.untouched(job) {
+		c.end(job, Answer{Outcome: Refused, Reason: planned.reason, RetryAfter: max(minRetryAfter, planned.wait)})
+	}
+}
+
+// untouched reports whether no order of the job can have an effect.
+func (c *Core) untouched(job *job) bool { return job.unplacedLeft == len(job.tasks) }
--- /dev/null
+++ b/decision/heldjob/progress.go
@@ -0,0 +1,180 @@
+package heldjob
+
+import (
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Ordered takes a sidecar's answer to an order.
+func (c *Core) Ordered(now time.Time, name string, request *session.StartRequest, refusals []session.Refusal) {
+	known, ok := c.sidecars[name]
+	if !ok {
+		return
+	}
+	for i, ordered := range request.Tasks {
+		c.orderedOne(now, name, known, ordered.Task, refusals[i])
+	}
+}
+
+func (c *Core) orderedOne(now time.Time, name string, known *sidecar, key work.TaskKey, refusal session.Refusal) {
+	placed, ok := known.placed[key]
+	if refusal == session.RefusedNone {
+		if ok {
+			c.jobs[key.Job].begun = true
+		}
+		return
+	}
+	known.candidate.Refused(refusal)
+	if !ok || placed.sidecar != name {
+		return
+	}
+	job := c.jobs[key.Job]
+	c.decided(Decision{Kind: DecidedReplaced, Job: job.id, Task: key.Index, Sidecar: name, Reason: string(refusal)})
+	c.free(known, job, placed)
+	if refusal == session.RefusedTaken {
+		placed.avoid(name)
+	}
+	c.place(now, job)
+}
+
+// Ended takes the end of a run.
+func (c *Core) Ended(now time.Time, name string, event session.Event) {
+	known, ok := c.sidecars[name]
+	if !ok {
+		return
+	}
+	if placed, ok := known.placed[event.Task]; ok {
+		c.runEnded(now, name, placed, event.End)
+	}
+}
+
+func (c *Core) runEnded(now time.Time, name string, placed *task, end work.End) {
+	known := c.sidecars[name]
+	job := c.jobs[placed.key.Job]
+	c.free(known, job, placed)
+	if end != work.EndNotRun {
+		job.begun = true
+	}
+	switch end {
+	case work.EndDone:
+		c.taskDone(job, placed)
+		return
+	case work.EndFailed:
+		placed.failures++
+		placed.avoid(name)
+	case work.EndStuck:
+		placed.avoid(name)
+	}
+	c.decided(Decision{Kind: DecidedReplaced, Job: job.id, Task: placed.key.Index, Sidecar: name, Reason: end.String()})
+	if placed.failures >= max(job.route.Attempts, 1) {
+		c.end(job, Answer{Outcome: Failed, Reason: ReasonTaskFailed})
+		return
+	}
+	job.nextTry = time.Time{}
+	c.place(now, job)
+}
+
+func (t *task) avoid(name string) {
+	if t.avoided == nil {
+		t.avoided = make(map[string]bool)
+	}
+	t.avoided[name] = true
+}
+
+// free makes a task unplaced: its run is over or never began.
+func (c *Core) free(known *sidecar, job *job, placed *task) {
+	delete(known.placed, placed.key)
+	placed.phase = unplaced
+	placed.sidecar = ""
+	job.unplacedLeft++
+}
+
+func (c *Core) taskDone(job *job, done *task) {
+	done.phase = ended
+	job.unplacedLeft--
+	job.openLeft--
+	if job.openLeft == 0 {
+		c.end(job, Answer{Outcome: Completed})
+	}
+}
+
+// giveUp ends a job that can't be answered in time.
+func (c *Core) giveUp(job *job, reason Reason) {
+	if !job.begun && c.untouched(job) {
+		c.end(job, Answer{Outcome: Refused, Reason: reason, RetryAfter: minRetryAfter})
+		return
+	}
+	c.end(job, Answer{Outcome: GivenUp, Reason: reason, RetryAfter: minRetryAfter})
+}
+
+// end answers all callers of a job and stops what is left of it.
+func (c *Core) end(job *job, answer Answer) {
+	for waiter := range job.waiters {
+		c.ask(Reply{Waiter: waiter, Answer: answer})
+	}
+	if answer.Outcome == Completed || answer.Outcome == Failed || answer.Outcome == Cancelled {
+		c.recent.put(job.id, answer)
+	}
+	c.decided(Decision{Kind: DecidedAnswered, Job: job.id, Outcome: answer.Outcome, Reason: string(answer.Reason)})
+	c.drop(job)
+}
+
+// drop forgets a job and stops its runs.
+func (c *Core) drop(job *job) {
+	stopped := make(map[string]bool)
+	for _, task := range job.tasks {
+		if task.phase != ordered && task.phase != lost {
+			continue
+		}
+		name := task.sidecar
+		delete(c.sidecars[name].placed, task.key)
+		if !stopped[name] && c.sidecars[name].connected {
+			stopped[name] = true
+			c.ask(StopJob{Sidecar: name, Job: job.id})
+		}
+	}
+	delete(c.jobs, job.id)
+}
+
+// CallerGone takes the end of a caller's connection. A job that nobody waits
+// for is stopped.
+func (c *Core) CallerGone(id work.JobID, waiter uint64) {
+	job, ok := c.jobs[id]
+	if !ok || !job.waiters[waiter] {
+		return
+	}
+	delete(job.waiters, waiter)
+	if len(job.waiters) == 0 {
+		c.decided(Decision{Kind: DecidedAnswered, Job: id, Outcome: GivenUp, Reason: string(ReasonCallerGone)})
+		c.drop(job)
+	}
+}
+
+// Cancel ends a job on its caller's order and reports whether it is known.
+func (c *Core) Cancel(id work.JobID) bool {
+	job, ok := c.jobs[id]
+	if ok {
+		c.end(job, Answer{Outcome: Cancelled})
+		return true
+	}
+	_, ok = c.recent.get(id)
+	return ok
+}
+
+// State returns the answer of an ended job, or whether it is under way.
+func (c *Core) State(id work.JobID) (answer Answer, begun, open, known bool) {
+	if job, ok := c.jobs[id]; ok {
+		return Answer{}, job.begun, true, true
+	}
+	answer, known = c.recent.get(id)
+	return answer, true, false, known
+}
+
+// GiveUpAll ends all jobs: the entry is about to end.
+func (c *Core) GiveUpAll(reason Reason) {
+	for _, job := range c.jobs {
+		c.giveUp(job, reason)
+	}
+}
--- /dev/null
+++ b/decision/heldjob/submit.go
@@ -0,0 +1,141 @@
+package heldjob
+
+import (
+	"time"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/work"
+)
+
+// Submit takes a job, refuses it at once, or joins it to the same job that is
+// under way already.
+func (c *Core) Submit(now time.Time, submission *Submission) {
+	if c.snapshot.Manifest == nil {
+		c.refuse(submission, Answer{Outcome: Refused, Reason: ReasonNoManifest, RetryAfter: minRetryAfter}, 0)
+		return
+	}
+	route, ok := c.snapshot.Manifest.Match(submission.Host, submission.Path)
+	if !ok {
+		c.refuse(submission, Answer{Outcome: NoRoute}, 0)
+		return
+	}
+	if c.repeated(now, submission) {
+		return
+	}
+	if reason := unsupported(&submission.Job, route); reason != "" {
+		c.refuse(submission, Answer{Outcome: Refused, Reason: ReasonUnsupported}, 0)
+		return
+	}
+	c.admit(now, newJob(now, submission, route), submission)
+}
+
+// repeated answers or joins a job whose identity is known.
+func (c *Core) repeated(now time.Time, submission *Submission) bool {
+	if known, ok := c.jobs[submission.Job.ID]; ok {
+		known.waiters[submission.Waiter] = true
+		known.useless = laterOf(known.useless, uselessAt(now, known.goal, known.submitted, submission.Patience))
+		c.decided(Decision{Kind: DecidedJoined, Job: known.id})
+		return true
+	}
+	answer, ok := c.recent.get(submission.Job.ID)
+	if ok {
+		c.ask(Reply{Waiter: submission.Waiter, Answer: answer})
+		c.decided(Decision{Kind: DecidedRepeated, Job: submission.Job.ID, Outcome: answer.Outcome})
+	}
+	return ok
+}
+
+func laterOf(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+// unsupported names what the job asks for and is not built, if anything.
+func unsupported(job *work.Job, route manifest.Route) string {
+	switch {
+	case !job.BestEffort:
+		return "kept"
+	case job.LongRunning:
+		return "long_running"
+	case job.Occurrences > 1:
+		return "occurrences"
+	case route.Advised:
+		return "advice"
+	case len(job.Steps) != 1:
+		return "steps"
+	}
+	for _, step := range job.Steps {
+		if step.Unsupported != "" {
+			return step.Unsupported
+		}
+	}
+	return ""
+}
+
+func newJob(now time.Time, submission *Submission, route manifest.Route) *job {
+	created := &job{
+		id:        submission.Job.ID,
+		spec:      submission.Job.Spec,
+		steps:     submission.Job.Steps,
+		route:     route,
+		submitted: now,
+		waiters:   map[uint64]bool{submission.Waiter: true},
+	}
+	for number, step := range created.steps {
+		for index := range step.Count {
+			created.tasks = append(created.tasks, &task{
+				key:  work.TaskKey{Job: created.id, Step: number, Index: index},
+				step: number,
+			})
+		}
+	}
+	created.openLeft = len(created.tasks)
+	created.unplacedLeft = len(created.tasks)
+	stretch := route.Stretch
+	if stretch <= 0 {
+		stretch = defaultStretch
+	}
+	created.goal = now.Add(time.Duration(stretch*float64(created.chain())) + route.Objective)
+	created.useless = uselessAt(now, created.goal, now, submission.Patience)
+	return created
+}
+
+// uselessAt returns when an answer is of no use any more: the caller's
+// deadline, where it is known. A job that takes longer than its estimate says
+// is still of use while its caller waits.
+func uselessAt(now, goal, submitted time.Time, patience time.Duration) time.Time {
+	if patience > 0 {
+		return now.Add(patience - answerMargin)
+	}
+	return submitted.Add(lateFactor * goal.Sub(submitted))
+}
+
+// slack returns how long the job's tasks may still wait before it misses its
+// objective.
+func (j *job) slack(now time.Time) time.Duration {
+	return j.goal.Sub(now) - j.chain() - startMargin
+}
+
+// admit places all tasks of a new job, or refuses it when that can't be done
+// in time.
+func (c *Core) admit(now time.Time, created *job, submission *Submission) {
+	plan := c.plan(now, created)
+	if !plan.complete {
+		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
+		c.refuse(submission, answer, plan.wait)
+		return
+	}
+	c.jobs[created.id] = created
+	c.decided(Decision{Kind: DecidedAdmitted, Job: created.id, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
+	c.send(now, created, plan)
+}
+
+func (c *Core) refuse(submission *Submission, answer Answer, wait time.Duration) {
+	c.ask(Reply{Waiter: submission.Waiter, Answer: answer})
+	c.decided(Decision{
+		Kind: DecidedRefused, Job: submission.Job.ID, Outcome: answer.Outcome,
+		Reason: string(answer.Reason), Wait: wait, Targets: c.Targets(),
+	})
+}
--- /dev/null
+++ b/decision/placement/candidate.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// Candidate is a sidecar as the entry sees it.
+type Candidate struct {
+	Name  string
+	Zone  string
+	State session.State
+	// StateAt is when the state arrived.
+	StateAt time.Time
+	// unseen are the orders that the state does not show yet.
+	unseen []unseenOrder
+}
+
+// unseenOrder is an order that was sent with a request of the number.
+type unseenOrder struct {
+	number uint64
+	need   work.Room
+}
+
+// Sent takes note of an order that is on its way.
+func (c *Candidate) Sent(number uint64, need work.Room) {
+	c.unseen = append(c.unseen, unseenOrder{number, need})
+}
+
+// Update takes a newer state.
+func (c *Candidate) Update(state session.State, at time.Time) {
+	c.State = state
+	c.StateAt = at
+	kept := c.unseen[:0]
+	for _, order := range c.unseen {
+		if order.number > state.Seen {
+			kept = append(kept, order)
+		}
+	}
+	c.unseen = kept
+}
+
+// Refused takes note that the orders of a request found no room: the state is
+// too old to show why, and the next one will.
+func (c *Candidate) Refused(reason session.Refusal) {
+	if reason == session.RefusedRoom {
+		c.State.QueuedMilliCPU += c.State.Minion.Capacity.MilliCPU
+	}
+}
+
+// Reset forgets orders under way: the session has ended.
+func (c *Candidate) Reset() { c.unseen = nil }
+
+// free returns the room without what is under way.
+func (c *Candidate) free() work.Room {
+	free := c.State.Free
+	for _, order := range c.unseen {
+		free = free.Sub(order.need)
+	}
+	return free
+}
+
+// wait estimates the time until the need has room.
+func (c *Candidate) wait(need work.Room) time.Duration {
+	lacking := need.Sub(c.free()).MilliCPU + c.State.QueuedMilliCPU
+	if lacking <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.State.Residual) * float64(lacking) / float64(c.State.Minion.Capacity.MilliCPU))
+}
+
+// Unsend takes the orders of a request back that was not sent after all.
+func (c *Candidate) Unsend(number uint64) {
+	kept := c.unseen[:0]
+	for _, order := range c.unseen {
+		if order.number != number {
+			kept = append(kept, order)
+		}
+	}
+	c.unseen = kept
+}
--- /dev/null
+++ b/decision/placement/choose.go
@@ -0,0 +1,99 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/figring/figring/work"
+)
+
+const (
+	// remoteCost is what a task in another availability zone takes longer.
+	remoteCost = 3 * time.Millisecond
+	// fullCost is added in proportion to the used share of a minion, so that
+	// tasks spread over equally good ones.
+	fullCost = 12 * time.Millisecond
+	// jitterCost is the bound of a random part, so that entries that see the
+	// same states do not all choose the same minion.
+	jitterCost = 4 * time.Millisecond
+	// maxPace is the run time as a multiple of the estimate beyond which a
+	// minion is used only when no other has room in time.
+	maxPace = 2.5
+	// slowCost is added for a minion beyond maxPace.
+	slowCost = 400 * time.Millisecond
+)
+
+// Task is a task to place.
+type Task struct {
+	Service  string
+	Need     work.Room
+	Estimate time.Duration
+	// FailedBefore keeps the task away from minions on trial.
+	FailedBefore bool
+}
+
+// Choice is the place of one task.
+type Choice struct {
+	Candidate *Candidate
+	// Wait is the expected time until the task starts.
+	Wait time.Duration
+}
+
+// Chooser chooses among candidates.
+type Chooser struct {
+	// Zone is the entry's own availability zone.
+	Zone string
+	// Evacuated reports whether an availability zone gets no new work.
+	Evacuated func(zone string) bool
+	// Random spreads equal choices.
+	Random *rand.Rand
+}
+
+// Choose returns the best place of the task; false when no candidate may run
+// it at all. The avoided candidates are used only when there is no other.
+func (c *Chooser) Choose(candidates []*Candidate, task Task, avoided map[string]bool) (Choice, bool) {
+	best, bestCost, found := Choice{}, time.Duration(0), false
+	for _, candidate := range candidates {
+		if !c.usable(candidate, task) {
+			continue
+		}
+		choice := Choice{Candidate: candidate, Wait: candidate.wait(task.Need)}
+		cost := c.cost(choice, task, avoided[candidate.Name])
+		if !found || cost < bestCost {
+			best, bestCost, found = choice, cost, true
+		}
+	}
+	return best, found
+}
+
+func (c *Chooser) usable(candidate *Candidate, task Task) bool {
+	state := &candidate.State
+	if !state.Taking || state.Minion.Service != task.Service || c.Evacuated(candidate.Zone) {
+		return false
+	}
+	if state.Suspect && (!state.TrialDue || len(candidate.unseen) > 0 || task.FailedBefore) {
+		return false
+	}
+	return state.Minion.Capacity.Fits(task.Need)
+}
+
+// avoidCost is added for a candidate that the task has failed at before.
+const avoidCost = 5 * time.Second
+
+func (c *Chooser) cost(choice Choice, task Task, avoided bool) time.Duration {
+	state := &choice.Candidate.State
+	cost := choice.Wait + time.Duration(float64(task.Estimate)*state.Pace)
+	if choice.Candidate.Zone != c.Zone {
+		cost += remoteCost
+	}
+	capacity := float64(state.Minion.Capacity.MilliCPU)
+	cost += time.Duration(float64(fullCost) * (1 - float64(choice.Candidate.free().MilliCPU)/capacity))
+	cost += time.Duration(c.Random.Int64N(int64(jitterCost)))
+	if state.Pace > maxPace {
+		cost += slowCost
+	}
+	if avoided {
+		cost += avoidCost
+	}
+	return cost
+}
--- /dev/null
+++ b/decision/workerhealth/judge.go
@@ -0,0 +1,84 @@
+package workerhealth
+
+import (
+	"time"
+
+	"github.com/figring/figring/work"
+)
+
+const (
+	// suspectJobs is the number of different jobs that have to fail in a row.
+	suspectJobs = 3
+	// suspectStalls is the number of stalled runs in a row.
+	suspectStalls = 2
+	// trialPause is the time without a trial after a failed one.
+	trialPause = time.Second
+	// paceWeight is the weight of one run in the moving mean of the pace.
+	paceWeight = 0.06
+	// minPace and maxPace bound the ratio that one run contributes.
+	minPace, maxPace = 0.2, 10.0
+)
+
+// Judge judges one minion. It is not safe for concurrent use.
+type Judge struct {
+	failed  map[string]bool
+	stalls  int
+	suspect bool
+	// nextTrial is the time before which a suspect minion gets nothing.
+	nextTrial time.Time
+	pace      float64
+}
+
+// New returns a judge that trusts the minion.
+func New() *Judge {
+	return &Judge{failed: make(map[string]bool), pace: 1}
+}
+
+// Reset forgets everything: the minion is of a new incarnation.
+func (j *Judge) Reset() { *j = *New() }
+
+// Ended takes the end of a run with its time and the caller's estimate.
+func (j *Judge) Ended(now time.Time, job string, end work.End, took, estimate time.Duration) {
+	switch end {
+	case work.EndDone:
+		clear(j.failed)
+		j.stalls = 0
+		j.suspect = false
+		j.learn(took, estimate)
+	case work.EndFailed:
+		j.failed[job] = true
+		if j.suspect || len(j.failed) >= suspectJobs {
+			j.distrust(now)
+		}
+	}
+}
+
+// Stalled takes note of a run that made no progress.
+func (j *Judge) Stalled(now time.Time) {
+	j.stalls++
+	if j.suspect || j.stalls >= suspectStalls {
+		j.distrust(now)
+	}
+}
+
+func (j *Judge) distrust(now time.Time) {
+	j.suspect = true
+	j.nextTrial = now.Add(trialPause)
+}
+
+// TrialDue reports whether a suspect minion may get its next trial.
+func (j *Judge) TrialDue(now time.Time) bool { return !now.Before(j.nextTrial) }
+
+func (j *Judge) learn(took, estimate time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)/float64(estimate), minPace), maxPace)
+	j.pace += paceWeight * (ratio - j.pace)
+}
+
+// Suspect reports whether the minion gets no more than trials.
+func (j *Judge) Suspect() bool { return j.suspect }
+
+// Pace returns the mean run time as a multiple of the estimate.
+func (j *Judge) Pace() float64 { return j.pace }
--- /dev/null
+++ b/dispatcher/announcer.go
@@ -0,0 +1,66 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/link"
+)
+
+const (
+	// announceInterval is how often an entry tries others that have not heard
+	// of it.
+	announceInterval = 500 * time.Millisecond
+	announceTimeout  = 500 * time.Millisecond
+	// maxAnnounceTries bounds the tries at one life of an entry: others learn
+	// of this one from the table or from sidecars too.
+	maxAnnounceTries = 8
+)
+
+// announce tells each other entry once that this one exists, and learns from
+// it which processes there are.
+func (d *Dispatcher) announce(ctx context.Context) {
+	tries := make(map[string]int)
+	for ctx.Err() == nil {
+		for _, entry := range d.parts.Directory.Of(session.RoleEntry) {
+			key := entry.Name + entry.Boot
+			if entry.Name == d.settings.Self.Name || tries[key] >= maxAnnounceTries {
+				continue
+			}
+			tries[key]++
+			if d.announceTo(ctx, entry) {
+				tries[key] = maxAnnounceTries
+			}
+		}
+		pause(ctx, announceInterval)
+	}
+}
+
+func (d *Dispatcher) announceTo(ctx context.Context, entry session.Peer) bool {
+	client, err := link.Dial(ctx, entry.Address, d.settings.Secret)
+	if err != nil {
+		return false
+	}
+	defer client.Close()
+	request := session.AnnounceRequest{Peers: []session.Peer{d.settings.Self}}
+	var reply session.AnnounceReply
+	if client.Call(ctx, session.MethodAnnounce, &request, &reply, announceTimeout) != nil {
+		return false
+	}
+	if entry.Boot == "" {
+		// A seed has told its name and the others by now.
+		d.parts.Directory.Remove(entry)
+	}
+	d.parts.Directory.Merge(reply.Peers...)
+	return true
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/dispatcher/callers.go
@@ -0,0 +1,76 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/work"
+)
+
+// JobState is what a caller may learn of a job.
+type JobState struct {
+	// Open jobs have no answer yet; Begun ones have had a task started.
+	Open, Begun bool
+	// Answer is that of a job that has ended.
+	Answer heldjob.Answer
+}
+
+// Snapshot returns the configuration in force.
+func (d *Dispatcher) Snapshot() manifest.Snapshot { return d.parts.Holder.Newest() }
+
+// Leaving reports whether callers should use other connections.
+func (d *Dispatcher) Leaving() bool { return d.leaving.Load() }
+
+// Submit hands a job in and waits for its answer. It reports false when ctx
+// ended first; the job is withdrawn then.
+func (d *Dispatcher) Submit(ctx context.Context, submission heldjob.Submission) (heldjob.Answer, bool) {
+	began := time.Now()
+	submission.Waiter = d.waiters.Add(1)
+	waiting := make(chan heldjob.Answer, 1)
+	d.loop.Post(func(now time.Time) {
+		d.answers[submission.Waiter] = waiting
+		d.core.Submit(now, &submission)
+	})
+	select {
+	case answer := <-waiting:
+		d.meters.answered(submission.Path, answer, time.Since(began))
+		return answer, true
+	case <-ctx.Done():
+		d.loop.Post(func(time.Time) {
+			delete(d.answers, submission.Waiter)
+			d.core.CallerGone(submission.Job.ID, submission.Waiter)
+		})
+		return heldjob.Answer{}, false
+	}
+}
+
+// Cancel ends a job and reports whether it was known.
+func (d *Dispatcher) Cancel(_ context.Context, id work.JobID) bool {
+	known := false
+	d.loop.Do(func(time.Time) { known = d.core.Cancel(id) })
+	return known
+}
+
+// State returns what is known of a job.
+func (d *Dispatcher) State(_ context.Context, id work.JobID) (JobState, bool) {
+	var state JobState
+	known := false
+	d.loop.Do(func(time.Time) { state.Answer, state.Begun, state.Open, known = d.core.State(id) })
+	return state, known
+}
+
+// Pending counts the jobs of a route of which nothing has started.
+func (d *Dispatcher) Pending(_ context.Context, route string) int {
+	count := 0
+	d.loop.Do(func(time.Time) { count = d.core.Pending(route) })
+	return count
+}
+
+// Malformed counts a request that could not be read.
+func (d *Dispatcher) Malformed(reason string) {
+	d.meters.malformed.Inc(1)
+	d.parts.Log.Routine(eventlog.KindMalformed).Str(eventlog.FieldReason, reason).Msg("")
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,168 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/serial"
+	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/directory"
+	"github.com/figring/figring/session/link"
+)
+
+const (
+	// loopRing is the number of steps that wait for the loop.
+	loopRing = 4096
+	// tickInterval is how often the loop looks at what is due by time alone.
+	tickInterval = 25 * time.Millisecond
+)
+
+// Settings of a dispatcher.
+type Settings struct {
+	Self   session.Peer
+	Secret string
+}
+
+// Parts are what a dispatcher is built from.
+type Parts struct {
+	Holder    *manifest.Holder
+	Directory *directory.Directory
+	Log       *eventlog.Log
+	Scope     tally.Scope
+}
+
+// Dispatcher is a running entry.
+type Dispatcher struct {
+	settings Settings
+	parts    Parts
+	meters   *meters
+	loop     *serial.Loop
+	core     *heldjob.Core
+	listener *link.Listener
+
+	leaving atomic.Bool
+	targets atomic.Int64
+	waiters atomic.Uint64
+
+	// answers are the open requests by the number of their waiter. The loop
+	// alone uses it.
+	answers map[uint64]chan heldjob.Answer
+
+	mu    sync.Mutex
+	links map[string]*sidecarLink
+}
+
+// New opens the listener of a dispatcher.
+func New(settings Settings, parts Parts) (*Dispatcher, error) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	made := &Dispatcher{
+		settings: settings,
+		parts:    parts,
+		meters:   newMeters(parts.Scope),
+		core:     heldjob.New(settings.Self.Zone, random),
+		answers:  make(map[uint64]chan heldjob.Answer),
+		links:    make(map[string]*sidecarLink),
+	}
+	made.loop = serial.New(loopRing, tickInterval, made.core.Tick, made.carryOut)
+	listener, err := link.Listen(settings.Self.Address, settings.Secret, session.EntryService, made.accept)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	made.listener = listener
+	return made, nil
+}
+
+// Run serves until ctx ends. Whoever wants open jobs to be answered waits for
+// them before that.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	group, working := errgroup.WithContext(ctx)
+	group.Go(func() error { d.loop.Run(working); return nil })
+	group.Go(d.listener.Serve)
+	group.Go(func() error { d.followManifest(working); return nil })
+	group.Go(func() error { d.keepLinks(working); return nil })
+	group.Go(func() error { d.announce(working); return nil })
+	<-working.Done()
+	d.listener.Close()
+	return group.Wait()
+}
+
+// Leave makes the dispatcher tell callers to use other connections, and its
+// balancer to send no new ones.
+func (d *Dispatcher) Leave() {
+	d.leaving.Store(true)
+	d.parts.Log.Failure(eventlog.KindStop).Str(eventlog.FieldReason, "drain").Msg("")
+}
+
+// Ready reports whether new callers should come.
+func (d *Dispatcher) Ready() bool {
+	return !d.leaving.Load() && d.parts.Holder.Newest().Manifest != nil && d.targets.Load() > 0
+}
+
+// Open returns the number of jobs without an answer.
+func (d *Dispatcher) Open() int {
+	open := 0
+	d.loop.Do(func(time.Time) { open = d.core.Open() })
+	return open
+}
+
+// GiveUpAll answers all open jobs: the process is about to end.
+func (d *Dispatcher) GiveUpAll() {
+	d.loop.Do(func(time.Time) { d.core.GiveUpAll(heldjob.ReasonDraining) })
+}
+
+func (d *Dispatcher) followManifest(ctx context.Context) {
+	snapshots := d.parts.Holder.Watch()
+	for {
+		select {
+		case snapshot := <-snapshots:
+			d.loop.Do(func(time.Time) { d.core.SetSnapshot(snapshot) })
+			d.noteSnapshot(snapshot)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) noteSnapshot(snapshot manifest.Snapshot) {
+	if snapshot.Manifest != nil {
+		d.meters.manifest.Update(float64(snapshot.Manifest.Version))
+	}
+}
+
+// carryOut does what the core asked for.
+func (d *Dispatcher) carryOut(time.Time) {
+	for _, action := range d.core.Take() {
+		switch action := action.(type) {
+		case heldjob.Reply:
+			d.answer(action)
+		case heldjob.Order:
+			d.enqueue(action.Sidecar, &action.Request)
+		case heldjob.StopJob:
+			d.enqueue(action.Sidecar, &session.StopRequest{Job: action.Job})
+		}
+	}
+	d.targets.Store(int64(d.core.Targets()))
+	d.note()
+}
+
+func (d *Dispatcher) answer(reply heldjob.Reply) {
+	waiting, ok := d.answers[reply.Waiter]
+	if !ok {
+		return
+	}
+	delete(d.answers, reply.Waiter)
+	waiting <- reply.Answer
+}
+
+// accept serves a connection of a process that announces itself.
+func (d *Dispatcher) accept(net.Conn) link.Receiver { return &service{dispatcher: d} }
--- /dev/null
+++ b/dispatcher/meters.go
@@ -0,0 +1,80 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/decision/heldjob"
+)
+
+// meters are the metrics of a dispatcher.
+type meters struct {
+	scope     tally.Scope
+	open      tally.Gauge
+	targets   tally.Gauge
+	manifest  tally.Gauge
+	malformed tally.Counter
+
+	mu       sync.Mutex
+	outcomes map[outcomeKey]outcomeMeters
+	freed    map[string]tally.Counter
+}
+
+// outcomeKey names a counter of answers.
+type outcomeKey struct {
+	outcome heldjob.Outcome
+	reason  heldjob.Reason
+}
+
+// outcomeMeters are a counter of answers and the histogram of their times.
+type outcomeMeters struct {
+	count    tally.Counter
+	response tally.Histogram
+}
+
+func newMeters(scope tally.Scope) *meters {
+	return &meters{
+		scope:     scope,
+		open:      scope.Gauge(metrics.DispatcherOpen),
+		targets:   scope.Gauge(metrics.DispatcherTargets),
+		manifest:  scope.Gauge(metrics.ManifestVersion),
+		malformed: scope.Counter(metrics.DispatcherMalformed),
+		outcomes:  make(map[outcomeKey]outcomeMeters),
+		freed:     make(map[string]tally.Counter),
+	}
+}
+
+// answered counts an answer and its time.
+func (m *meters) answered(_ string, answer heldjob.Answer, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := outcomeKey{answer.Outcome, answer.Reason}
+	known, ok := m.outcomes[key]
+	if !ok {
+		scope := m.scope.Tagged(map[string]string{
+			metrics.TagStatus: answer.Outcome.String(),
+			metrics.TagReason: string(answer.Reason),
+		})
+		known = outcomeMeters{
+			count:    scope.Counter(metrics.DispatcherJobs),
+			response: scope.Histogram(metrics.DispatcherResponse, metrics.DurationBuckets()),
+		}
+		m.outcomes[key] = known
+	}
+	known.count.Inc(1)
+	known.response.RecordDuration(took)
+}
+
+func (m *meters) taskFreed(reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counter, ok := m.freed[reason]
+	if !ok {
+		counter = m.scope.Tagged(map[string]string{metrics.TagReason: reason}).Counter(metrics.DispatcherFreed)
+		m.freed[reason] = counter
+	}
+	counter.Inc(1)
+}
--- /dev/null
+++ b/dispatcher/notes.go
@@ -0,0 +1,57 @@
+package dispatcher
+
+import (
+	"github.com/phuslu/log"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/heldjob"
+)
+
+// note writes what the core has decided since the last time.
+func (d *Dispatcher) note() {
+	for _, decision := range d.core.Decisions() {
+		d.noteOne(decision)
+	}
+	d.meters.open.Update(float64(d.core.Open()))
+	d.meters.targets.Update(float64(d.core.Targets()))
+}
+
+func (d *Dispatcher) noteOne(decision heldjob.Decision) {
+	switch decision.Kind {
+	case heldjob.DecidedAdmitted:
+		d.decisionLine(d.parts.Log.Routine(eventlog.KindAdmitted), decision).
+			Dur(eventlog.FieldWait, decision.Wait).Dur(eventlog.FieldAge, decision.Age).Msg("")
+	case heldjob.DecidedRefused:
+		d.decisionLine(d.parts.Log.Failure(eventlog.KindRefused), decision).
+			Dur(eventlog.FieldWait, decision.Wait).Int(eventlog.FieldTargets, decision.Targets).Msg("")
+	case heldjob.DecidedReplaced:
+		d.meters.taskFreed(decision.Reason)
+		d.decisionLine(d.parts.Log.Failure(eventlog.KindTaskFreed), decision).
+			Int(eventlog.FieldTask, decision.Task).Str(eventlog.FieldPeer, decision.Sidecar).Msg("")
+	case heldjob.DecidedAnswered:
+		d.noteAnswer(decision)
+	case heldjob.DecidedJoined:
+		d.decisionLine(d.parts.Log.Failure(eventlog.KindJoined), decision).Msg("")
+	case heldjob.DecidedRepeated:
+		d.decisionLine(d.parts.Log.Failure(eventlog.KindRepeated), decision).Msg("")
+	}
+}
+
+func (d *Dispatcher) noteAnswer(decision heldjob.Decision) {
+	line := d.parts.Log.Routine(eventlog.KindAnswered)
+	if decision.Outcome != heldjob.Completed {
+		line = d.parts.Log.Failure(eventlog.KindFailed)
+	}
+	d.decisionLine(line, decision).Msg("")
+}
+
+func (d *Dispatcher) decisionLine(line *log.Entry, decision heldjob.Decision) *log.Entry {
+	line = line.Str(eventlog.FieldJob, string(decision.Job))
+	if decision.Outcome != 0 {
+		line = line.Str(eventlog.FieldOutcome, decision.Outcome.String())
+	}
+	if decision.Reason != "" {
+		line = line.Str(eventlog.FieldReason, decision.Reason)
+	}
+	return line
+}
--- /dev/null
+++ b/executor/caller.go
@@ -0,0 +1,54 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/execution"
+)
+
+// call sends starts and stops, one at a time.
+func (e *Executor) call(ctx context.Context) {
+	for {
+		select {
+		case stop := <-e.stops:
+			e.sendStop(ctx, stop)
+		case start := <-e.starts:
+			e.sendStart(ctx, start)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Executor) sendStart(ctx context.Context, start execution.Start) {
+	lease := e.clock.lease()
+	if lease == 0 {
+		e.loop.Do(func(now time.Time) { e.core.StartAnswered(now, start, execution.StartRejected) })
+		return
+	}
+	outcome, clock := e.parts.Minion.Start(ctx, e.minionID(), start, lease)
+	e.clock.observe(clock)
+	e.meters.start(outcome)
+	if outcome != execution.Started {
+		e.parts.Log.Failure(eventlog.KindOrderFailed).Str(eventlog.FieldJob, string(start.Task.Job)).
+			Int(eventlog.FieldTask, start.Task.Index).Int(eventlog.FieldRun, start.Number).
+			Str(eventlog.FieldOutcome, outcome.String()).Int64(eventlog.FieldFence, start.Fence).Msg("")
+	}
+	e.loop.Do(func(now time.Time) { e.core.StartAnswered(now, start, outcome) })
+}
+
+func (e *Executor) sendStop(ctx context.Context, stop execution.Stop) {
+	err := e.parts.Minion.Stop(ctx, e.minionID(), stop)
+	line := e.parts.Log.Routine(eventlog.KindStopOrder).Str(eventlog.FieldJob, string(stop.Task.Job)).
+		Int(eventlog.FieldTask, stop.Task.Index).Int(eventlog.FieldRun, stop.Number)
+	if err != nil {
+		// The core sends it again when the run is not listed as ended.
+		line = line.Err(err)
+	}
+	line.Msg("")
+	if err == nil {
+		e.lookSoon()
+	}
+}
--- /dev/null
+++ b/executor/looker.go
@@ -0,0 +1,123 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/execution"
+)
+
+const (
+	// lookWait is how long a look may wait for an end. It is also the interval
+	// at which the lease is renewed when nothing ends.
+	lookWait = 120 * time.Millisecond
+	// lookPause is the pause after a look that failed, and after one that
+	// brought nothing new at once.
+	lookPause = 15 * time.Millisecond
+	// failedPause is the pause while there is no minion.
+	failedPause = 60 * time.Millisecond
+)
+
+// look renews the lease and reads the lists without end.
+func (e *Executor) look(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		news, err := e.lookOnce(ctx, lookWait)
+		switch {
+		case err != nil:
+			pause(ctx, failedPause)
+		case !news && time.Since(began) < lookPause:
+			pause(ctx, lookPause)
+		}
+	}
+}
+
+// lookUrgently looks at once when the core can't wait for the next look.
+func (e *Executor) lookUrgently(ctx context.Context) {
+	for {
+		select {
+		case <-e.urgent:
+			if _, err := e.lookOnce(ctx, 0); err != nil {
+				pause(ctx, lookPause)
+				e.lookSoonUnlessFailing(err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// lookSoonUnlessFailing repeats an urgent look that was not answered. Where
+// there is no minion, the looker itself finds the next one.
+func (e *Executor) lookSoonUnlessFailing(err error) {
+	if !errors.Is(err, ErrNoMinion) {
+		e.lookSoon()
+	}
+}
+
+// lookOnce sends one look and reports whether it brought new ends.
+func (e *Executor) lookOnce(ctx context.Context, wait time.Duration) (bool, error) {
+	var look Look
+	renew := false
+	alive := e.loop.Do(func(now time.Time) {
+		look = Look{Number: e.core.NextLook(), Fence: e.core.Fence(), AckedUpTo: e.core.AckedUpTo(), Wait: wait}
+		renew = e.core.MayRenew(now)
+	})
+	if !alive {
+		return false, context.Canceled
+	}
+	if renew {
+		look.Lease = e.clock.lease()
+	}
+	listing, clock, err := e.parts.Minion.Look(ctx, e.minionID(), look)
+	if ctx.Err() != nil {
+		return false, context.Canceled
+	}
+	e.clock.observe(clock)
+	if err != nil {
+		e.lookFailed(look, err)
+		return false, err
+	}
+	return e.listed(listing), nil
+}
+
+func (e *Executor) listed(listing execution.Listing) bool {
+	news := false
+	e.loop.Do(func(now time.Time) {
+		before := e.core.NewestEnd()
+		if e.core.OtherIncarnation(listing.Born) {
+			e.clock.forget()
+		}
+		e.core.Listed(now, listing)
+		news = e.core.NewestEnd() > before
+	})
+	return news
+}
+
+func (e *Executor) lookFailed(look Look, err error) {
+	e.meters.looksFailed.Inc(1)
+	switch {
+	case errors.Is(err, ErrFenced):
+		e.loop.Do(func(time.Time) { e.core.LookFenced(look.Fence) })
+	case errors.Is(err, ErrOtherIncarnation):
+		e.setMinionID("")
+	default:
+		refused := errors.Is(err, ErrNoMinion)
+		if refused {
+			e.clock.forget()
+		}
+		e.loop.Do(func(now time.Time) { e.core.LookFailed(now, refused) })
+	}
+	e.parts.Log.Failure(eventlog.KindOrderFailed).Str(eventlog.FieldName, "minion").Err(err).Msg("")
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/executor/meters.go
@@ -0,0 +1,61 @@
+package executor
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/decision/execution"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// meters are the metrics of an executor.
+type meters struct {
+	scope          tally.Scope
+	callRingFull   tally.Counter
+	looksFailed    tally.Counter
+	announceFailed tally.Counter
+	reports        tally.Counter
+	free           tally.Gauge
+	queued         tally.Gauge
+	starts         map[execution.StartOutcome]tally.Counter
+	refusals       map[session.Refusal]tally.Counter
+	ends           map[work.End]tally.Counter
+}
+
+func newMeters(scope tally.Scope) *meters {
+	return &meters{
+		scope:          scope,
+		callRingFull:   scope.Counter(metrics.ExecutorRingFull),
+		looksFailed:    scope.Counter(metrics.ExecutorLooksFailed),
+		announceFailed: scope.Counter(metrics.ExecutorAnnounceFailed),
+		reports:        scope.Counter(metrics.ExecutorReports),
+		free:           scope.Gauge(metrics.ExecutorFree),
+		queued:         scope.Gauge(metrics.ExecutorQueued),
+		starts:         make(map[execution.StartOutcome]tally.Counter),
+		refusals:       make(map[session.Refusal]tally.Counter),
+		ends:           make(map[work.End]tally.Counter),
+	}
+}
+
+func (m *meters) start(outcome execution.StartOutcome) {
+	m.scope.Tagged(map[string]string{metrics.TagStatus: outcome.String()}).Counter(metrics.ExecutorStarts).Inc(1)
+}
+
+func (m *meters) refusal(reason session.Refusal) {
+	counter, ok := m.refusals[reason]
+	if !ok {
+		counter = m.scope.Tagged(map[string]string{metrics.TagReason: string(reason)}).Counter(metrics.ExecutorRefused)
+		m.refusals[reason] = counter
+	}
+	counter.Inc(1)
+}
+
+func (m *meters) end(end work.End) {
+	counter, ok := m.ends[end]
+	if !ok {
+		counter = m.scope.Tagged(map[string]string{metrics.TagStatus: end.String()}).Counter(metrics.ExecutorEnds)
+		m.ends[end] = counter
+	}
+	counter.Inc(1)
+}
--- /dev/null
+++ b/executor/notes.go
@@ -0,0 +1,52 @@
+package executor
+
+import (
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/execution"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// logOrder writes what became of an entry's order.
+func (e *Executor) logOrder(entry string, request *session.StartRequest, reply *session.StartReply) {
+	for i, refusal := range reply.Refusals {
+		task := request.Tasks[i].Task
+		line := e.parts.Log.Routine(eventlog.KindTaken)
+		if refusal != session.RefusedNone {
+			line = e.parts.Log.Failure(eventlog.KindOrderRefuse).Str(eventlog.FieldReason, string(refusal))
+		}
+		line.Str(eventlog.FieldJob, string(task.Job)).Int(eventlog.FieldTask, task.Index).Str(eventlog.FieldPeer, entry).Msg("")
+	}
+}
+
+// note writes what the core has decided since the last time.
+func (e *Executor) note() {
+	for _, note := range e.core.Notes() {
+		e.noteOne(note)
+	}
+	free, queued := e.core.Room()
+	e.meters.free.Update(float64(free))
+	e.meters.queued.Update(float64(queued))
+}
+
+func (e *Executor) noteOne(note execution.Note) {
+	switch note.Kind {
+	case execution.NoteEnded:
+		e.meters.end(note.End)
+		line := e.parts.Log.Routine(eventlog.KindRunEnd)
+		if note.End != work.EndDone && note.End != work.EndStopped {
+			line = e.parts.Log.Failure(eventlog.KindRunBadEnd)
+		}
+		line.Str(eventlog.FieldJob, string(note.Task.Job)).Int(eventlog.FieldTask, note.Task.Index).
+			Str(eventlog.FieldOutcome, note.End.String()).Dur(eventlog.FieldTook, note.Took).
+			Dur(eventlog.FieldEstimate, note.Estimate).Msg("")
+	case execution.NoteSilent:
+		e.parts.Log.Failure(eventlog.KindEntryLost).Str(eventlog.FieldPeer, note.Entry).Msg("")
+	case execution.NoteSuspect:
+		e.parts.Log.Failure(eventlog.KindSuspect).Msg("")
+	case execution.NoteTrusted:
+		e.parts.Log.Failure(eventlog.KindTrusted).Msg("")
+	case execution.NoteBlind:
+		e.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "minion").Msg("")
+	}
+}
--- /dev/null
+++ b/executor/reports.go
@@ -0,0 +1,57 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/session"
+)
+
+// Report is what the minion says about itself.
+type Report struct {
+	Minion      session.Minion
+	Sequence    uint64
+	Leaving     bool
+	ClockMillis int64
+}
+
+// TakeReport takes a report and says whether it is acknowledged. A report of a
+// former incarnation, or one that was overtaken, is not.
+func (e *Executor) TakeReport(report Report) bool {
+	taken := false
+	e.loop.Do(func(now time.Time) {
+		taken = e.core.FreshReport(report.Minion.Born, report.Sequence)
+		if !taken {
+			return
+		}
+		e.core.Heartbeat(now, report.Minion, report.Leaving)
+		e.setMinionID(report.Minion.ID)
+	})
+	if taken {
+		e.meters.reports.Inc(1)
+		e.noteMinion(report)
+	}
+	return taken
+}
+
+func (e *Executor) noteMinion(report Report) {
+	e.mu.Lock()
+	changed := e.lastReport.Minion.Born != report.Minion.Born || e.lastReport.Leaving != report.Leaving
+	e.lastReport = report
+	e.mu.Unlock()
+	if changed {
+		e.parts.Log.Failure(eventlog.KindMinion).Str(eventlog.FieldMinion, report.Minion.ID).
+			Bool("leaving", report.Leaving).Int64(eventlog.FieldFree, report.Minion.Capacity.MilliCPU).Msg("")
+	}
+}
+
+// Deregister takes the end of the minion. One that is not known has ended too.
+func (e *Executor) Deregister(id string) bool {
+	e.loop.Do(func(now time.Time) {
+		if e.minionID() == id {
+			e.core.Deregister(now)
+		}
+	})
+	e.parts.Log.Failure(eventlog.KindMinion).Str(eventlog.FieldMinion, id).Str(eventlog.FieldOutcome, "deregistered").Msg("")
+	return true
+}
--- /dev/null
+++ b/executor/service.go
@@ -0,0 +1,246 @@
+package executor
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/figring/figring/common/boottime"
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/link"
+)
+
+// serviceName is the name under which entries call a sidecar.
+const serviceName = session.SidecarService
+
+const (
+	// maxPollWait bounds how long a poll is held back.
+	maxPollWait = 2 * time.Second
+	// stateInterval is the least time between two replies to one entry that
+	// tell only of a changed state.
+	stateInterval = 25 * time.Millisecond
+)
+
+// conn serves one entry's connection. Its exported methods are called by RPC.
+type conn struct {
+	executor *Executor
+	raw      net.Conn
+	wake     chan struct{}
+
+	mu        sync.Mutex
+	entry     string
+	closed    bool
+	lastReply time.Time
+	lastState session.State
+}
+
+func (e *Executor) accept(raw net.Conn) link.Receiver {
+	return &conn{executor: e, raw: raw, wake: make(chan struct{}, 1)}
+}
+
+// Closed implements link.Receiver.
+func (c *conn) Closed() {
+	entry := c.end()
+	if entry == "" {
+		return
+	}
+	c.executor.dropSession(entry, c)
+	c.executor.parts.Log.Failure(eventlog.KindSession).Str(eventlog.FieldPeer, entry).Str(eventlog.FieldOutcome, "closed").Msg("")
+}
+
+func (c *conn) end() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.entry
+}
+
+// current returns the entry of the session, if it is still open.
+func (c *conn) current() (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.entry == "" {
+		return "", errNoSession
+	}
+	return c.entry, nil
+}
+
+// Hello opens the session. Requests on older connections of the same entry are
+// not served any more.
+func (c *conn) Hello(request *session.HelloRequest, reply *session.HelloReply) error {
+	e := c.executor
+	if request.Sidecar != e.settings.Self.Name {
+		return errOtherSidecar
+	}
+	c.mu.Lock()
+	c.entry = request.Entry.Name
+	c.mu.Unlock()
+	e.parts.Directory.Merge(request.Entry)
+	e.replaceSession(request.Entry.Name, c)
+	e.loop.Do(func(now time.Time) {
+		e.core.Hello(now, request.Entry.Name, request.Entry.Boot, request.Claims, request.Minion)
+		reply.Stamp = session.StampOf(now)
+	})
+	reply.Sidecar = e.settings.Self
+	e.parts.Log.Failure(eventlog.KindSession).Str(eventlog.FieldPeer, request.Entry.Name).
+		Str(eventlog.FieldOutcome, "open").Int(eventlog.FieldCount, len(request.Claims)).Msg("")
+	return nil
+}
+
+func (e *Executor) replaceSession(entry string, with *conn) {
+	e.mu.Lock()
+	old := e.sessions[entry]
+	e.sessions[entry] = with
+	e.mu.Unlock()
+	if old != nil && old != with {
+		old.end()
+		_ = old.raw.Close()
+	}
+}
+
+func (e *Executor) dropSession(entry string, ended *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sessions[entry] == ended {
+		delete(e.sessions, entry)
+	}
+}
+
+// connected reports whether the entry has a session.
+func (e *Executor) connected(entry string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions[entry] != nil
+}
+
+func (e *Executor) wake(entry string) {
+	e.mu.Lock()
+	open := e.sessions[entry]
+	e.mu.Unlock()
+	if open == nil {
+		return
+	}
+	select {
+	case open.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Start takes orders.
+func (c *conn) Start(request *session.StartRequest, reply *session.StartReply) error {
+	entry, err := c.current()
+	if err != nil {
+		return err
+	}
+	e := c.executor
+	e.loop.Do(func(now time.Time) {
+		if _, err := c.current(); err != nil {
+			reply.Refusals = make([]session.Refusal, len(request.Tasks))
+			for i := range reply.Refusals {
+				reply.Refusals[i] = session.RefusedStale
+			}
+			return
+		}
+		reply.Refusals = e.core.Order(now, entry, request)
+	})
+	e.logOrder(entry, request, reply)
+	return nil
+}
+
+// Stop ends what the entry has of a job.
+func (c *conn) Stop(request *session.StopRequest, _ *session.StopReply) error {
+	entry, err := c.current()
+	if err != nil {
+		return err
+	}
+	e := c.executor
+	e.loop.Do(func(now time.Time) {
+		e.core.Echo(entry, request.Echo)
+		e.core.StopJob(now, entry, request.Job)
+	})
+	return nil
+}
+
+// Poll answers with the events after the last noted one as soon as there are
+// any, with a changed state after a short while, and else after the wait.
+func (c *conn) Poll(request *session.PollRequest, reply *session.PollReply) error {
+	entry, err := c.current()
+	if err != nil {
+		return err
+	}
+	c.takeNews(request)
+	deadline := boottime.Now().Add(min(request.Wait, maxPollWait))
+	known := false
+	c.executor.loop.Do(func(time.Time) {
+		c.executor.core.Echo(entry, request.Echo)
+		c.executor.core.Noted(entry, request.After)
+		known = c.executor.core.Knows(entry)
+	})
+	if !known {
+		// The entry was silent for too long. It has to open a new session, so
+		// that both sides agree on what runs.
+		return errNoSession
+	}
+	for {
+		if c.answer(entry, request, reply, deadline) {
+			return nil
+		}
+		if _, err := c.current(); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) takeNews(request *session.PollRequest) {
+	c.executor.parts.Directory.Merge(request.Entries...)
+	if request.Snapshot != nil {
+		c.executor.parts.Holder.Offer(*request.Snapshot)
+	}
+}
+
+// answer fills the reply and reports true when it is time to send it; else it
+// waits until there may be something new.
+func (c *conn) answer(entry string, request *session.PollRequest, reply *session.PollReply, deadline time.Time) bool {
+	e := c.executor
+	var now time.Time
+	e.loop.Do(func(at time.Time) {
+		now = at
+		reply.Events = e.core.EventsFor(entry)
+		reply.State = e.core.StateFor(entry, at)
+	})
+	if now.IsZero() {
+		return true
+	}
+	due := deadline
+	if c.stateChanged(&reply.State) {
+		due = c.lastReply.Add(stateInterval)
+	}
+	if len(reply.Events) > 0 || !now.Before(due) {
+		c.lastReply = now
+		c.lastState = reply.State
+		reply.Stamp = session.StampOf(now)
+		reply.SnapshotVersion = e.parts.Holder.Newest().Version
+		reply.Snapshot = e.parts.Holder.For(request.SnapshotVersion)
+		reply.Entries = e.parts.Directory.Of(session.RoleEntry)
+		return true
+	}
+	c.wait(due.Sub(now))
+	return false
+}
+
+// stateChanged reports whether the state differs in what matters to an entry.
+func (c *conn) stateChanged(state *session.State) bool {
+	last := &c.lastState
+	return last.Taking != state.Taking || last.Suspect != state.Suspect || last.TrialDue != state.TrialDue ||
+		last.Free != state.Free || last.QueuedMilliCPU != state.QueuedMilliCPU || last.Minion.Born != state.Minion.Born
+}
+
+func (c *conn) wait(length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-c.wake:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/instance/dispatcher.go
@@ -0,0 +1,106 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/dispatcher"
+	"github.com/figring/figring/platform/front"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/settings"
+)
+
+const (
+	// readyPath is where the balancer asks whether new callers should come.
+	readyPath = front.ReadyPath
+	// balancerDelay is the time that the balancer takes to notice that the
+	// entry is not ready: two of its questions, one a second.
+	balancerDelay = 2200 * time.Millisecond
+	// drainPoll is how often a drain looks whether jobs are open.
+	drainPoll = 25 * time.Millisecond
+)
+
+// RunDispatcher runs an entry until ctx ends, and drains it.
+func RunDispatcher(ctx context.Context, options Options, loaded settings.DispatcherSettings) error {
+	common, err := newShared(options, session.RoleEntry, &loaded.InstanceSettings)
+	if err != nil {
+		return err
+	}
+	defer common.close()
+	role, err := dispatcher.New(dispatcher.Settings{Self: common.self, Secret: loaded.Secret}, dispatcher.Parts{
+		Holder:    common.holder,
+		Directory: common.directory,
+		Log:       common.log,
+		Scope:     common.metrics.Scope,
+	})
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", loaded.CallersListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	ready, err := net.Listen("tcp", loaded.ReadyListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	common.run(serving, group)
+	serve(serving, group, ready, readyHandler(role))
+	group.Go(func() error { return role.Run(serving) })
+	server := &http.Server{
+		Handler:           front.NewHandler(role),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	group.Go(func() error {
+		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			drainDispatcher(role, server, loaded.StopGrace.Std()-stopMargin)
+		case <-serving.Done():
+		}
+		return Error.Wrap(server.Close())
+	})
+	return group.Wait()
+}
+
+// readyHandler answers the balancer.
+func readyHandler(role *dispatcher.Dispatcher) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !role.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// drainDispatcher serves on until the balancer has noticed, then waits for the
+// open jobs within the rest of the grace.
+func drainDispatcher(role *dispatcher.Dispatcher, server *http.Server, grace time.Duration) {
+	ends := time.Now().Add(grace)
+	role.Leave()
+	time.Sleep(min(balancerDelay, grace/2))
+	for role.Open() > 0 && time.Now().Before(ends) {
+		time.Sleep(drainPoll)
+	}
+	role.GiveUpAll()
+	limited, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	// What is open beyond the limit is cut off by the end of the process.
+	_ = server.Shutdown(limited)
+}
--- /dev/null
+++ b/instance/executor.go
@@ -0,0 +1,53 @@
+package instance
+
+import (
+	"context"
+	"net"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/executor"
+	"github.com/figring/figring/platform/beats"
+	"github.com/figring/figring/platform/minions"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/settings"
+)
+
+// RunExecutor runs the sidecar beside a minion until ctx ends, and drains it.
+func RunExecutor(ctx context.Context, options Options, loaded settings.ExecutorSettings) error {
+	common, err := newShared(options, session.RoleSidecar, &loaded.InstanceSettings)
+	if err != nil {
+		return err
+	}
+	defer common.close()
+	client := minions.NewClient(loaded.Minion)
+	defer client.Close()
+	role, err := executor.New(executor.Settings{
+		Self:   common.self,
+		Secret: loaded.Secret,
+		Drain:  loaded.StopGrace.Std() - stopMargin,
+	}, executor.Parts{
+		Minion:    client,
+		Holder:    common.holder,
+		Directory: common.directory,
+		Log:       common.log,
+		Scope:     common.metrics.Scope,
+	})
+	if err != nil {
+		return err
+	}
+	reports, err := net.Listen("tcp", loaded.ReportsListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	common.run(serving, group)
+	serve(serving, group, reports, beats.Handler(role))
+	group.Go(func() error {
+		defer stop()
+		return role.Run(ctx)
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/instance/shared.go
@@ -0,0 +1,177 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/platform/rows"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/directory"
+	"github.com/figring/figring/settings"
+)
+
+// shared is what every process of the system has.
+type shared struct {
+	options   Options
+	self      session.Peer
+	log       *eventlog.Log
+	metrics   *metrics.Root
+	holder    *manifest.Holder
+	directory *directory.Directory
+	table     *rows.Client
+	status    net.Listener
+	storeLost atomic.Bool
+}
+
+const (
+	// collectPercent makes the garbage collector run seldom: the heap is small.
+	collectPercent = 400
+	// memoryLimit is the size in bytes of the heap beyond which it runs often.
+	memoryLimit = 64 << 20
+)
+
+func newShared(options Options, role session.Role, loaded *settings.InstanceSettings) (*shared, error) {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryLimit)
+	status, err := net.Listen("tcp", loaded.StatusListen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	made := &shared{
+		options: options,
+		self: session.Peer{
+			Name: loaded.Name, Role: role, Zone: loaded.Zone,
+			Address: loaded.RPCListen, Boot: session.NewBoot(),
+		},
+		log:       eventlog.New(options.Out, loaded.Name),
+		metrics:   metrics.NewRoot(),
+		holder:    &manifest.Holder{},
+		directory: directory.New(),
+		table:     rows.NewClient(loaded.Table),
+		status:    status,
+	}
+	made.addSeeds(loaded)
+	made.log.Failure(eventlog.KindStart).Str("boot", made.self.Boot).Str("address", made.self.Address).Msg("")
+	return made, nil
+}
+
+// addSeeds takes the seeds as entries without a known life. Whoever answers
+// there tells its own name.
+func (s *shared) addSeeds(loaded *settings.InstanceSettings) {
+	for i, address := range loaded.SeedEntries() {
+		s.directory.Merge(session.Peer{Name: "seed-" + strconv.Itoa(i), Role: session.RoleEntry, Address: address})
+	}
+}
+
+// run starts what every process does beside its role.
+func (s *shared) run(ctx context.Context, group *errgroup.Group) {
+	watcher := rows.NewWatcher(s.table, s.takeSnapshot, s.noteContact)
+	group.Go(func() error { watcher.Run(ctx); return nil })
+	group.Go(func() error { s.join(ctx); return nil })
+	group.Go(func() error { followHangups(ctx, s.options, s.log); return nil })
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", s.metrics.Handler)
+	serve(ctx, group, s.status, mux)
+}
+
+func (s *shared) takeSnapshot(snapshot manifest.Snapshot) {
+	if !s.holder.Offer(snapshot) {
+		return
+	}
+	line := s.log.Failure(eventlog.KindManifest).Int64(eventlog.FieldVersion, snapshot.Version)
+	if snapshot.Manifest != nil {
+		line = line.Int64(eventlog.FieldManifest, snapshot.Manifest.Version)
+	}
+	line.Strs(eventlog.FieldZones, snapshot.EvacuatedZones).Msg("")
+}
+
+// noteContact writes a line when the table is lost or regained.
+func (s *shared) noteContact(err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	s.metrics.Scope.Tagged(map[string]string{metrics.TagStatus: outcome}).Counter(metrics.StoreReads).Inc(1)
+	if s.storeLost.Swap(err != nil) == (err != nil) {
+		return
+	}
+	if err != nil {
+		s.log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "table").Err(err).Msg("")
+		return
+	}
+	s.log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, "table").Msg("")
+}
+
+const (
+	// joinTimeout bounds one call of a join.
+	joinTimeout = 1500 * time.Millisecond
+	// joinPause is the pause between tries.
+	joinPause = 250 * time.Millisecond
+)
+
+// join makes the process known in the table and learns who else there is.
+func (s *shared) join(ctx context.Context) {
+	members := rows.NewMembers(s.table)
+	s.retry(ctx, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
+	s.retry(ctx, func(ctx context.Context) error {
+		peers, err := members.List(ctx)
+		s.directory.Merge(peers...)
+		return err
+	})
+}
+
+func (s *shared) retry(ctx context.Context, try func(context.Context) error) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, joinTimeout)
+		err := try(limited)
+		cancel()
+		if err == nil {
+			return
+		}
+		timer := time.NewTimer(joinPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// serve serves HTTP until ctx ends.
+func serve(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return Error.Wrap(server.Close())
+	})
+}
+
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 60 * time.Second
+)
+
+func (s *shared) close() {
+	s.log.Failure(eventlog.KindStop).Str(eventlog.FieldReason, "ended").Msg("")
+	s.table.Close()
+	_ = s.metrics.Close()
+	_ = s.log.Close()
+}
--- /dev/null
+++ b/session/directory/directory.go
@@ -0,0 +1,83 @@
+// Package directory keeps the processes of the system that one process knows
+// of, with the newest life of each. What it holds are hints: a process is only
+// known to live while a connection to it does.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/figring/figring/session"
+)
+
+// Directory is safe for concurrent use.
+type Directory struct {
+	mu      sync.Mutex
+	peers   map[string]session.Peer
+	changed chan struct{}
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{peers: make(map[string]session.Peer), changed: make(chan struct{}, 1)}
+}
+
+// Merge takes peers that are unknown, or known by a former life.
+func (d *Directory) Merge(peers ...session.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, peer := range peers {
+		known, ok := d.peers[peer.Name]
+		if peer.Name == "" || peer.Address == "" || (ok && known.Boot >= peer.Boot) {
+			continue
+		}
+		d.peers[peer.Name] = peer
+		d.notify()
+	}
+}
+
+// Remove forgets a peer, unless a newer life of it is known by now.
+func (d *Directory) Remove(peer session.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers[peer.Name].Boot == peer.Boot {
+		delete(d.peers, peer.Name)
+		d.notify()
+	}
+}
+
+func (d *Directory) notify() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Changed receives a value after a change.
+func (d *Directory) Changed() <-chan struct{} { return d.changed }
+
+// All returns all peers in the order of their names.
+func (d *Directory) All() []session.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]session.Peer, 0, len(d.peers))
+	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+		all = append(all, d.peers[name])
+	}
+	return all
+}
+
+// Of returns the peers of a role in the order of their names.
+func (d *Directory) Of(role session.Role) []session.Peer {
+	all := d.All()
+	return slices.DeleteFunc(all, func(peer session.Peer) bool { return peer.Role != role })
+}
+
+// Get returns the peer of the name.
+func (d *Directory) Get(name string) (session.Peer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peer, ok := d.peers[name]
+	return peer, ok
+}
--- /dev/null
+++ b/session/link/client.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/figring/figring/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("link")
+
+// ErrTimeout means that no reply came in time. The call may have been carried
+// out.
+var ErrTimeout = Error.New("no reply in time")
+
+// dialTimeout bounds the set-up of a connection.
+const dialTimeout = 400 * time.Millisecond
+
+// Client is a connection to one peer.
+type Client struct {
+	conn *net.TCPConn
+	rpc  *rpc.Client
+}
+
+// Dial connects to a peer.
+func Dial(ctx context.Context, address, secret string) (*Client, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	client, err := wire.DialLink(conn, secret)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Client{conn: conn.(*net.TCPConn), rpc: client}, nil
+}
+
+// Call sends a request and waits for the reply, for the timeout at most.
+func (c *Client) Call(ctx context.Context, method string, args, reply any, timeout time.Duration) error {
+	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return Error.Wrap(call.Error)
+	case <-timer.C:
+		return ErrTimeout
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// Close resets the connection: what is still on its way is dropped, also where
+// a partition holds it up.
+func (c *Client) Close() {
+	_ = c.conn.SetLinger(0)
+	_ = c.rpc.Close()
+}
--- /dev/null
+++ b/session/poll.go
@@ -0,0 +1,43 @@
+package session
+
+import (
+	"time"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/work"
+)
+
+// PollRequest waits for news. It is also the heartbeat of the session.
+type PollRequest struct {
+	Echo Stamp
+	// After is the number of the newest event that the entry has taken note of.
+	After uint64
+	// Wait bounds the time until the reply.
+	Wait time.Duration
+	// SnapshotVersion is the newest version that the entry knows; Snapshot is
+	// set when the sidecar was seen to know only an older one.
+	SnapshotVersion int64
+	Snapshot        *manifest.Snapshot
+	// Entries are all entries that the sender knows.
+	Entries []Peer
+}
+
+// PollReply carries the events after PollRequest.After in order.
+type PollReply struct {
+	Stamp           Stamp
+	Events          []Event
+	State           State
+	SnapshotVersion int64
+	Snapshot        *manifest.Snapshot
+	Entries         []Peer
+}
+
+// Event is the end of a run, or the proof that there never is one.
+type Event struct {
+	// Number counts the events of a session from 1.
+	Number uint64
+	Task   work.TaskKey
+	End    work.End
+	// RunTime is the time that the run took, as far as it is known.
+	RunTime time.Duration
+}
--- /dev/null
+++ b/session/service.go
@@ -0,0 +1,13 @@
+package session
+
+// The names under which processes call each other.
+const (
+	SidecarService = "Sidecar"
+	EntryService   = "Entry"
+
+	MethodHello    = SidecarService + ".Hello"
+	MethodPoll     = SidecarService + ".Poll"
+	MethodStart    = SidecarService + ".Start"
+	MethodStop     = SidecarService + ".Stop"
+	MethodAnnounce = EntryService + ".Announce"
+)
--- /dev/null
+++ b/settings/instance.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// InstanceSettings are what the dispatcher and the executor share.
+type InstanceSettings struct {
+	Name string `json:"name" validate:"name"`
+	Zone string `json:"zone" validate:"name"`
+	// RPCListen is where other processes of the system call; they dial the
+	// same address.
+	RPCListen string `json:"rpcListen" validate:"address"`
+	// StatusListen serves metrics.
+	StatusListen string `json:"statusListen" validate:"listen"`
+	// Seeds are addresses of instances that may be entries; their ports don't
+	// matter.
+	Seeds []string `json:"seeds" validate:"dive,address"`
+	// Table is the address of the platform's table.
+	Table string `json:"table" validate:"address"`
+	// Secret is shared by all processes of the system.
+	Secret string `json:"secret" validate:"min=16"`
+	// StopGrace is the time between the signal to end and the end by force.
+	StopGrace Duration `json:"stopGrace"`
+}
+
+// check checks the fields against each other.
+func (s *InstanceSettings) check() error {
+	const least = time.Second
+	if s.StopGrace.Std() < least {
+		return &Error{Field: "stopGrace", Allowed: fmt.Sprintf("want at least %s", least)}
+	}
+	return nil
+}
+
+// SeedEntries returns the RPC addresses of the seeds: all instances use the
+// same port.
+func (s *InstanceSettings) SeedEntries() []string {
+	own, err := netip.ParseAddrPort(s.RPCListen)
+	if err != nil {
+		return nil
+	}
+	var entries []string
+	for _, seed := range s.Seeds {
+		parsed, err := netip.ParseAddrPort(seed)
+		if err != nil || parsed.Addr() == own.Addr() {
+			continue
+		}
+		entries = append(entries, netip.AddrPortFrom(parsed.Addr(), own.Port()).String())
+	}
+	return entries
+}
+
+// DispatcherSettings are the start-up settings of a dispatcher.
+type DispatcherSettings struct {
+	InstanceSettings
+	CallersListen string `json:"callersListen" validate:"listen"`
+	ReadyListen   string `json:"readyListen" validate:"listen"`
+}
+
+// LoadDispatcher reads and checks the settings of a dispatcher. Its errors are
+// of type *Error.
+func LoadDispatcher(path string) (DispatcherSettings, error) {
+	var loaded DispatcherSettings
+	if err := load(path, &loaded); err != nil {
+		return DispatcherSettings{}, err
+	}
+	listeners := []listener{
+		{"callersListen", loaded.CallersListen},
+		{"readyListen", loaded.ReadyListen},
+		{"rpcListen", loaded.RPCListen},
+		{"statusListen", loaded.StatusListen},
+	}
+	if err := checkInstance(&loaded.InstanceSettings, listeners); err != nil {
+		return DispatcherSettings{}, inFile(path, err)
+	}
+	return loaded, nil
+}
+
+// ExecutorSettings are the start-up settings of an executor.
+type ExecutorSettings struct {
+	InstanceSettings
+	// ReportsListen is where the minion reports about itself.
+	ReportsListen string `json:"reportsListen" validate:"listen"`
+	// Minion is where the minion takes orders.
+	Minion string `json:"minion" validate:"address"`
+}
+
+// LoadExecutor reads and checks the settings of an executor. Its errors are of
+// type *Error.
+func LoadExecutor(path string) (ExecutorSettings, error) {
+	var loaded ExecutorSettings
+	if err := load(path, &loaded); err != nil {
+		return ExecutorSettings{}, err
+	}
+	listeners := []listener{
+		{"reportsListen", loaded.ReportsListen},
+		{"rpcListen", loaded.RPCListen},
+		{"statusListen", loaded.StatusListen},
+	}
+	if err := checkInstance(&loaded.InstanceSettings, listeners); err != nil {
+		return ExecutorSettings{}, inFile(path, err)
+	}
+	return loaded, nil
+}
+
+func checkInstance(shared *InstanceSettings, listeners []listener) error {
+	if err := checkListeners(listeners); err != nil {
+		return err
+	}
+	return shared.check()
+}
--- a/settings/shape.go
+++ b/settings/shape.go
@@ -87,6 +87,10 @@
 	known := make(map[string]reflect.Type, want.NumField())
 	for i := range want.NumField() {
 		field := want.Field(i)
+		if field.Anonymous {
+			maps.Copy(known, fieldTypes(field.Type))
+			continue
+		}
 		if name := jsonName(field); name != "" {
 			known[name] = field.Type
 		}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"net"
+	"net/rpc"
+
+	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
+)
+
+// DialLink greets the peer on an open connection and returns an RPC client
+// that owns the connection.
+func DialLink(conn net.Conn, secret string) (*rpc.Client, error) {
+	if err := greet(conn, secret); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	codec := trackingCodec{ClientCodec: msgpackrpc.NewCodecFromHandle(true, true, conn, handle), conn: conn}
+	return rpc.NewClientWithCodec(codec), nil
+}
+
+// ServeLink admits the peer on an accepted connection and serves the receiver
+// on it until it ends. The receiver belongs to this connection alone.
+func ServeLink(conn net.Conn, secret, name string, receiver any) error {
+	defer func() { _ = conn.Close() }()
+	if err := admit(conn, secret); err != nil {
+		return err
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(name, receiver); err != nil {
+		return err
+	}
+	server.ServeCodec(msgpackrpc.NewCodecFromHandle(true, true, conn, handle))
+	return nil
+}
--- /dev/null
+++ b/work/room.go
@@ -0,0 +1,29 @@
+package work
+
+// Room is an amount of a minion's capacity.
+type Room struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int64
+	// MemMB is in MiB.
+	MemMB int64
+	// GPUs is a count of accelerators.
+	GPUs int64
+}
+
+// Add returns the sum of both.
+func (r Room) Add(other Room) Room {
+	return Room{r.MilliCPU + other.MilliCPU, r.MemMB + other.MemMB, r.GPUs + other.GPUs}
+}
+
+// Sub returns what is left of r without other; a part of it may be negative.
+func (r Room) Sub(other Room) Room {
+	return Room{r.MilliCPU - other.MilliCPU, r.MemMB - other.MemMB, r.GPUs - other.GPUs}
+}
+
+// Fits reports whether need fits into r.
+func (r Room) Fits(need Room) bool {
+	return need.MilliCPU <= r.MilliCPU && need.MemMB <= r.MemMB && need.GPUs <= r.GPUs
+}
+
+// IsZero reports whether the room is empty in every part.
+func (r Room) IsZero() bool { return r == Room{} }
