Take runs found at a minion from the first listing only

Cause: looks overtake each other. A listing from before the end of a run was read after the one that showed its end; the run then counted as found, of unknown need, so that the minion had no room for anybody until the next start.

--- /dev/null
+++ b/decision/execution/core_test.go
@@ -0,0 +1,188 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+const (
+	testEntry = "edge-1"
+	testBoot  = "boot-1"
+	testBorn  = int64(1000)
+)
+
+// fixture is a core with its clock and an entry's session.
+type fixture struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	request uint64
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, core: New(100), now: time.Unix(1000, 0)}
+	f.core.Heartbeat(f.now, session.Minion{ID: "i-1", Service: "desk", Born: testBorn, Capacity: work.Room{MilliCPU: 10000, MemMB: 1000}}, false)
+	f.core.Hello(f.now, testEntry, testBoot, nil, session.Minion{})
+	f.list(nil, nil)
+	f.core.Take()
+	return f
+}
+
+func key(job string, index int) work.TaskKey {
+	return work.TaskKey{Job: work.JobID(job), Index: index}
+}
+
+// order sends orders for tasks of 4,000 thousandths of a core each.
+func (f *fixture) order(tasks ...work.TaskKey) []session.Refusal {
+	f.request++
+	request := &session.StartRequest{Echo: session.StampOf(f.now), Number: f.request}
+	for _, task := range tasks {
+		request.Tasks = append(request.Tasks, session.StartTask{
+			Task: task, Need: work.Room{MilliCPU: 4000, MemMB: 10},
+			Estimate: 100 * time.Millisecond, Slack: 500 * time.Millisecond, MaxWait: time.Second,
+		})
+	}
+	return f.core.Order(f.now, testEntry, request)
+}
+
+// list answers a look that is sent now.
+func (f *fixture) list(running []RunningRun, finished []FinishedRun) {
+	f.answer(f.core.NextLook(), running, finished)
+}
+
+func (f *fixture) answer(look uint64, running []RunningRun, finished []FinishedRun) {
+	f.core.Listed(f.now, Listing{Look: look, Fence: f.core.Fence(), Born: testBorn, Running: running, Finished: finished})
+}
+
+func (f *fixture) starts() []Start {
+	var starts []Start
+	for _, action := range f.core.Take() {
+		if start, ok := action.(Start); ok {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
+func (f *fixture) freeCPU() int64 {
+	free, _ := f.core.Room()
+	return free
+}
+
+// TestOvertakenListingLeavesNoRun covers a look that was answered late and
+// shows a run whose end was taken from a newer answer.
+func TestOvertakenListingLeavesNoRun(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	start := f.starts()[0]
+	f.core.StartAnswered(f.now, start, Started)
+	late := f.core.NextLook()
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndDone}})
+	must.EqOp(t, 10000, f.freeCPU())
+	f.answer(late, []RunningRun{{Task: start.Task, Number: 1, Percent: 90}}, nil)
+	must.EqOp(t, 10000, f.freeCPU())
+}
+
+// TestFoundRunEndsWhenItIsNotListed covers a run of a former life of the
+// sidecar that nobody claims and whose end was taken note of before.
+func TestFoundRunEndsWhenItIsNotListed(t *testing.T) {
+	f := &fixture{t: t, core: New(100), now: time.Unix(1000, 0)}
+	f.core.Heartbeat(f.now, session.Minion{ID: "i-1", Born: testBorn, Capacity: work.Room{MilliCPU: 10000, MemMB: 1000}}, false)
+	f.list([]RunningRun{{Task: key("a", 0), Number: 1}}, nil)
+	must.EqOp(t, 0, f.freeCPU())
+	f.list(nil, nil)
+	must.EqOp(t, 10000, f.freeCPU())
+}
+
+// TestRoomIsNeverExceeded covers orders beyond the capacity: they wait.
+func TestRoomIsNeverExceeded(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0), key("a", 1), key("a", 2))
+	must.Len(t, 2, f.starts())
+	must.EqOp(t, 2000, f.freeCPU())
+}
+
+// TestUnansweredStartHoldsItsRoom covers a start that may be carried out late:
+// its room stays taken until a list under a higher fence does not show it.
+func TestUnansweredStartHoldsItsRoom(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	start := f.starts()[0]
+	fence := f.core.Fence()
+	f.core.StartAnswered(f.now, start, StartUnanswered)
+	must.Greater(t, fence, f.core.Fence())
+	must.EqOp(t, 6000, f.freeCPU())
+
+	old := Listing{Look: f.core.NextLook(), Fence: fence, Born: testBorn}
+	f.core.Listed(f.now, old)
+	must.EqOp(t, 6000, f.freeCPU())
+
+	f.list(nil, nil)
+	again := f.starts()
+	must.Len(t, 1, again)
+	must.EqOp(t, 2, again[0].Number)
+	must.EqOp(t, f.core.Fence(), again[0].Fence)
+}
+
+// TestSilentEntryHasNoRuns covers an entry that is cut off: its runs are
+// stopped, and their room is free only when they are listed as ended.
+func TestSilentEntryHasNoRuns(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	start := f.starts()[0]
+	f.core.StartAnswered(f.now, start, Started)
+	f.now = f.now.Add(SilenceLimit + time.Millisecond)
+	f.core.Tick(f.now)
+	var stops []Stop
+	for _, action := range f.core.Take() {
+		if stop, ok := action.(Stop); ok {
+			stops = append(stops, stop)
+		}
+	}
+	must.Len(t, 1, stops)
+	must.EqOp(t, 6000, f.freeCPU())
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndStopped}})
+	must.EqOp(t, 10000, f.freeCPU())
+}
+
+// TestStaleOrderIsRefused covers an order that a partition has held up.
+func TestStaleOrderIsRefused(t *testing.T) {
+	f := newFixture(t)
+	request := &session.StartRequest{
+		Echo:  session.StampOf(f.now.Add(-OrderMaxAge - time.Millisecond)),
+		Tasks: []session.StartTask{{Task: key("a", 0), Need: work.Room{MilliCPU: 1}}},
+	}
+	must.Eq(t, []session.Refusal{session.RefusedStale}, f.core.Order(f.now, testEntry, request))
+	must.Len(t, 0, f.starts())
+}
+
+// TestNewIncarnationEndsEverything covers a minion that crashed and is back at
+// the same address.
+func TestNewIncarnationEndsEverything(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	f.core.StartAnswered(f.now, f.starts()[0], Started)
+	f.core.Listed(f.now, Listing{Look: f.core.NextLook(), Fence: f.core.Fence(), Born: testBorn + 1})
+	events := f.core.EventsFor(testEntry)
+	must.Len(t, 1, events)
+	must.EqOp(t, work.EndGone, events[0].End)
+}
+
+// TestEndsAreAcknowledgedWhenNoted covers the number up to which the minion
+// may forget: it does not pass an end that the entry has not taken note of.
+func TestEndsAreAcknowledgedWhenNoted(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	start := f.starts()[0]
+	f.core.StartAnswered(f.now, start, Started)
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndDone}})
+	must.EqOp(t, 0, f.core.AckedUpTo())
+	f.core.Noted(testEntry, f.core.EventsFor(testEntry)[0].Number)
+	must.EqOp(t, 1, f.core.AckedUpTo())
+}
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -61,6 +61,9 @@
 	c.bornListed = listing.Born
 	c.listed = true
 	c.takeEnds(now, listing.Finished)
+	if first {
+		c.takeFound(now, listing)
+	}
 	c.takeRunning(now, listing)
 	c.takeAbsent(now, listing)
 	if first {
@@ -128,7 +131,8 @@
 	for _, listed := range listing.Running {
 		run, ok := c.runs[listed.Task]
 		if !ok {
-			c.found(now, listed)
+			// Only this sidecar starts runs, so the listing is older than the
+			// end of the run.
 			continue
 		}
 		if run.number != listed.Number {
@@ -148,16 +152,22 @@
 	}
 }
 
-// found keeps a run that the sidecar knows nothing of until an entry claims
-// it: a former life of the sidecar has started it.
-func (c *Core) found(now time.Time, listed RunningRun) {
-	c.runs[listed.Task] = &run{
-		task:       listed.Task,
-		phase:      running,
-		number:     listed.Number,
-		percent:    listed.Percent,
-		startedAt:  now,
-		progressAt: now,
+// takeFound keeps the runs of the first listing that the sidecar knows nothing
+// of until an entry claims them: a former life of the sidecar has started them.
+func (c *Core) takeFound(now time.Time, listing Listing) {
+	for _, listed := range listing.Running {
+		if _, known := c.runs[listed.Task]; known {
+			continue
+		}
+		c.runs[listed.Task] = &run{
+			task:       listed.Task,
+			phase:      running,
+			number:     listed.Number,
+			percent:    listed.Percent,
+			startedAt:  now,
+			progressAt: now,
+			listedBy:   listing.Look,
+		}
 	}
 }
 
@@ -178,7 +188,7 @@
 				c.again(now, run)
 			}
 		case running, stopping:
-			if listing.Look >= run.listedBy && run.listedBy > 0 {
+			if listing.Look >= run.listedBy {
 				c.finish(run, work.EndGone, 0)
 			}
 		}
