--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -31,6 +31,7 @@
 	KindTrusted     Kind = "minion_trusted"
 	KindEntryLost   Kind = "entry_silent"
 	KindSession     Kind = "session"
+	KindRoom        Kind = "room"
 	KindFence       Kind = "fence_raised"
 )
 
--- a/decision/execution/note.go
+++ b/decision/execution/note.go
@@ -89,3 +89,34 @@
 	}
 	return true
 }
+
+// Phases counts the runs by how far they have come.
+type Phases struct {
+	Queued, Starting, Unproved, Running, Stopping, Unclaimed int
+}
+
+// Phases returns the counts of the runs that the core keeps.
+func (c *Core) Phases() Phases {
+	var counts Phases
+	for _, run := range c.runs {
+		if !run.needKnown {
+			counts.Unclaimed++
+		}
+		switch run.phase {
+		case queued:
+			counts.Queued++
+		case starting:
+			counts.Starting++
+		case unproved:
+			counts.Unproved++
+		case running:
+			counts.Running++
+		case stopping:
+			counts.Stopping++
+		}
+	}
+	return counts
+}
+
+// Pace returns the mean run time on the minion as a multiple of the estimate.
+func (c *Core) Pace(now time.Time) float64 { return c.health.Pace(now) }
--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -61,7 +61,7 @@
 // from the progress where there is some.
 func (c *Core) expectedRest(run *run, now time.Time) time.Duration {
 	elapsed := now.Sub(run.startedAt)
-	expected := time.Duration(float64(run.estimate) * c.health.Pace())
+	expected := time.Duration(float64(run.estimate) * c.health.Pace(now))
 	if run.percent >= minPercent {
 		atProgress := run.progressAt.Sub(run.startedAt)
 		expected = time.Duration(float64(atProgress) * fullPercent / float64(run.percent))
@@ -90,7 +90,7 @@
 		Free:           c.free(),
 		QueuedMilliCPU: c.queuedNeed().MilliCPU,
 		Residual:       c.residual(now),
-		Pace:           c.health.Pace(),
+		Pace:           c.health.Pace(now),
 	}
 	if known, ok := c.entries[entry]; ok {
 		state.Seen = known.seen
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -53,6 +53,7 @@
 		Service:      job.route.Service,
 		Need:         step.Need,
 		Estimate:     step.Estimate,
+		MaxWait:      limit,
 		FailedBefore: task.failures > 0,
 	}
 	choice, ok := c.chooser.Choose(c.candidates, wanted, task.avoided)
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -16,11 +16,8 @@
 	// jitterCost is the bound of a random part, so that entries that see the
 	// same states do not all choose the same minion.
 	jitterCost = 4 * time.Millisecond
-	// maxPace is the run time as a multiple of the estimate beyond which a
-	// minion is used only when no other has room in time.
-	maxPace = 2.5
-	// slowCost is added for a minion beyond maxPace.
-	slowCost = 400 * time.Millisecond
+	// overdueCost is added for a candidate whose room comes too late.
+	overdueCost = 20 * time.Second
 )
 
 // Task is a task to place.
@@ -28,6 +25,8 @@
 	Service  string
 	Need     work.Room
 	Estimate time.Duration
+	// MaxWait is how long the task may wait for room.
+	MaxWait time.Duration
 	// FailedBefore keeps the task away from minions on trial.
 	FailedBefore bool
 }
@@ -89,8 +88,8 @@
 	capacity := float64(state.Minion.Capacity.MilliCPU)
 	cost += time.Duration(float64(fullCost) * (1 - float64(choice.Candidate.free().MilliCPU)/capacity))
 	cost += time.Duration(c.Random.Int64N(int64(jitterCost)))
-	if state.Pace > maxPace {
-		cost += slowCost
+	if choice.Wait > task.MaxWait {
+		cost += overdueCost
 	}
 	if avoided {
 		cost += avoidCost
--- a/decision/workerhealth/judge.go
+++ b/decision/workerhealth/judge.go
@@ -1,6 +1,7 @@
 package workerhealth
 
 import (
+	"math"
 	"time"
 
 	"github.com/figring/figring/work"
@@ -15,6 +16,9 @@
 	trialPause = time.Second
 	// paceWeight is the weight of one run in the moving mean of the pace.
 	paceWeight = 0.06
+	// forgetTime is the time in which what was learned of the pace loses two
+	// thirds of its weight while nothing ends on the minion.
+	forgetTime = 2 * time.Second
 	// minPace and maxPace bound the ratio that one run contributes.
 	minPace, maxPace = 0.2, 10.0
 )
@@ -27,6 +31,7 @@
 	// nextTrial is the time before which a suspect minion gets nothing.
 	nextTrial time.Time
 	pace      float64
+	learnedAt time.Time
 }
 
 // New returns a judge that trusts the minion.
@@ -44,7 +49,7 @@
 		clear(j.failed)
 		j.stalls = 0
 		j.suspect = false
-		j.learn(took, estimate)
+		j.learn(now, took, estimate)
 	case work.EndFailed:
 		j.failed[job] = true
 		if j.suspect || len(j.failed) >= suspectJobs {
@@ -69,10 +74,12 @@
 // TrialDue reports whether a suspect minion may get its next trial.
 func (j *Judge) TrialDue(now time.Time) bool { return !now.Before(j.nextTrial) }
 
-func (j *Judge) learn(took, estimate time.Duration) {
+func (j *Judge) learn(now time.Time, took, estimate time.Duration) {
 	if estimate <= 0 {
 		return
 	}
+	j.pace = j.Pace(now)
+	j.learnedAt = now
 	ratio := min(max(float64(took)/float64(estimate), minPace), maxPace)
 	j.pace += paceWeight * (ratio - j.pace)
 }
@@ -80,5 +87,9 @@
 // Suspect reports whether the minion gets no more than trials.
 func (j *Judge) Suspect() bool { return j.suspect }
 
-// Pace returns the mean run time as a multiple of the estimate.
-func (j *Judge) Pace() float64 { return j.pace }
+// Pace returns the mean run time as a multiple of the estimate. It goes back to
+// one while nothing ends, so that a minion that was slow gets work again.
+func (j *Judge) Pace(now time.Time) float64 {
+	kept := math.Exp(-float64(now.Sub(j.learnedAt)) / float64(forgetTime))
+	return 1 + (j.pace-1)*kept
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -66,6 +66,10 @@
 	sessions map[string]*conn
 	// lastReport is what the minion said of itself last.
 	lastReport Report
+
+	// nextRoomLine is when the next line on the room is due. The loop alone
+	// uses it.
+	nextRoomLine time.Time
 }
 
 // New opens the listener of an executor.
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -1,6 +1,9 @@
 package executor
 
 import (
+	"time"
+
+	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/decision/execution"
 	"github.com/figring/figring/session"
@@ -27,6 +30,24 @@
 	free, queued := e.core.Room()
 	e.meters.free.Update(float64(free))
 	e.meters.queued.Update(float64(queued))
+	e.noteRoom(free, queued)
+}
+
+// roomInterval is the time between two lines on the room of the minion.
+const roomInterval = time.Second
+
+// noteRoom writes now and then what the room is taken by.
+func (e *Executor) noteRoom(free, queued int64) {
+	now := time.Now()
+	if now.Before(e.nextRoomLine) {
+		return
+	}
+	e.nextRoomLine = now.Add(roomInterval)
+	phases := e.core.Phases()
+	e.parts.Log.Routine(eventlog.KindRoom).Int64(eventlog.FieldFree, free).Int64("queued_millicpu", queued).
+		Int("queued", phases.Queued).Int("starting", phases.Starting).Int("unproved", phases.Unproved).
+		Int("running", phases.Running).Int("stopping", phases.Stopping).Int("unclaimed", phases.Unclaimed).
+		Float64(eventlog.FieldPace, e.core.Pace(boottime.Now())).Msg("")
 }
 
 func (e *Executor) noteOne(note execution.Note) {
