Measure the pace of a minion as a ratio of sums

The mean of ratios made minions with many short tasks of wrong estimates look slow (pace 1.5), and the cost of that exceeded the wait elsewhere.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -54,6 +54,8 @@
 	FieldZones    = "evacuated"
 	FieldTook     = "took"
 	FieldEstimate = "estimate"
+	FieldWaited   = "waited"
+	FieldAnswered = "start_answered"
 	FieldFence    = "fence"
 	FieldPace     = "pace"
 	FieldFree     = "free_millicpu"
--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -15,6 +15,7 @@
 	switch outcome {
 	case Started:
 		run.phase = running
+		run.answeredAt = now
 		run.listedBy = c.looks + 1
 		if run.withdrawn {
 			c.stop(now, run, work.EndStopped)
--- a/decision/execution/note.go
+++ b/decision/execution/note.go
@@ -14,6 +14,10 @@
 	End      work.End
 	Took     time.Duration
 	Estimate time.Duration
+	// Waited is the time from the order to the start, Answered the time until
+	// the minion answered the start.
+	Waited   time.Duration
+	Answered time.Duration
 }
 
 // NoteKind says what a note is about.
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -58,6 +58,7 @@
 		needKnown: true,
 		estimate:  task.Estimate,
 		number:    1,
+		orderedAt: now,
 		startBy:   now.Add(task.Slack),
 		giveUp:    now.Add(task.MaxWait),
 	})
@@ -182,6 +183,9 @@
 // of the event, 0 when there is none.
 func (c *Core) finish(run *run, end work.End, took time.Duration) uint64 {
 	delete(c.runs, run.task)
-	c.noted(Note{Kind: NoteEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate})
+	c.noted(Note{
+		Kind: NoteEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate,
+		Waited: run.waited(), Answered: run.answeredAt.Sub(run.startedAt),
+	})
 	return c.report(run.entry, run.task, end, took)
 }
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -39,7 +39,11 @@
 	startBy time.Time
 	giveUp  time.Time
 
-	startedAt time.Time
+	// orderedAt is when the order came, startedAt when its start was sent and
+	// answeredAt when the minion answered it.
+	orderedAt  time.Time
+	startedAt  time.Time
+	answeredAt time.Time
 	// listedBy is the number of the first look that must show the run.
 	listedBy uint64
 	// proofFence is the fence whose list decides about an unproved run.
@@ -61,3 +65,11 @@
 func (r *run) stuckAfter() time.Duration {
 	return max(minStuck, time.Duration(float64(r.estimate)*stuckShare))
 }
+
+// waited returns the time from the order to the start.
+func (r *run) waited() time.Duration {
+	if r.startedAt.IsZero() || r.orderedAt.IsZero() {
+		return 0
+	}
+	return r.startedAt.Sub(r.orderedAt)
+}
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -16,6 +16,12 @@
 	// jitterCost is the bound of a random part, so that entries that see the
 	// same states do not all choose the same minion.
 	jitterCost = 4 * time.Millisecond
+	// soundPace is the run time as a multiple of the estimate up to which a
+	// minion counts as sound: racks differ by some tens of percent, and
+	// estimates are far off.
+	soundPace = 1.8
+	// paceCost is added for each whole estimate that a sound minion takes longer.
+	paceCost = 10 * time.Millisecond
 	// overdueCost is added for a candidate whose room comes too late.
 	overdueCost = 20 * time.Second
 )
@@ -81,7 +87,10 @@
 
 func (c *Chooser) cost(choice Choice, task Task, avoided bool) time.Duration {
 	state := &choice.Candidate.State
-	cost := choice.Wait + time.Duration(float64(task.Estimate)*state.Pace)
+	cost := choice.Wait + time.Duration(float64(paceCost)*state.Pace)
+	if state.Pace > soundPace {
+		cost += time.Duration(float64(task.Estimate) * (state.Pace - 1))
+	}
 	if choice.Candidate.Zone != c.Zone {
 		cost += remoteCost
 	}
--- a/decision/workerhealth/judge.go
+++ b/decision/workerhealth/judge.go
@@ -14,13 +14,15 @@
 	suspectStalls = 2
 	// trialPause is the time without a trial after a failed one.
 	trialPause = time.Second
-	// paceWeight is the weight of one run in the moving mean of the pace.
-	paceWeight = 0.06
+	// paceWork is the estimated work in the moving means of the pace. Means of
+	// work, and not of ratios, keep the many wrong estimates of short tasks
+	// from looking like a slow minion.
+	paceWork = 3 * time.Second
+	// maxRatio bounds the run time of one run as a multiple of its estimate.
+	maxRatio = 10
 	// forgetTime is the time in which what was learned of the pace loses two
 	// thirds of its weight while nothing ends on the minion.
 	forgetTime = 2 * time.Second
-	// minPace and maxPace bound the ratio that one run contributes.
-	minPace, maxPace = 0.2, 10.0
 )
 
 // Judge judges one minion. It is not safe for concurrent use.
@@ -32,6 +34,8 @@
 	nextTrial time.Time
 	pace      float64
 	learnedAt time.Time
+	// workWeight is the estimated work that the pace rests on, up to paceWork.
+	workWeight time.Duration
 }
 
 // New returns a judge that trusts the minion.
@@ -80,8 +84,9 @@
 	}
 	j.pace = j.Pace(now)
 	j.learnedAt = now
-	ratio := min(max(float64(took)/float64(estimate), minPace), maxPace)
-	j.pace += paceWeight * (ratio - j.pace)
+	j.workWeight = min(j.workWeight+estimate, paceWork)
+	ratio := min(float64(took)/float64(estimate), maxRatio)
+	j.pace += float64(estimate) / float64(j.workWeight+estimate) * (ratio - j.pace)
 }
 
 // Suspect reports whether the minion gets no more than trials.
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -60,7 +60,8 @@
 		}
 		line.Str(eventlog.FieldJob, string(note.Task.Job)).Int(eventlog.FieldTask, note.Task.Index).
 			Str(eventlog.FieldOutcome, note.End.String()).Dur(eventlog.FieldTook, note.Took).
-			Dur(eventlog.FieldEstimate, note.Estimate).Msg("")
+			Dur(eventlog.FieldEstimate, note.Estimate).Dur(eventlog.FieldWaited, note.Waited).
+			Dur(eventlog.FieldAnswered, note.Answered).Msg("")
 	case execution.NoteSilent:
 		e.parts.Log.Failure(eventlog.KindEntryLost).Str(eventlog.FieldPeer, note.Entry).Msg("")
 	case execution.NoteSuspect:
