--- a/decision/execution/bounds.go
+++ b/decision/execution/bounds.go
@@ -15,9 +15,9 @@
 	// BlindAfter is the time without an answered look after which the minion
 	// gets no starts and no renewals.
 	BlindAfter = 350 * time.Millisecond
-	// lapseMargin covers a minion's clock that is 2 % slow and the way of a
-	// renewal.
-	lapseMargin = Lease/50 + 30*time.Millisecond
+	// LookOverdue is the time without an answered look after which another one
+	// is sent beside those under way.
+	LookOverdue = 200 * time.Millisecond
 	// StopRetry is the time after which an unanswered stop is sent again.
 	StopRetry = 150 * time.Millisecond
 	// minStuck is the shortest time without progress that makes a run stuck.
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -20,10 +20,10 @@
 	// listed is true once a listing under this life's fence was read.
 	listed bool
 	looks  uint64
-	// answeredAt is when the newest look was answered; renewedAt when the
-	// newest one that may have renewed the lease was sent.
+	// answeredAt is when the newest look was answered.
 	answeredAt time.Time
-	renewedAt  time.Time
+	// hurriedAt is when a look was asked for beside those under way.
+	hurriedAt time.Time
 	// blind is true while looks are not answered.
 	blind bool
 
@@ -80,13 +80,7 @@
 // MayRenew says whether a look that is about to be sent may renew the lease. A
 // minion that does not answer is not renewed further, so that its runs lapse
 // for certain.
-func (c *Core) MayRenew(now time.Time) bool {
-	if c.blind {
-		return false
-	}
-	c.renewedAt = now
-	return true
-}
+func (c *Core) MayRenew() bool { return !c.blind }
 
 // Take returns the actions asked for since the last call.
 func (c *Core) Take() []Action {
--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -186,3 +186,30 @@
 	f.core.Noted(testEntry, f.core.EventsFor(testEntry)[0].Number)
 	must.EqOp(t, 1, f.core.AckedUpTo())
 }
+
+// TestUnansweredLookIsVoid covers a renewal that may be carried out late: the
+// next look carries a higher fence.
+func TestUnansweredLookIsVoid(t *testing.T) {
+	f := newFixture(t)
+	fence := f.core.Fence()
+	f.core.LookFailed(f.now, false)
+	must.Greater(t, fence, f.core.Fence())
+}
+
+// TestSilentMinionKeepsItsRunsUntilTheLeaseLapsed covers a minion that does not
+// answer: its runs may be at work until every lease has lapsed for certain.
+func TestSilentMinionKeepsItsRunsUntilTheLeaseLapsed(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	f.core.StartAnswered(f.now, f.starts()[0], Started)
+	f.now = f.now.Add(BlindAfter + time.Millisecond)
+	f.core.LookFailed(f.now, false)
+	must.False(t, f.core.MayRenew())
+	f.now = f.now.Add(10 * time.Second)
+	f.core.Echo(testEntry, session.StampOf(f.now))
+	f.core.Tick(f.now)
+	must.EqOp(t, 6000, f.freeCPU())
+	f.core.LeaseLapsed(f.now)
+	must.EqOp(t, 10000, f.freeCPU())
+	must.EqOp(t, work.EndLapsed, f.core.EventsFor(testEntry)[0].End)
+}
--- /dev/null
+++ b/decision/execution/leaseclock_test.go
@@ -0,0 +1,30 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestLeaseThatWasSentLateCounts covers an instance that is slow: a renewal was
+// decided early and sent late. The lease has lapsed only when the last one that
+// was sent has, on a clock that may be slow.
+func TestLeaseThatWasSentLateCounts(t *testing.T) {
+	var clock LeaseClock
+	start := time.Unix(1000, 0)
+	clock.Observe(start, 5000)
+	must.EqOp(t, 5000+Lease.Milliseconds(), clock.Give(start))
+	sentLate := start.Add(400 * time.Millisecond)
+	must.EqOp(t, 5400+Lease.Milliseconds(), clock.Give(sentLate))
+	must.False(t, clock.Lapsed(start.Add(Lease+100*time.Millisecond)))
+	must.False(t, clock.Lapsed(sentLate.Add(Lease)))
+	must.True(t, clock.Lapsed(sentLate.Add(Lease+lapseMargin+50*time.Millisecond)))
+}
+
+// TestNoLeaseWithoutAClock covers a minion that has not answered yet.
+func TestNoLeaseWithoutAClock(t *testing.T) {
+	var clock LeaseClock
+	must.EqOp(t, 0, clock.Give(time.Unix(1000, 0)))
+	must.False(t, clock.Lapsed(time.Unix(2000, 0)))
+}
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -80,6 +80,9 @@
 		c.settle(now)
 		return
 	}
+	// The look may be carried out late. It does nothing then, under a fence that
+	// the minion has seen a higher one of.
+	c.fence++
 	if now.Sub(c.answeredAt) > BlindAfter && !c.blind {
 		c.blind = true
 		c.noted(Note{Kind: NoteBlind})
@@ -87,17 +90,32 @@
 	}
 }
 
-// lapseBlind ends the runs of a minion that does not answer when their lease
-// must have lapsed.
-func (c *Core) lapseBlind(now time.Time) {
-	if !c.blind || now.Sub(c.renewedAt) <= Lease+lapseMargin {
+// hurryLook asks for a look beside those under way when none was answered for
+// a while: the lease has to be renewed in time.
+func (c *Core) hurryLook(now time.Time) {
+	if c.blind || !c.listed || now.Sub(c.answeredAt) <= LookOverdue || now.Sub(c.hurriedAt) <= LookOverdue/2 {
 		return
 	}
+	c.hurriedAt = now
+	c.ask(Look{Fence: c.fence})
+}
+
+// LeaseLapsed says that every lease given out has lapsed for certain. The runs
+// of a minion that does not answer are at their end then.
+func (c *Core) LeaseLapsed(now time.Time) {
+	if !c.blind {
+		return
+	}
+	ended := false
 	for _, run := range c.runs {
-		if run.occupies() && run.phase != starting && run.phase != unproved {
+		if run.phase == running || run.phase == stopping {
 			c.finish(run, work.EndLapsed, 0)
+			ended = true
 		}
 	}
+	if ended {
+		c.settle(now)
+	}
 }
 
 // takeEnds takes each end that was not seen before.
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -23,13 +23,13 @@
 }
 
 func (e *Executor) sendStart(ctx context.Context, start execution.Start) {
-	lease := e.clock.lease()
+	lease := e.giveLease()
 	if lease == 0 {
 		e.loop.Do(func(now time.Time) { e.core.StartAnswered(now, start, execution.StartRejected) })
 		return
 	}
 	outcome, clock := e.parts.Minion.Start(ctx, e.minionID(), start, lease)
-	e.clock.observe(clock)
+	e.observeClock(clock)
 	e.meters.start(outcome)
 	if outcome != execution.Started {
 		e.parts.Log.Failure(eventlog.KindOrderFailed).Str(eventlog.FieldJob, string(start.Task.Job)).
--- a/executor/clock.go
+++ b/executor/clock.go
@@ -1,46 +1,31 @@
 package executor
 
-import (
-	"sync"
-	"time"
+import "time"
 
-	"github.com/figring/figring/decision/execution"
-)
+// The runtime's monotonic clock serves for leases: it stands still while the
+// instance is suspended, which only makes a lease shorter.
 
-// minionClock estimates the minion's own clock from its answers.
-type minionClock struct {
-	mu      sync.Mutex
-	reading int64
-	at      time.Time
+// giveLease returns the end of a lease that begins now, on the minion's clock.
+func (e *Executor) giveLease() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock.Give(time.Now())
 }
 
-// observe takes a reading that has just arrived. The runtime's monotonic clock
-// serves here: time for which the instance was suspended does not make a lease
-// longer.
-func (c *minionClock) observe(reading int64) {
-	if reading <= 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = reading
-	c.at = time.Now()
+func (e *Executor) observeClock(reading int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clock.Observe(time.Now(), reading)
 }
 
-// forget drops the readings of a former incarnation.
-func (c *minionClock) forget() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = 0
+func (e *Executor) forgetClock() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clock.Forget()
 }
 
-// lease returns the end of a lease that begins now, on the minion's clock; 0
-// when the clock is not known.
-func (c *minionClock) lease() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading == 0 {
-		return 0
-	}
-	return c.reading + (time.Since(c.at) + execution.Lease).Milliseconds()
+func (e *Executor) leasesLapsed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock.Lapsed(time.Now())
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -26,6 +26,8 @@
 	callRing = 2048
 	// callers is the number of calls to the minion at one time.
 	callers = 24
+	// urgentLookers is the number of looks beside the looker's own.
+	urgentLookers = 2
 )
 
 // Settings of an executor.
@@ -52,7 +54,6 @@
 	meters   *meters
 	loop     *serial.Loop
 	core     *execution.Core
-	clock    minionClock
 	listener *link.Listener
 
 	starts chan execution.Start
@@ -62,6 +63,7 @@
 	// instance is the identity of the minion that orders are meant for. The
 	// loop alone writes it.
 	mu       sync.Mutex
+	clock    execution.LeaseClock
 	instance string
 	sessions map[string]*conn
 	// lastReport is what the minion said of itself last.
@@ -84,7 +86,7 @@
 		urgent:   make(chan struct{}, 1),
 		sessions: make(map[string]*conn),
 	}
-	made.loop = serial.New(loopRing, tickInterval, made.core.Tick, made.carryOut)
+	made.loop = serial.New(loopRing, tickInterval, made.tick, made.carryOut)
 	listener, err := link.Listen(settings.Self.Address, settings.Secret, serviceName, made.accept)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -102,7 +104,9 @@
 	group.Go(func() error { e.loop.Run(working); return nil })
 	group.Go(e.listener.Serve)
 	group.Go(func() error { e.look(working); return nil })
-	group.Go(func() error { e.lookUrgently(working); return nil })
+	for range urgentLookers {
+		group.Go(func() error { e.lookUrgently(working); return nil })
+	}
 	group.Go(func() error { e.announce(working); return nil })
 	group.Go(func() error { e.followZones(working); return nil })
 	for range callers {
@@ -144,6 +148,14 @@
 	}
 }
 
+// tick looks at what is due by time alone.
+func (e *Executor) tick(now time.Time) {
+	if e.leasesLapsed() {
+		e.core.LeaseLapsed(now)
+	}
+	e.core.Tick(now)
+}
+
 // carryOut does what the core asked for.
 func (e *Executor) carryOut(now time.Time) {
 	for _, action := range e.core.Take() {
@@ -159,7 +171,6 @@
 			}
 		case execution.Look:
 			e.lookSoon()
-			e.parts.Log.Failure(eventlog.KindFence).Int64(eventlog.FieldFence, action.Fence).Msg("")
 		case execution.Wake:
 			e.wake(action.Entry)
 		}
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -61,21 +61,21 @@
 func (e *Executor) lookOnce(ctx context.Context, wait time.Duration) (bool, error) {
 	var look Look
 	renew := false
-	alive := e.loop.Do(func(now time.Time) {
+	alive := e.loop.Do(func(time.Time) {
 		look = Look{Number: e.core.NextLook(), Fence: e.core.Fence(), AckedUpTo: e.core.AckedUpTo(), Wait: wait}
-		renew = e.core.MayRenew(now)
+		renew = e.core.MayRenew()
 	})
 	if !alive {
 		return false, context.Canceled
 	}
 	if renew {
-		look.Lease = e.clock.lease()
+		look.Lease = e.giveLease()
 	}
 	listing, clock, err := e.parts.Minion.Look(ctx, e.minionID(), look)
 	if ctx.Err() != nil {
 		return false, context.Canceled
 	}
-	e.clock.observe(clock)
+	e.observeClock(clock)
 	if err != nil {
 		e.lookFailed(look, err)
 		return false, err
@@ -88,7 +88,7 @@
 	e.loop.Do(func(now time.Time) {
 		before := e.core.NewestEnd()
 		if e.core.OtherIncarnation(listing.Born) {
-			e.clock.forget()
+			e.forgetClock()
 		}
 		e.core.Listed(now, listing)
 		news = e.core.NewestEnd() > before
@@ -106,7 +106,7 @@
 	default:
 		refused := errors.Is(err, ErrNoMinion)
 		if refused {
-			e.clock.forget()
+			e.forgetClock()
 		}
 		e.loop.Do(func(now time.Time) { e.core.LookFailed(now, refused) })
 	}
