--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -213,3 +213,16 @@
 	must.EqOp(t, 10000, f.freeCPU())
 	must.EqOp(t, work.EndLapsed, f.core.EventsFor(testEntry)[0].End)
 }
+
+// TestEndBeforeTheAnswer covers a run whose end is listed before its start is
+// answered: the note of it has no negative times.
+func TestEndBeforeTheAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0))
+	f.core.Notes()
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: key("a", 0), Number: 1, End: work.EndDone}})
+	notes := f.core.Notes()
+	must.Len(t, 1, notes)
+	must.EqOp(t, 0, notes[0].Answered)
+	must.EqOp(t, 0, notes[0].Waited)
+}
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -185,7 +185,7 @@
 	delete(c.runs, run.task)
 	c.noted(Note{
 		Kind: NoteEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate,
-		Waited: run.waited(), Answered: run.answeredAt.Sub(run.startedAt),
+		Waited: run.waited(), Answered: run.answered(),
 	})
 	return c.report(run.entry, run.task, end, took)
 }
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -67,9 +67,15 @@
 }
 
 // waited returns the time from the order to the start.
-func (r *run) waited() time.Duration {
-	if r.startedAt.IsZero() || r.orderedAt.IsZero() {
+func (r *run) waited() time.Duration { return between(r.orderedAt, r.startedAt) }
+
+// answered returns the time from the start to the minion's answer.
+func (r *run) answered() time.Duration { return between(r.startedAt, r.answeredAt) }
+
+// between returns the time between two moments, 0 when one never came.
+func between(from, to time.Time) time.Duration {
+	if from.IsZero() || to.Before(from) {
 		return 0
 	}
-	return r.startedAt.Sub(r.orderedAt)
+	return to.Sub(from)
 }
