Estimate the wait for room from a minion's turnover; stand-ins and whole-path tests

Cause: the wait was taken from the mean rest of what runs, which is half of the time in which the capacity turns over; jobs were taken that could not be in time (found by TestOverloadIsRefusedAtOnce).

--- a/decision/execution/bounds.go
+++ b/decision/execution/bounds.go
@@ -33,6 +33,6 @@
 	fenceStep = int64(time.Hour / time.Millisecond)
 	// maxQueued bounds the orders that wait for room.
 	maxQueued = 512
-	// defaultResidual stands for the rest of run times when nothing runs.
-	defaultResidual = 100 * time.Millisecond
+	// defaultTurnover stands for the turnover when nothing runs.
+	defaultTurnover = 200 * time.Millisecond
 )
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -77,7 +77,7 @@
 	if lacking <= 0 || c.minion.Capacity.MilliCPU <= 0 {
 		return 0
 	}
-	return time.Duration(float64(c.residual(now)) * float64(lacking) / float64(c.minion.Capacity.MilliCPU))
+	return time.Duration(float64(c.turnover(now)) * float64(lacking) / float64(c.minion.Capacity.MilliCPU))
 }
 
 // enqueue inserts the run by the time at which it has to start.
--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -39,9 +39,10 @@
 	return sum
 }
 
-// residual returns the mean expected rest of the run times of what runs,
-// weighted by processor need.
-func (c *Core) residual(now time.Time) time.Duration {
+// turnover returns the expected time in which the whole capacity becomes free
+// once: twice the mean rest of what runs, weighted by processor need, since the
+// ends are spread over that time.
+func (c *Core) turnover(now time.Time) time.Duration {
 	var weight, sum float64
 	for _, run := range c.runs {
 		if !run.occupies() || !run.needKnown {
@@ -52,9 +53,9 @@
 		sum += float64(run.need.MilliCPU) * float64(rest)
 	}
 	if weight == 0 {
-		return defaultResidual
+		return defaultTurnover
 	}
-	return time.Duration(sum / weight)
+	return time.Duration(2 * sum / weight)
 }
 
 // expectedRest estimates the rest of a run time from the caller's estimate, or
@@ -89,7 +90,7 @@
 		TrialDue:       len(c.runs) == 0 && c.health.TrialDue(now),
 		Free:           c.free(),
 		QueuedMilliCPU: c.queuedNeed().MilliCPU,
-		Residual:       c.residual(now),
+		Turnover:       c.turnover(now),
 		Pace:           c.health.Pace(now),
 	}
 	if known, ok := c.entries[entry]; ok {
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -68,7 +68,7 @@
 	if lacking <= 0 {
 		return 0
 	}
-	return time.Duration(float64(c.State.Residual) * float64(lacking) / float64(c.State.Minion.Capacity.MilliCPU))
+	return time.Duration(float64(c.State.Turnover) * float64(lacking) / float64(c.State.Minion.Capacity.MilliCPU))
 }
 
 // Unsend takes the orders of a request back that was not sent after all.
--- a/decision/placement/choose_test.go
+++ b/decision/placement/choose_test.go
@@ -17,7 +17,7 @@
 		Minion:   session.Minion{Service: "desk", Capacity: work.Room{MilliCPU: 64000, MemMB: 1000}},
 		Taking:   true,
 		Free:     work.Room{MilliCPU: free, MemMB: 1000},
-		Residual: 200 * time.Millisecond,
+		Turnover: 200 * time.Millisecond,
 		Pace:     1,
 	}
 	if change != nil {
--- /dev/null
+++ b/instance/path_test.go
@@ -0,0 +1,221 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/figring/figring/platform/standin"
+)
+
+// TestJobsAreServed covers the whole path: jobs at two entries over six minions.
+func TestJobsAreServed(t *testing.T) {
+	s := newSystem(t, 6, 2)
+	var wait sync.WaitGroup
+	answers := make([]answer, 40)
+	for i := range answers {
+		wait.Go(func() {
+			answers[i] = s.submit(s.entries[i%2], fmt.Sprintf("%016x", i), job(4, 500, 50*time.Millisecond))
+		})
+	}
+	wait.Wait()
+	for _, one := range answers {
+		must.EqOp(t, http.StatusOK, one.status)
+		must.EqOp(t, "completed", one.state)
+	}
+	must.Len(t, 160, s.ledger.Entries())
+	must.Len(t, 0, s.ledger.Overlaps())
+}
+
+// TestSameJobAgain covers a job that comes again while it runs and after it has
+// ended: it runs once and gives the same answer.
+func TestSameJobAgain(t *testing.T) {
+	s := newSystem(t, 2, 1)
+	const id = "00000000000000aa"
+	var wait sync.WaitGroup
+	for range 3 {
+		wait.Go(func() {
+			must.EqOp(t, "completed", s.submit(s.entries[0], id, job(2, 500, 100*time.Millisecond)).state)
+		})
+	}
+	wait.Wait()
+	must.EqOp(t, "completed", s.submit(s.entries[0], id, job(2, 500, 100*time.Millisecond)).state)
+	must.EqOp(t, 2, s.starts(id))
+}
+
+// TestOverloadIsRefusedAtOnce covers more work than there is room for in time:
+// what is refused has not run, and says when to come back.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	var wait sync.WaitGroup
+	answers := make([]answer, 12)
+	for i := range answers {
+		wait.Go(func() {
+			answers[i] = s.submit(s.entries[0], fmt.Sprintf("%016x", i), job(1, 4000, 300*time.Millisecond))
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	wait.Wait()
+	refused := 0
+	for i, one := range answers {
+		if one.status == http.StatusOK {
+			continue
+		}
+		refused++
+		must.EqOp(t, http.StatusTooManyRequests, one.status)
+		must.NotEqOp(t, "", one.retryAfter)
+		must.Less(t, 100*time.Millisecond, one.took)
+		must.EqOp(t, 0, s.starts(fmt.Sprintf("%016x", i)))
+	}
+	must.Greater(t, 3, refused)
+}
+
+// TestLateAndLostOrders covers a minion that leaves orders unanswered and
+// carries them out later: no task runs twice at one time, and jobs complete.
+func TestLateAndLostOrders(t *testing.T) {
+	s := newSystem(t, 4, 2)
+	for _, minion := range s.minions {
+		minion.SetFaults(standin.Faults{Late: 0.08, LateAfter: 700 * time.Millisecond, Lost: 0.04})
+	}
+	var wait sync.WaitGroup
+	completed := make(chan struct{}, 100)
+	for i := range 60 {
+		wait.Go(func() {
+			if s.submit(s.entries[i%2], fmt.Sprintf("%016x", i), job(3, 800, 60*time.Millisecond)).state == "completed" {
+				completed <- struct{}{}
+			}
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	wait.Wait()
+	must.Len(t, 0, s.ledger.Overlaps())
+	must.Greater(t, 50, len(completed))
+}
+
+// TestManifestIsInForceEverywhere covers a new route: within a second of its
+// writing every entry takes jobs on it, and a dropped one is not known.
+func TestManifestIsInForceEverywhere(t *testing.T) {
+	s := newSystem(t, 2, 2)
+	s.configure(2, "/new/")
+	began := time.Now()
+	for _, entry := range s.entries {
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return s.call(entry, http.MethodGet, "/new/", nil).status == http.StatusOK }),
+			wait.Timeout(time.Second), wait.Gap(10*time.Millisecond),
+		))
+	}
+	must.Less(t, time.Second, time.Since(began))
+	s.configure(3)
+	time.Sleep(time.Second)
+	for _, entry := range s.entries {
+		must.EqOp(t, http.StatusNotFound, s.call(entry, http.MethodGet, "/new/", nil).status)
+	}
+}
+
+// TestEvacuatedZoneGetsNothing covers a zone that operators take out and back.
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	s := newSystem(t, 3, 1)
+	must.NoError(t, s.table.Put("op", "evacuate/a", map[string]any{}))
+	time.Sleep(time.Second)
+	before := len(s.ledger.Entries())
+	for i := range 10 {
+		must.EqOp(t, "completed", s.submit(s.entries[0], fmt.Sprintf("%016x", i), job(3, 100, 10*time.Millisecond)).state)
+	}
+	must.EqOp(t, before+30, len(s.ledger.Entries()))
+	must.EqOp(t, 0, s.minions[0].Starts())
+	s.table.Delete("op", "evacuate/a")
+	time.Sleep(time.Second)
+	for i := range 10 {
+		must.EqOp(t, "completed", s.submit(s.entries[0], fmt.Sprintf("%016x", 100+i), job(6, 100, 10*time.Millisecond)).state)
+	}
+	must.Greater(t, 0, s.minions[0].Starts())
+}
+
+// TestStoreOutageStopsNothing covers the table away: jobs that need no storing
+// go on as before.
+func TestStoreOutageStopsNothing(t *testing.T) {
+	s := newSystem(t, 3, 2)
+	s.table.SetOut(true)
+	for i := range 30 {
+		must.EqOp(t, "completed", s.submit(s.entries[i%2], fmt.Sprintf("%016x", i), job(2, 500, 20*time.Millisecond)).state)
+	}
+	s.table.SetOut(false)
+	s.configure(2, "/back/")
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return s.call(s.entries[0], http.MethodGet, "/back/", nil).status == http.StatusOK }),
+		wait.Timeout(2*time.Second), wait.Gap(20*time.Millisecond),
+	))
+}
+
+// TestPlannedStops covers SIGTERM to an executor and to an entry under load:
+// no job is lost.
+func TestPlannedStops(t *testing.T) {
+	s := newSystem(t, 3, 2)
+	var wait sync.WaitGroup
+	answers := make([]answer, 30)
+	for i := range answers {
+		wait.Go(func() {
+			answers[i] = s.submit(s.entries[0], fmt.Sprintf("%016x", i), job(2, 300, 200*time.Millisecond))
+		})
+		time.Sleep(10 * time.Millisecond)
+		if i == 10 {
+			wait.Go(func() { s.sides[0].stop(t) })
+			wait.Go(func() { s.entries[1].stop(t) })
+		}
+	}
+	wait.Wait()
+	for _, one := range answers {
+		must.EqOp(t, "completed", one.state)
+	}
+	must.Len(t, 0, s.ledger.Overlaps())
+}
+
+// TestHangingMinionIsLeft covers a minion on which tasks stand still: they run
+// elsewhere, and the job completes.
+func TestHangingMinionIsLeft(t *testing.T) {
+	s := newSystem(t, 3, 1)
+	s.minions[0].SetFaults(standin.Faults{Hang: true})
+	for i := range 6 {
+		must.EqOp(t, "completed", s.submit(s.entries[0], fmt.Sprintf("%016x", i), job(3, 2000, 100*time.Millisecond)).state)
+	}
+	must.Len(t, 0, s.ledger.Overlaps())
+}
+
+// TestBadRequests covers what callers may send wrong.
+func TestBadRequests(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	kept := job(1, 100, time.Millisecond)
+	kept["best_effort"] = false
+	gang := job(1, 100, time.Millisecond)
+	gang["steps"].([]map[string]any)[0]["gang"] = true
+	cases := []struct {
+		name, method, path string
+		body               any
+		status             int
+	}{
+		{"unknown route", http.MethodPost, "/none/00000000000000aa", job(1, 1, 0), http.StatusNotFound},
+		{"id of another form", http.MethodPost, testPrefix + "x", job(1, 1, 0), http.StatusNotFound},
+		{"unknown method", http.MethodPut, testPrefix + "00000000000000aa", job(1, 1, 0), http.StatusMethodNotAllowed},
+		{"no steps", http.MethodPost, testPrefix + "00000000000000aa", map[string]any{"spec": "x"}, http.StatusBadRequest},
+		{"not an object", http.MethodPost, testPrefix + "00000000000000aa", []int{1}, http.StatusBadRequest},
+		{"negative count", http.MethodPost, testPrefix + "00000000000000aa", job(-1, 1, 0), http.StatusBadRequest},
+		{"too large a body", http.MethodPost, testPrefix + "00000000000000aa", string(make([]byte, 70000)), http.StatusRequestEntityTooLarge},
+		{"a kept job", http.MethodPost, testPrefix + "00000000000000ab", kept, http.StatusServiceUnavailable},
+		{"a gang", http.MethodPost, testPrefix + "00000000000000ac", gang, http.StatusServiceUnavailable},
+		{"larger than any minion", http.MethodPost, testPrefix + "00000000000000ad", job(1, 9000, 0), http.StatusServiceUnavailable},
+		{"state of no job", http.MethodGet, testPrefix + "00000000000000ae", nil, http.StatusGone},
+		{"cancel of no job", http.MethodDelete, testPrefix + "00000000000000ae", nil, http.StatusGone},
+		{"pending", http.MethodGet, testPrefix, nil, http.StatusOK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			must.EqOp(t, tc.status, s.call(s.entries[0], tc.method, tc.path, tc.body).status)
+		})
+	}
+	must.Len(t, 0, s.ledger.Entries())
+}
--- /dev/null
+++ b/instance/system_test.go
@@ -0,0 +1,274 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/figring/figring/platform/standin"
+	"github.com/figring/figring/settings"
+)
+
+const (
+	testService = "desk"
+	testHost    = "desk.example"
+	testPrefix  = "/jobs/"
+	testSecret  = "a-secret-of-the-tests"
+	heartbeats  = 200 * time.Millisecond
+)
+
+// system is a table, minions, executors and dispatchers on loopback addresses.
+type system struct {
+	t       *testing.T
+	table   *standin.Table
+	store   *httptest.Server
+	ledger  *standin.Ledger
+	minions []*standin.Minion
+	zones   []string
+
+	entries []*process
+	sides   []*process
+	network int
+	port    int
+}
+
+// process is one running instance.
+type process struct {
+	name   string
+	ip     string
+	cancel context.CancelFunc
+	done   chan error
+}
+
+var networks struct {
+	sync.Mutex
+	next int
+}
+
+// newSystem starts count minions with executors, spread over zones, and the
+// entries.
+func newSystem(t *testing.T, count, entries int) *system {
+	t.Helper()
+	networks.Lock()
+	networks.next++
+	network := networks.next
+	networks.Unlock()
+	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, network: network, port: freePort(t)}
+	s.store = httptest.NewServer(s.table.Handler())
+	t.Cleanup(s.store.Close)
+	s.configure(1)
+	for i := range count {
+		s.startMinion(i)
+		s.sides = append(s.sides, s.startSide(i))
+	}
+	for i := range entries {
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	for _, entry := range s.entries {
+		s.awaitReady(entry, count)
+	}
+	return s
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// configure writes a manifest of the version.
+func (s *system) configure(version int, prefixes ...string) {
+	routes := []map[string]any{}
+	for _, prefix := range append(prefixes, testPrefix) {
+		routes = append(routes, map[string]any{
+			"name": "r" + prefix, "host": testHost, "prefix": prefix, "service": testService,
+			"attempts": 2, "stretch": 1.6, "slo_ms": 200, "timeout_ms": 3000,
+		})
+	}
+	must.NoError(s.t, s.table.Put("op", "config", map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": testService}},
+		"limits":   map[string]any{"max_body_bytes": 65536},
+	}))
+}
+
+func (s *system) address(host, port int) string {
+	return fmt.Sprintf("127.0.%d.%d:%d", s.network, host, port)
+}
+
+// The hosts of a network: minions, executors and entries have numbers apart.
+const (
+	minionHost = 100
+	sideHost   = 50
+	entryHost  = 10
+)
+
+func (s *system) startMinion(i int) {
+	minion := standin.NewMinion(fmt.Sprintf("i-%d", i), s.ledger, uint64(i))
+	listener, err := net.Listen("tcp", s.address(minionHost+i, s.port))
+	must.NoError(s.t, err)
+	server := &http.Server{Handler: minion.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	s.minions = append(s.minions, minion)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(func() { cancel(); minion.Close(); _ = server.Close() })
+	go s.beat(ctx, i, minion)
+}
+
+// beat reports the minion to its executor.
+func (s *system) beat(ctx context.Context, i int, minion *standin.Minion) {
+	url := fmt.Sprintf("http://%s/-/instances/i-%d/heartbeat", s.address(sideHost+i, s.port+1), i)
+	for sequence := 1; ctx.Err() == nil; sequence++ {
+		body, _ := json.Marshal(map[string]any{
+			"service": testService, "state": "ready", "seq": sequence, "born": minion.Born(),
+			"capacity": map[string]any{"cpu": 8000, "mem_mb": 1024},
+		})
+		response, err := http.Post(url, "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeats):
+		}
+	}
+}
+
+func (s *system) shared(name, zone string, host int) settings.InstanceSettings {
+	return settings.InstanceSettings{
+		Name: name, Zone: zone, RPCListen: s.address(host, s.port), StatusListen: s.address(host, s.port+4),
+		Table: s.store.Listener.Addr().String(), Secret: testSecret, StopGrace: settings.Duration(6 * time.Second),
+		Seeds: []string{s.address(entryHost, 1)},
+	}
+}
+
+func (s *system) startSide(i int) *process {
+	loaded := settings.ExecutorSettings{
+		InstanceSettings: s.shared(fmt.Sprintf("side-%d", i), s.zones[i%len(s.zones)], sideHost+i),
+		ReportsListen:    s.address(sideHost+i, s.port+1),
+		Minion:           s.address(minionHost+i, s.port),
+	}
+	return s.start(loaded.Name, func(ctx context.Context) error {
+		return RunExecutor(ctx, Options{Out: io.Discard, Reload: noReload}, loaded)
+	})
+}
+
+func (s *system) startEntry(i int) *process {
+	loaded := settings.DispatcherSettings{
+		InstanceSettings: s.shared(fmt.Sprintf("entry-%d", i), s.zones[i%len(s.zones)], entryHost+i),
+		CallersListen:    s.address(entryHost+i, s.port+2),
+		ReadyListen:      s.address(entryHost+i, s.port+3),
+	}
+	started := s.start(loaded.Name, func(ctx context.Context) error {
+		return RunDispatcher(ctx, Options{Out: io.Discard, Reload: noReload}, loaded)
+	})
+	started.ip = fmt.Sprintf("127.0.%d.%d", s.network, entryHost+i)
+	return started
+}
+
+func noReload(context.Context) error { return nil }
+
+func (s *system) start(name string, run func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &process{name: name, cancel: cancel, done: make(chan error, 1)}
+	go func() { started.done <- run(ctx) }()
+	s.t.Cleanup(func() { started.stop(s.t) })
+	return started
+}
+
+// stop ends the process in a planned way, once.
+func (p *process) stop(t *testing.T) {
+	if p.done == nil {
+		return
+	}
+	p.cancel()
+	select {
+	case err := <-p.done:
+		must.NoError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Errorf("%s does not end", p.name)
+	}
+	p.done = nil
+}
+
+// awaitReady waits until the entry sees the minions.
+func (s *system) awaitReady(entry *process, _ int) {
+	must.Wait(s.t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool {
+			response, err := http.Get(fmt.Sprintf("http://%s:%d/-/ready", entry.ip, s.port+3))
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		}),
+		wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond),
+	))
+}
+
+// job is a job's body.
+func job(tasks, cpu int, work time.Duration) map[string]any {
+	spec, _ := json.Marshal(standin.Spec{WorkMillis: int(work.Milliseconds())})
+	return map[string]any{
+		"spec": string(spec), "best_effort": true,
+		"steps": []map[string]any{{"count": tasks, "cpu": cpu, "mem_mb": 10, "est_ms": work.Milliseconds()}},
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status     int
+	state      string
+	retryAfter string
+	took       time.Duration
+	err        error
+}
+
+func (s *system) submit(entry *process, id string, body any) answer {
+	return s.call(entry, http.MethodPost, testPrefix+id, body)
+}
+
+func (s *system) call(entry *process, method, path string, body any) answer {
+	encoded, err := json.Marshal(body)
+	must.NoError(s.t, err)
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", entry.ip, s.port+2, path), bytes.NewReader(encoded))
+	must.NoError(s.t, err)
+	request.Host = testHost
+	request.Header.Set("Deadline-Ms", "3000")
+	began := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var told struct {
+		State string `json:"state"`
+	}
+	// Refusals have no body.
+	_ = json.NewDecoder(response.Body).Decode(&told)
+	return answer{status: response.StatusCode, state: told.State, retryAfter: response.Header.Get("Retry-After"), took: time.Since(began)}
+}
+
+// starts counts the runs of a job in the ledger.
+func (s *system) starts(id string) int {
+	count := 0
+	for _, entry := range s.ledger.Entries() {
+		if len(entry.Task) >= len(id) && entry.Task[:len(id)] == id {
+			count++
+		}
+	}
+	return count
+}
--- a/session/state.go
+++ b/session/state.go
@@ -21,8 +21,9 @@
 	Free work.Room
 	// QueuedMilliCPU is the sum of what waits for room.
 	QueuedMilliCPU int64
-	// Residual is the mean expected rest of the run times of what runs.
-	Residual time.Duration
+	// Turnover is the expected time in which the whole capacity becomes free
+	// once.
+	Turnover time.Duration
 	// Pace is the run time on this minion as a multiple of the estimate.
 	Pace float64
 	// Seen is the number of the newest StartRequest of this session that the
