Count only what is due before a task in its expected wait

Urgent tasks pass the queue at the sidecar already; the estimate of the entry did not know it and refused them.

--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -39,6 +39,15 @@
 	return sum
 }
 
+// backlog returns what waits for room by the time until it has to start.
+func (c *Core) backlog(now time.Time) session.Backlog {
+	var backlog session.Backlog
+	for _, run := range c.queue {
+		backlog.Add(run.startBy.Sub(now), run.need.MilliCPU)
+	}
+	return backlog
+}
+
 // turnover returns the expected time in which the whole capacity becomes free
 // once: twice the mean rest of what runs, weighted by processor need, since the
 // ends are spread over that time.
@@ -83,15 +92,15 @@
 func (c *Core) StateFor(entry string, now time.Time) session.State {
 	reason := c.refusal()
 	state := session.State{
-		Minion:         c.minion,
-		Taking:         reason == session.RefusedNone,
-		Reason:         reason,
-		Suspect:        c.health.Suspect(),
-		TrialDue:       len(c.runs) == 0 && c.health.TrialDue(now),
-		Free:           c.free(),
-		QueuedMilliCPU: c.queuedNeed().MilliCPU,
-		Turnover:       c.turnover(now),
-		Pace:           c.health.Pace(now),
+		Minion:   c.minion,
+		Taking:   reason == session.RefusedNone,
+		Reason:   reason,
+		Suspect:  c.health.Suspect(),
+		TrialDue: len(c.runs) == 0 && c.health.TrialDue(now),
+		Free:     c.free(),
+		Queued:   c.backlog(now),
+		Turnover: c.turnover(now),
+		Pace:     c.health.Pace(now),
 	}
 	if known, ok := c.entries[entry]; ok {
 		state.Seen = known.seen
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -53,6 +53,7 @@
 		Service:      job.route.Service,
 		Need:         step.Need,
 		Estimate:     step.Estimate,
+		Slack:        max(job.slack(now), 0),
 		MaxWait:      limit,
 		FailedBefore: task.failures > 0,
 	}
@@ -73,7 +74,7 @@
 		number = chosen.requests + 1
 		numbers[chosen] = number
 	}
-	chosen.candidate.Sent(number, step.Need)
+	chosen.candidate.Sent(number, step.Need, wanted.Slack)
 	planned.choices = append(planned.choices, plannedTask{task, choice, chosen, number})
 	return true
 }
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -22,11 +22,12 @@
 type unseenOrder struct {
 	number uint64
 	need   work.Room
+	slack  time.Duration
 }
 
 // Sent takes note of an order that is on its way.
-func (c *Candidate) Sent(number uint64, need work.Room) {
-	c.unseen = append(c.unseen, unseenOrder{number, need})
+func (c *Candidate) Sent(number uint64, need work.Room, slack time.Duration) {
+	c.unseen = append(c.unseen, unseenOrder{number, need, slack})
 }
 
 // Update takes a newer state.
@@ -46,7 +47,7 @@
 // too old to show why, and the next one will.
 func (c *Candidate) Refused(reason session.Refusal) {
 	if reason == session.RefusedRoom {
-		c.State.QueuedMilliCPU += c.State.Minion.Capacity.MilliCPU
+		c.State.Queued.Add(0, c.State.Minion.Capacity.MilliCPU)
 	}
 }
 
@@ -62,9 +63,15 @@
 	return free
 }
 
-// wait estimates the time until the need has room.
-func (c *Candidate) wait(need work.Room) time.Duration {
-	lacking := need.Sub(c.free()).MilliCPU + c.State.QueuedMilliCPU
+// wait estimates the time until the need has room, when it has to start within
+// the slack: what is due before it goes first.
+func (c *Candidate) wait(need work.Room, slack time.Duration) time.Duration {
+	lacking := need.Sub(c.State.Free).MilliCPU + c.State.Queued.Ahead(slack)
+	for _, order := range c.unseen {
+		if order.slack <= slack || lacking+c.State.Queued.Total() <= 0 {
+			lacking += order.need.MilliCPU
+		}
+	}
 	if lacking <= 0 {
 		return 0
 	}
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -31,6 +31,8 @@
 	Service  string
 	Need     work.Room
 	Estimate time.Duration
+	// Slack is how long the task may wait before its job misses its objective.
+	Slack time.Duration
 	// MaxWait is how long the task may wait for room.
 	MaxWait time.Duration
 	// FailedBefore keeps the task away from minions on trial.
@@ -62,7 +64,7 @@
 		if !c.usable(candidate, task) {
 			continue
 		}
-		choice := Choice{Candidate: candidate, Wait: candidate.wait(task.Need)}
+		choice := Choice{Candidate: candidate, Wait: candidate.wait(task.Need, task.Slack)}
 		cost := c.cost(choice, task, avoided[candidate.Name])
 		if !found || cost < bestCost {
 			best, bestCost, found = choice, cost, true
--- a/decision/placement/choose_test.go
+++ b/decision/placement/choose_test.go
@@ -39,7 +39,7 @@
 // was slow stands idle while the others are full: its room is in time.
 func TestFreeMinionBeatsAFasterOneThatIsLate(t *testing.T) {
 	slow := candidate("slow", 64000, func(s *session.State) { s.Pace = 3 })
-	full := candidate("full", 0, func(s *session.State) { s.QueuedMilliCPU = 60000 })
+	full := candidate("full", 0, func(s *session.State) { s.Queued.Add(0, 60000) })
 	choice, ok := chooser().Choose([]*Candidate{full, slow}, task(50*time.Millisecond), nil)
 	must.True(t, ok)
 	must.EqOp(t, "slow", choice.Candidate.Name)
@@ -53,7 +53,7 @@
 	candidates := []*Candidate{one, other}
 	first, ok := chooser().Choose(candidates, task(0), nil)
 	must.True(t, ok)
-	first.Candidate.Sent(1, task(0).Need)
+	first.Candidate.Sent(1, task(0).Need, 0)
 	second, ok := chooser().Choose(candidates, task(0), nil)
 	must.True(t, ok)
 	must.NotEqOp(t, first.Candidate.Name, second.Candidate.Name)
@@ -82,3 +82,18 @@
 	_, ok := out.Choose([]*Candidate{candidate("x", 64000, nil)}, task(time.Second), nil)
 	must.False(t, ok)
 }
+
+// TestUrgentTaskPassesTheQueue covers a full minion with a long queue of tasks
+// that have time: a task that has none waits for the next end alone.
+func TestUrgentTaskPassesTheQueue(t *testing.T) {
+	full := candidate("full", 0, func(s *session.State) { s.Queued.Add(time.Second, 64000) })
+	urgent := Task{Service: "desk", Need: work.Room{MilliCPU: 6000}, Slack: 50 * time.Millisecond}
+	choice, ok := chooser().Choose([]*Candidate{full}, urgent, nil)
+	must.True(t, ok)
+	must.Less(t, 30*time.Millisecond, choice.Wait)
+	patient := urgent
+	patient.Slack = time.Second
+	choice, ok = chooser().Choose([]*Candidate{full}, patient, nil)
+	must.True(t, ok)
+	must.Greater(t, 200*time.Millisecond, choice.Wait)
+}
--- a/executor/service.go
+++ b/executor/service.go
@@ -233,7 +233,7 @@
 func (c *conn) stateChanged(state *session.State) bool {
 	last := &c.lastState
 	return last.Taking != state.Taking || last.Suspect != state.Suspect || last.TrialDue != state.TrialDue ||
-		last.Free != state.Free || last.QueuedMilliCPU != state.QueuedMilliCPU || last.Minion.Born != state.Minion.Born
+		last.Free != state.Free || last.Queued != state.Queued || last.Minion.Born != state.Minion.Born
 }
 
 func (c *conn) wait(length time.Duration) {
--- a/session/state.go
+++ b/session/state.go
@@ -19,8 +19,8 @@
 	TrialDue bool
 	// Free is the room that nothing runs in or waits for.
 	Free work.Room
-	// QueuedMilliCPU is the sum of what waits for room.
-	QueuedMilliCPU int64
+	// Queued is what waits for room.
+	Queued Backlog
 	// Turnover is the expected time in which the whole capacity becomes free
 	// once.
 	Turnover time.Duration
