Refuse an order whose wait is longer than its entry expected

Cause: entries choose from states that are up to 25 ms old and choose the same minion; the second order queued (mean wait 13 ms where none was expected, 44 ms where 8 ms were) while room stood free elsewhere. The sidecar now refuses with its newer state, and the entry chooses anew, three times at most.

--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -45,7 +45,7 @@
 	for _, task := range tasks {
 		request.Tasks = append(request.Tasks, session.StartTask{
 			Task: task, Need: work.Room{MilliCPU: 4000, MemMB: 10},
-			Estimate: 100 * time.Millisecond, Slack: 500 * time.Millisecond, MaxWait: time.Second,
+			Estimate: 100 * time.Millisecond, Slack: 500 * time.Millisecond, MaxWait: time.Second, Expected: time.Second,
 		})
 	}
 	return f.core.Order(f.now, testEntry, request)
@@ -226,3 +226,14 @@
 	must.EqOp(t, 0, notes[0].Answered)
 	must.EqOp(t, 0, notes[0].Waited)
 }
+
+// TestUnexpectedWaitIsRefused covers two entries that saw the same room: the
+// second is told at once, with the newer state.
+func TestUnexpectedWaitIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.order(key("a", 0), key("a", 1))
+	request := &session.StartRequest{Echo: session.StampOf(f.now), Number: 2, Tasks: []session.StartTask{{
+		Task: key("b", 0), Need: work.Room{MilliCPU: 4000}, MaxWait: time.Second, Slack: time.Second,
+	}}}
+	must.Eq(t, []session.Refusal{session.RefusedRoom}, f.core.Order(f.now, testEntry, request))
+}
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -47,7 +47,8 @@
 	if !c.minion.Capacity.Fits(task.Need) || len(c.queue) >= maxQueued {
 		return session.RefusedRoom
 	}
-	if c.expectedWait(now, task) > task.MaxWait {
+	wait := c.expectedWait(now, task)
+	if wait > task.MaxWait || wait > task.Expected+session.ExpectedMargin {
 		return session.RefusedRoom
 	}
 	c.enqueue(&run{
--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -32,6 +32,9 @@
 	defaultStretch = 1.5
 	// startMargin is kept free of a job's slack for the way of its messages.
 	startMargin = 10 * time.Millisecond
+	// maxBounces is the number of refusals after which a job takes any place
+	// that is in time, and waits between tries.
+	maxBounces = 3
 	// replaceInterval is the least time between two tries to place tasks that
 	// found no room.
 	replaceInterval = 5 * time.Millisecond
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -53,6 +53,8 @@
 	// unplacedLeft counts the tasks without a run.
 	unplacedLeft int
 	nextTry      time.Time
+	// bounces counts the answers that refused tasks.
+	bounces int
 }
 
 func (j *job) chain() time.Duration {
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -100,9 +100,13 @@
 			one.sidecar.requests = one.number
 		}
 		step := job.steps[one.task.step]
+		expected := one.choice.Wait
+		if job.bounces >= maxBounces {
+			expected = job.useless.Sub(now)
+		}
 		request.Tasks = append(request.Tasks, session.StartTask{
 			Task: one.task.key, Need: step.Need, Estimate: step.Estimate,
-			Slack: slack, MaxWait: max(job.useless.Sub(now)-step.Estimate, slack),
+			Slack: slack, MaxWait: max(job.useless.Sub(now)-step.Estimate, slack), Expected: expected,
 		})
 		one.task.phase = ordered
 		one.task.sidecar = one.sidecar.candidate.Name
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -8,27 +8,39 @@
 )
 
 // Ordered takes a sidecar's answer to an order.
-func (c *Core) Ordered(now time.Time, name string, request *session.StartRequest, refusals []session.Refusal) {
+func (c *Core) Ordered(now time.Time, name string, request *session.StartRequest, reply *session.StartReply) {
 	known, ok := c.sidecars[name]
 	if !ok {
 		return
 	}
+	c.Updated(now, name, reply.State)
+	refused := make(map[*job]bool)
 	for i, ordered := range request.Tasks {
-		c.orderedOne(now, name, known, ordered.Task, refusals[i])
+		if job := c.orderedOne(name, known, ordered.Task, reply.Refusals[i]); job != nil {
+			refused[job] = true
+		}
+	}
+	for job := range refused {
+		job.bounces++
+		if job.bounces <= maxBounces {
+			job.nextTry = time.Time{}
+		}
+		c.place(now, job)
 	}
 }
 
-func (c *Core) orderedOne(now time.Time, name string, known *sidecar, key work.TaskKey, refusal session.Refusal) {
+// orderedOne takes the answer about one task and returns its job when the task
+// was refused.
+func (c *Core) orderedOne(name string, known *sidecar, key work.TaskKey, refusal session.Refusal) *job {
 	placed, ok := known.placed[key]
 	if refusal == session.RefusedNone {
 		if ok {
 			c.jobs[key.Job].begun = true
 		}
-		return
+		return nil
 	}
-	known.candidate.Refused(refusal)
 	if !ok || placed.sidecar != name {
-		return
+		return nil
 	}
 	job := c.jobs[key.Job]
 	c.decided(Decision{Kind: DecidedReplaced, Job: job.id, Task: key.Index, Sidecar: name, Reason: string(refusal)})
@@ -36,7 +48,7 @@
 	if refusal == session.RefusedTaken {
 		placed.avoid(name)
 	}
-	c.place(now, job)
+	return job
 }
 
 // Ended takes the end of a run.
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -43,14 +43,6 @@
 	c.unseen = kept
 }
 
-// Refused takes note that the orders of a request found no room: the state is
-// too old to show why, and the next one will.
-func (c *Candidate) Refused(reason session.Refusal) {
-	if reason == session.RefusedRoom {
-		c.State.Queued.Add(0, c.State.Minion.Capacity.MilliCPU)
-	}
-}
-
 // Reset forgets orders under way: the session has ended.
 func (c *Candidate) Reset() { c.unseen = nil }
 
--- a/executor/service.go
+++ b/executor/service.go
@@ -143,6 +143,7 @@
 			return
 		}
 		reply.Refusals = e.core.Order(now, entry, request)
+		reply.State = e.core.StateFor(entry, now)
 	})
 	e.logOrder(entry, request, reply)
 	return nil
--- a/session/start.go
+++ b/session/start.go
@@ -24,8 +24,15 @@
 	Slack time.Duration
 	// MaxWait bounds the wait for room; the task is handed back after it.
 	MaxWait time.Duration
+	// Expected is the wait that the entry has counted on. The sidecar refuses
+	// the task when it expects a much longer one, so that the entry can choose
+	// anew from a newer state.
+	Expected time.Duration
 }
 
+// ExpectedMargin is how much longer than expected a wait may be.
+const ExpectedMargin = 12 * time.Millisecond
+
 // Refusal says why an order was refused. Nothing has run of a refused order.
 type Refusal string
 
@@ -50,9 +57,11 @@
 	RefusedUnsent Refusal = "unsent"
 )
 
-// StartReply has one refusal for each task of the request, in its order.
+// StartReply has one refusal for each task of the request, in its order, and
+// the state after it.
 type StartReply struct {
 	Refusals []Refusal
+	State    State
 }
 
 // StopRequest ends everything of a job at the sidecar.
