--- /dev/null
+++ b/decision/execution/property_test.go
@@ -0,0 +1,280 @@
+package execution
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// lateMinion is a minion whose orders are answered, lost, or carried out late.
+// It guards nothing: the test judges what it runs.
+type lateMinion struct {
+	now      time.Time
+	fence    int64
+	lease    time.Time
+	running  map[work.TaskKey]*lateRun
+	used     map[work.TaskKey]int
+	finished []FinishedRun
+	next     uint64
+	begun    int
+}
+
+type lateRun struct {
+	number int
+	ends   time.Time
+}
+
+func (m *lateMinion) start(order Start, lease time.Time) StartOutcome {
+	if order.Fence < m.fence {
+		return StartFenced
+	}
+	m.fence = order.Fence
+	m.renew(lease)
+	if run, ok := m.running[order.Task]; ok && run.number == order.Number {
+		return Started
+	}
+	if order.Number <= m.used[order.Task] {
+		return StartOld
+	}
+	if lease.Before(m.now) {
+		return StartLate
+	}
+	m.used[order.Task] = order.Number
+	m.running[order.Task] = &lateRun{order.Number, m.now.Add(100 * time.Millisecond)}
+	m.begun++
+	return Started
+}
+
+func (m *lateMinion) stop(order Stop) {
+	if order.Fence < m.fence {
+		return
+	}
+	m.fence = order.Fence
+	m.used[order.Task] = max(m.used[order.Task], order.Number)
+	if run, ok := m.running[order.Task]; ok && run.number == order.Number {
+		m.finish(order.Task, work.EndStopped)
+	}
+}
+
+func (m *lateMinion) renew(until time.Time) {
+	if until.After(m.lease) {
+		m.lease = until
+	}
+}
+
+func (m *lateMinion) finish(task work.TaskKey, how work.End) {
+	m.next++
+	m.finished = append(m.finished, FinishedRun{Sequence: m.next, Task: task, Number: m.running[task].number, End: how})
+	delete(m.running, task)
+}
+
+func (m *lateMinion) pass(until time.Time) {
+	m.now = until
+	for task, run := range m.running {
+		if !run.ends.After(m.now) {
+			m.finish(task, work.EndDone)
+		} else if m.lease.Before(m.now) {
+			m.finish(task, work.EndLapsed)
+		}
+	}
+}
+
+func (m *lateMinion) look(number uint64, fence int64, acked uint64) (Listing, bool) {
+	if fence < m.fence {
+		return Listing{}, false
+	}
+	m.fence = fence
+	m.finished = slices.DeleteFunc(m.finished, func(run FinishedRun) bool { return run.Sequence <= acked })
+	listing := Listing{Look: number, Fence: fence, Born: testBorn, Finished: slices.Clone(m.finished)}
+	for task, run := range m.running {
+		listing.Running = append(listing.Running, RunningRun{Task: task, Number: run.number})
+	}
+	return listing, true
+}
+
+// lateWorld runs a core against a minion, with answers under way.
+type lateWorld struct {
+	t       *rapid.T
+	core    *Core
+	minion  *lateMinion
+	now     time.Time
+	pending []func()
+	orders  int
+	request uint64
+	told    map[work.TaskKey]bool
+}
+
+const (
+	propertyNeed     = 3000
+	propertyCapacity = 10000
+)
+
+func newLateWorld(t *rapid.T) *lateWorld {
+	w := &lateWorld{
+		t: t, core: New(100), now: time.Unix(1000, 0), told: make(map[work.TaskKey]bool),
+		minion: &lateMinion{now: time.Unix(1000, 0), running: make(map[work.TaskKey]*lateRun), used: make(map[work.TaskKey]int)},
+	}
+	w.core.Heartbeat(w.now, session.Minion{ID: "i", Born: testBorn, Capacity: work.Room{MilliCPU: propertyCapacity, MemMB: 1000}}, false)
+	w.core.Hello(w.now, testEntry, testBoot, nil, session.Minion{})
+	w.lookNow(true)
+	return w
+}
+
+// act carries the core's actions out, each promptly, never, or late.
+func (w *lateWorld) act() {
+	for _, action := range w.core.Take() {
+		switch action := action.(type) {
+		case Start:
+			w.sendStart(action)
+		case Stop:
+			if w.prompt("stop") {
+				w.minion.stop(action)
+			} else {
+				w.later(func() { w.minion.stop(action) })
+			}
+		case Look:
+			w.lookNow(w.prompt("look"))
+		}
+	}
+}
+
+func (w *lateWorld) prompt(what string) bool {
+	return rapid.IntRange(0, 9).Draw(w.t, what) > 1
+}
+
+func (w *lateWorld) later(do func()) { w.pending = append(w.pending, do) }
+
+func (w *lateWorld) sendStart(order Start) {
+	lease := w.now.Add(Lease)
+	if w.prompt("start") {
+		outcome := w.minion.start(order, lease)
+		w.later(func() { w.core.StartAnswered(w.now, order, outcome) })
+		return
+	}
+	w.later(func() { w.minion.start(order, lease) })
+	w.later(func() { w.core.StartAnswered(w.now, order, StartUnanswered) })
+}
+
+// lookNow sends a look that is carried out now and answered later, or not.
+func (w *lateWorld) lookNow(answered bool) {
+	number, fence, acked := w.core.NextLook(), w.core.Fence(), w.core.AckedUpTo()
+	if !answered {
+		w.later(func() { w.core.LookFailed(w.now, false) })
+		return
+	}
+	w.minion.renew(w.now.Add(Lease))
+	listing, ok := w.minion.look(number, fence, acked)
+	if !ok {
+		w.later(func() { w.core.LookFenced(fence) })
+		return
+	}
+	w.later(func() { w.core.Listed(w.now, listing) })
+}
+
+// deliver lets one of the answers under way arrive, in any order.
+func (w *lateWorld) deliver() {
+	if len(w.pending) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(w.pending)-1).Draw(w.t, "arrives")
+	do := w.pending[at]
+	w.pending = slices.Delete(w.pending, at, at+1)
+	do()
+}
+
+func (w *lateWorld) order() {
+	w.request++
+	refusals := w.core.Order(w.now, testEntry, &session.StartRequest{
+		Echo: session.StampOf(w.now), Number: w.request,
+		Tasks: []session.StartTask{{
+			Task: key(fmt.Sprintf("j%d", w.request), 0), Need: work.Room{MilliCPU: propertyNeed},
+			Estimate: 100 * time.Millisecond, MaxWait: time.Minute, Expected: time.Minute,
+		}},
+	})
+	if refusals[0] == session.RefusedNone {
+		w.orders++
+	}
+}
+
+func (w *lateWorld) pass() {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(w.t, "ms")) * time.Millisecond)
+	w.minion.pass(w.now)
+	w.core.Echo(testEntry, session.StampOf(w.now))
+	w.core.Tick(w.now)
+}
+
+// check judges what the minion runs and what the entry was told.
+func (w *lateWorld) check() {
+	if used := len(w.minion.running) * propertyNeed; used > propertyCapacity {
+		w.t.Fatalf("%d of %d in use", used, propertyCapacity)
+	}
+	events := w.core.EventsFor(testEntry)
+	for _, event := range events {
+		if _, running := w.minion.running[event.Task]; running {
+			w.t.Fatalf("%v was told as %v and is at work", event.Task, event.End)
+		}
+		w.told[event.Task] = true
+	}
+	for task := range w.minion.running {
+		if w.told[task] {
+			w.t.Fatalf("%v is at work after its end was told", task)
+		}
+	}
+	if len(events) > 0 {
+		w.core.Noted(testEntry, events[len(events)-1].Number)
+	}
+}
+
+// TestLateLostAndOvertakingAnswers draws schedules of orders, answers that
+// arrive in any order, and orders that are carried out late. The capacity is
+// never exceeded, no end is told of a run that is at work or starts later, and
+// in the end every order is told and no room is lost.
+func TestLateLostAndOvertakingAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLateWorld(t)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				w.order()
+			case 1, 2, 3:
+				w.deliver()
+			case 4:
+				w.lookNow(w.prompt("look"))
+			case 5:
+				w.pass()
+			}
+			w.act()
+			w.check()
+		}
+		for range 400 {
+			for len(w.pending) > 0 {
+				w.pending[0]()
+				w.pending = w.pending[1:]
+				w.act()
+				w.check()
+			}
+			w.now = w.now.Add(20 * time.Millisecond)
+			w.minion.pass(w.now)
+			w.core.Echo(testEntry, session.StampOf(w.now))
+			w.core.Tick(w.now)
+			w.act()
+			w.lookNow(true)
+			w.check()
+		}
+		if !w.core.Idle() {
+			t.Fatalf("not idle: %+v", w.core.Phases())
+		}
+		if len(w.told) != w.orders {
+			t.Fatalf("%d of %d orders were told", len(w.told), w.orders)
+		}
+		if free, _ := w.core.Room(); free != propertyCapacity {
+			t.Fatalf("%d of %d free", free, propertyCapacity)
+		}
+	})
+}
--- /dev/null
+++ b/decision/heldjob/core_test.go
@@ -0,0 +1,299 @@
+package heldjob
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// fixture is a core with its clock, a manifest and connected sidecars.
+type fixture struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	waiter  uint64
+	replies map[uint64]Answer
+	orders  []Order
+	stops   []StopJob
+}
+
+func newFixture(t *testing.T, sidecars int) *fixture {
+	t.Helper()
+	f := &fixture{
+		t: t, core: New("a", rand.New(rand.NewPCG(1, 2))), now: time.Unix(1000, 0),
+		replies: make(map[uint64]Answer),
+	}
+	f.core.SetSnapshot(manifest.Snapshot{Version: 1, Manifest: &manifest.Manifest{Version: 1, Routes: []manifest.Route{{
+		Name: "r", Host: "h", Prefix: "/p/", Service: "desk", Attempts: 2, Stretch: 1.6, Objective: 60 * time.Millisecond,
+	}}}})
+	for i := range sidecars {
+		f.connect(fmt.Sprintf("s%d", i))
+	}
+	return f
+}
+
+func (f *fixture) connect(name string) []session.Claim {
+	claims, _ := f.core.Opening(name)
+	f.core.Connected(name, "a", claims)
+	f.core.Updated(f.now, name, f.state(10000))
+	return claims
+}
+
+func (f *fixture) state(free int64) session.State {
+	return session.State{
+		Minion:   session.Minion{Service: "desk", Capacity: work.Room{MilliCPU: 10000, MemMB: 1000}},
+		Taking:   true,
+		Free:     work.Room{MilliCPU: free, MemMB: 1000},
+		Turnover: 200 * time.Millisecond,
+		Pace:     1,
+		Seen:     1 << 40,
+	}
+}
+
+// submit hands in a job of tasks with 4,000 thousandths of a core each.
+func (f *fixture) submit(id string, tasks int) uint64 {
+	f.waiter++
+	f.core.Submit(f.now, &Submission{
+		Waiter: f.waiter, Host: "h", Path: "/p/" + id, Patience: 10 * time.Second,
+		Job: work.Job{ID: work.JobID(id), BestEffort: true, Steps: []work.Step{{
+			Count: tasks, Need: work.Room{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
+		}}},
+	})
+	f.collect()
+	return f.waiter
+}
+
+func (f *fixture) collect() {
+	for _, action := range f.core.Take() {
+		switch action := action.(type) {
+		case Reply:
+			f.replies[action.Waiter] = action.Answer
+		case Order:
+			f.orders = append(f.orders, action)
+		case StopJob:
+			f.stops = append(f.stops, action)
+		}
+	}
+}
+
+// take answers all orders with the refusal.
+func (f *fixture) take(refusal session.Refusal) []Order {
+	orders := f.orders
+	f.orders = nil
+	for _, order := range orders {
+		reply := &session.StartReply{State: f.state(10000), Refusals: make([]session.Refusal, len(order.Request.Tasks))}
+		for i := range reply.Refusals {
+			reply.Refusals[i] = refusal
+		}
+		f.core.Ordered(f.now, order.Sidecar, &order.Request, reply)
+	}
+	f.collect()
+	return orders
+}
+
+func (f *fixture) end(order Order, end work.End) {
+	for _, task := range order.Request.Tasks {
+		f.core.Ended(f.now, order.Sidecar, session.Event{Task: task.Task, End: end})
+	}
+	f.collect()
+}
+
+func (f *fixture) tick(after time.Duration) {
+	f.now = f.now.Add(after)
+	f.core.Tick(f.now)
+	f.collect()
+}
+
+// TestJobCompletes covers the calm path.
+func TestJobCompletes(t *testing.T) {
+	f := newFixture(t, 2)
+	waiter := f.submit("a", 3)
+	for _, order := range f.take(session.RefusedNone) {
+		f.end(order, work.EndDone)
+	}
+	must.EqOp(t, Completed, f.replies[waiter].Outcome)
+	must.EqOp(t, 0, f.core.Open())
+}
+
+// TestRefusedAtOnceWithoutRoom covers a full system: the answer is given at
+// once, nothing is ordered, and it says when to come back.
+func TestRefusedAtOnceWithoutRoom(t *testing.T) {
+	f := newFixture(t, 1)
+	state := f.state(0)
+	state.Turnover = 2 * time.Second
+	f.core.Updated(f.now, "s0", state)
+	waiter := f.submit("a", 2)
+	must.EqOp(t, Refused, f.replies[waiter].Outcome)
+	must.EqOp(t, ReasonOverload, f.replies[waiter].Reason)
+	must.Positive(t, f.replies[waiter].RetryAfter)
+	must.Len(t, 0, f.orders)
+}
+
+// TestNeverRefusedOnceBegun covers a job of which one order was taken: it is
+// given up and not called refused, since a task may have run.
+func TestNeverRefusedOnceBegun(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submit("a", 2)
+	f.take(session.RefusedNone)
+	f.tick(11 * time.Second)
+	must.EqOp(t, GivenUp, f.replies[waiter].Outcome)
+	must.Len(t, 1, f.stops)
+}
+
+// TestUnansweredOrderIsNotRefused covers an order whose answer is out: it may
+// have been taken.
+func TestUnansweredOrderIsNotRefused(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submit("a", 1)
+	f.tick(11 * time.Second)
+	must.EqOp(t, GivenUp, f.replies[waiter].Outcome)
+}
+
+// TestLostTaskIsPlacedAgainOnlyWhenItMustBeDead covers a sidecar that is cut
+// off: its tasks run elsewhere only after the time in which they must lapse.
+func TestLostTaskIsPlacedAgainOnlyWhenItMustBeDead(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("a", 1)
+	order := f.take(session.RefusedNone)[0]
+	f.core.Disconnected(order.Sidecar, f.now)
+	f.tick(DeadAfter - time.Millisecond)
+	must.Len(t, 0, f.orders)
+	f.tick(2 * time.Millisecond)
+	must.Len(t, 1, f.orders)
+	must.NotEqOp(t, order.Sidecar, f.orders[0].Sidecar)
+}
+
+// TestLostTaskStaysWhileASessionIsOpening covers a sidecar that may be taking
+// the claims of a new session: its runs go on there.
+func TestLostTaskStaysWhileASessionIsOpening(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("a", 1)
+	order := f.take(session.RefusedNone)[0]
+	f.core.Disconnected(order.Sidecar, f.now)
+	claims, _ := f.core.Opening(order.Sidecar)
+	must.Len(t, 1, claims)
+	f.tick(DeadAfter + time.Millisecond)
+	must.Len(t, 0, f.orders)
+	f.core.OpenFailed(order.Sidecar, f.now)
+	f.tick(DeadAfter - time.Millisecond)
+	must.Len(t, 0, f.orders)
+	f.tick(2 * time.Millisecond)
+	must.Len(t, 1, f.orders)
+}
+
+// TestJobDroppedWhileLostIsStopped covers a caller that leaves while a sidecar
+// is cut off: the next session stops its runs.
+func TestJobDroppedWhileLostIsStopped(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submit("a", 1)
+	f.take(session.RefusedNone)
+	f.core.Disconnected("s0", f.now)
+	claims, _ := f.core.Opening("s0")
+	f.core.CallerGone("a", waiter)
+	f.core.Connected("s0", "a", claims)
+	f.collect()
+	must.Eq(t, []StopJob{{Sidecar: "s0", Job: "a"}}, f.stops)
+}
+
+// TestFailedTaskIsTriedAgainElsewhere covers attempts: the job fails with the
+// last one, at once.
+func TestFailedTaskIsTriedAgainElsewhere(t *testing.T) {
+	f := newFixture(t, 2)
+	waiter := f.submit("a", 1)
+	first := f.take(session.RefusedNone)[0]
+	f.end(first, work.EndFailed)
+	must.Len(t, 1, f.orders)
+	must.NotEqOp(t, first.Sidecar, f.orders[0].Sidecar)
+	f.end(f.take(session.RefusedNone)[0], work.EndFailed)
+	must.EqOp(t, Failed, f.replies[waiter].Outcome)
+}
+
+// TestSameJobJoins covers a job that comes again while it is under way.
+func TestSameJobJoins(t *testing.T) {
+	f := newFixture(t, 1)
+	first := f.submit("a", 1)
+	second := f.submit("a", 1)
+	orders := f.take(session.RefusedNone)
+	must.Len(t, 1, orders)
+	f.end(orders[0], work.EndDone)
+	must.EqOp(t, Completed, f.replies[first].Outcome)
+	must.EqOp(t, Completed, f.replies[second].Outcome)
+}
+
+// TestCallerGoneStopsTheJob covers a caller that leaves.
+func TestCallerGoneStopsTheJob(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submit("a", 1)
+	f.take(session.RefusedNone)
+	f.core.CallerGone("a", waiter)
+	f.collect()
+	must.EqOp(t, 0, f.core.Open())
+	must.Len(t, 1, f.stops)
+}
+
+// TestNoManifest covers an entry that has none yet, and an unknown route.
+func TestNoManifest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetSnapshot(manifest.Snapshot{})
+	must.EqOp(t, ReasonNoManifest, f.replies[f.submit("a", 1)].Reason)
+	f.core.SetSnapshot(manifest.Snapshot{Version: 2, Manifest: &manifest.Manifest{Version: 2}})
+	must.EqOp(t, NoRoute, f.replies[f.submit("b", 1)].Outcome)
+}
+
+// TestBurstServesWhatFits plays a burst of twice the capacity against two
+// minions and checks what callers get: as many jobs complete as fit, the others
+// are refused at once, and none waits in vain.
+func TestBurstServesWhatFits(t *testing.T) {
+	f := newFixture(t, 2)
+	free := map[string]int64{"s0": 10000, "s1": 10000}
+	type run struct {
+		order Order
+		ends  time.Time
+	}
+	var runs []run
+	refused, completed, jobs := 0, 0, 200
+	for i := range jobs {
+		f.now = f.now.Add(12 * time.Millisecond)
+		for len(runs) > 0 && !runs[0].ends.After(f.now) {
+			free[runs[0].order.Sidecar] += 4000
+			f.end(runs[0].order, work.EndDone)
+			runs = runs[1:]
+		}
+		for name, room := range free {
+			f.core.Updated(f.now, name, f.state(room))
+		}
+		f.submit(fmt.Sprintf("j%d", i), 1)
+		orders := f.orders
+		f.orders = nil
+		for _, order := range orders {
+			begin := f.now
+			if free[order.Sidecar] < 4000 && len(runs) > 0 {
+				begin = runs[0].ends
+			}
+			free[order.Sidecar] -= 4000
+			f.core.Ordered(f.now, order.Sidecar, &order.Request, &session.StartReply{
+				Refusals: make([]session.Refusal, 1), State: f.state(free[order.Sidecar]),
+			})
+			runs = append(runs, run{order, begin.Add(200 * time.Millisecond)})
+		}
+	}
+	for _, answer := range f.replies {
+		switch answer.Outcome {
+		case Completed:
+			completed++
+		case Refused:
+			refused++
+		}
+	}
+	must.Positive(t, refused)
+	must.EqOp(t, jobs, completed+refused+f.core.Open())
+	// Four runs of 200 ms at a time over 2.4 s are 48 jobs.
+	must.Greater(t, 45, completed+f.core.Open())
+}
