--- a/decision/execution/property_test.go
+++ b/decision/execution/property_test.go
@@ -202,6 +202,14 @@
 	}
 }
 
+func (w *lateWorld) cancel() {
+	if w.request == 0 {
+		return
+	}
+	job := rapid.Uint64Range(1, w.request).Draw(w.t, "job")
+	w.core.StopJob(w.now, testEntry, work.JobID(fmt.Sprintf("j%d", job)))
+}
+
 func (w *lateWorld) pass() {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(w.t, "ms")) * time.Millisecond)
 	w.minion.pass(w.now)
@@ -239,7 +247,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newLateWorld(t)
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				w.order()
 			case 1, 2, 3:
@@ -248,6 +256,8 @@
 				w.lookNow(w.prompt("look"))
 			case 5:
 				w.pass()
+			case 6:
+				w.cancel()
 			}
 			w.act()
 			w.check()
