figring explain: the story of a request from the logs of all processes

Lines carry the request's own id beside the job's, answers are counted by route. Tests: a writer that stands still blocks nobody, and a flood of ordinary lines leaves failures their room.

--- a/command/register.go
+++ b/command/register.go
@@ -33,6 +33,7 @@
 		callerCommands(streams),
 		{name: "status", short: "Show the entries, sidecars, zones and the bundle", long: statusLong, data: &statusCommand{streams: streams}},
 		{name: "load", short: "Play seeded load against a running system", long: loadHelp, data: &loadCommand{streams: streams}},
+		{name: "explain", short: "Tell from the logs what became of a request", long: explainLong, data: &explainCommand{streams: streams, in: os.Stdin}},
 		{name: "validate", short: "Check settings files", long: validateLong, data: &validateCommand{streams: streams}},
 		{name: "token", short: "Print the hash of a bearer token", long: tokenLong, data: &tokenCommand{streams: streams, in: os.Stdin}},
 		{name: "version", short: "Print the version", long: versionLong, data: &versionCommand{streams: streams}},
--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -40,6 +40,8 @@
 	FieldProcess  = "process"
 	FieldKind     = "event"
 	FieldJob      = "job"
+	FieldRequest  = "request"
+	FieldRoute    = "route"
 	FieldTask     = "task"
 	FieldRun      = "run"
 	FieldOutcome  = "outcome"
--- a/common/eventlog/log.go
+++ b/common/eventlog/log.go
@@ -28,6 +28,9 @@
 	summaryInterval = time.Second
 )
 
+// TimeFormat is how lines give the time of day.
+const TimeFormat = "2006-01-02T15:04:05.000"
+
 // Log writes the lines of one process.
 type Log struct {
 	logger log.Logger
@@ -49,7 +52,7 @@
 	return &Log{
 		logger: log.Logger{
 			Level:      log.InfoLevel,
-			TimeFormat: "15:04:05.000",
+			TimeFormat: TimeFormat,
 			Context:    log.NewContext(nil).Str(FieldProcess, process).Value(),
 			Writer:     writer,
 		},
--- /dev/null
+++ b/common/eventlog/log_test.go
@@ -0,0 +1,76 @@
+package eventlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// slowWriter counts lines, and blocks until it is released.
+type slowWriter struct {
+	mu      sync.Mutex
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (w *slowWriter) Write(line []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(line)
+}
+
+// TestWriterThatStandsStillBlocksNobody covers a reader of the logs that hangs.
+func TestWriterThatStandsStillBlocksNobody(t *testing.T) {
+	writer := &slowWriter{release: make(chan struct{})}
+	log := New(writer, "p")
+	for range 10 * ringSize {
+		log.Failure(KindRefused).Msg("")
+		log.Routine(KindAdmitted).Msg("")
+	}
+	close(writer.release)
+	must.NoError(t, log.Close())
+}
+
+// TestFloodLeavesFailuresTheirRoom covers ten times the usual load of ordinary
+// lines: they are cut to their rate and counted, and no failure is lost.
+func TestFloodLeavesFailuresTheirRoom(t *testing.T) {
+	writer := &slowWriter{release: make(chan struct{})}
+	close(writer.release)
+	log := New(writer, "p")
+	const failures = 100
+	for range failures {
+		for range 20 {
+			log.Routine(KindAdmitted).Msg("")
+		}
+		log.Failure(KindFailed).Msg("")
+	}
+	log.mu.Lock()
+	dropped := log.limits[KindAdmitted].dropped
+	log.mu.Unlock()
+	must.NoError(t, log.Close())
+	must.EqOp(t, failures, strings.Count(writer.out.String(), string(KindFailed)))
+	admitted := strings.Count(writer.out.String(), string(KindAdmitted))
+	must.LessEq(t, RoutineBurst+RoutineRate, admitted)
+	must.Positive(t, dropped)
+}
+
+// BenchmarkLine measures the cost of one line to the caller.
+func BenchmarkLine(b *testing.B) {
+	log := New(&bytes.Buffer{}, "p")
+	for b.Loop() {
+		log.Failure(KindFailed).Str(FieldJob, "0123456789abcdef").Str(FieldReason, "deadline").Msg("")
+	}
+}
+
+// BenchmarkLineLeftOut measures the cost of one line above the rate.
+func BenchmarkLineLeftOut(b *testing.B) {
+	log := New(&bytes.Buffer{}, "p")
+	for b.Loop() {
+		log.Routine(KindAdmitted).Str(FieldJob, "0123456789abcdef").Str(FieldReason, "deadline").Msg("")
+	}
+}
--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -27,6 +27,8 @@
 type Reply struct {
 	Waiter uint64
 	Answer Answer
+	// Route is the name of the job's route; empty when there is none.
+	Route string
 }
 
 func (Order) action()   {}
@@ -37,9 +39,11 @@
 type Submission struct {
 	// Waiter names the open request that is to be answered.
 	Waiter uint64
-	Job    work.Job
-	Host   string
-	Path   string
+	// Request is the identity of this request beside its job's, for the log.
+	Request string
+	Job     work.Job
+	Host    string
+	Path    string
 	// Patience is how long the caller waits for the answer; 0 when unknown.
 	Patience time.Duration
 }
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -10,6 +10,8 @@
 type Decision struct {
 	Kind    DecisionKind
 	Job     work.JobID
+	Request string
+	Route   string
 	Task    int
 	Sidecar string
 	Outcome Outcome
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -124,7 +124,7 @@
 // end answers all callers of a job and stops what is left of it.
 func (c *Core) end(job *job, answer Answer) {
 	for waiter := range job.waiters {
-		c.ask(Reply{Waiter: waiter, Answer: answer})
+		c.ask(Reply{Waiter: waiter, Answer: answer, Route: job.route.Name})
 	}
 	if answer.Outcome == Completed || answer.Outcome == Failed || answer.Outcome == Cancelled {
 		c.recent.put(job.id, answer)
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -11,19 +11,19 @@
 // under way already.
 func (c *Core) Submit(now time.Time, submission *Submission) {
 	if c.snapshot.Manifest == nil {
-		c.refuse(submission, Answer{Outcome: Refused, Reason: ReasonNoManifest, RetryAfter: minRetryAfter}, 0)
+		c.refuse(submission, "", Answer{Outcome: Refused, Reason: ReasonNoManifest, RetryAfter: minRetryAfter}, 0)
 		return
 	}
 	route, ok := c.snapshot.Manifest.Match(submission.Host, submission.Path)
 	if !ok {
-		c.refuse(submission, Answer{Outcome: NoRoute}, 0)
+		c.refuse(submission, "", Answer{Outcome: NoRoute}, 0)
 		return
 	}
 	if c.repeated(now, submission) {
 		return
 	}
 	if reason := unsupported(&submission.Job, route); reason != "" {
-		c.refuse(submission, Answer{Outcome: Refused, Reason: ReasonUnsupported}, 0)
+		c.refuse(submission, route.Name, Answer{Outcome: Refused, Reason: ReasonUnsupported}, 0)
 		return
 	}
 	c.admit(now, newJob(now, submission, route), submission)
@@ -34,13 +34,13 @@
 	if known, ok := c.jobs[submission.Job.ID]; ok {
 		known.waiters[submission.Waiter] = true
 		known.useless = laterOf(known.useless, uselessAt(now, known.goal, known.submitted, submission.Patience))
-		c.decided(Decision{Kind: DecidedJoined, Job: known.id})
+		c.decided(Decision{Kind: DecidedJoined, Job: known.id, Request: submission.Request})
 		return true
 	}
 	answer, ok := c.recent.get(submission.Job.ID)
 	if ok {
 		c.ask(Reply{Waiter: submission.Waiter, Answer: answer})
-		c.decided(Decision{Kind: DecidedRepeated, Job: submission.Job.ID, Outcome: answer.Outcome})
+		c.decided(Decision{Kind: DecidedRepeated, Job: submission.Job.ID, Request: submission.Request, Outcome: answer.Outcome})
 	}
 	return ok
 }
@@ -124,18 +124,18 @@
 	plan := c.plan(now, created)
 	if !plan.complete {
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
-		c.refuse(submission, answer, plan.wait)
+		c.refuse(submission, created.route.Name, answer, plan.wait)
 		return
 	}
 	c.jobs[created.id] = created
-	c.decided(Decision{Kind: DecidedAdmitted, Job: created.id, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
+	c.decided(Decision{Kind: DecidedAdmitted, Job: created.id, Request: submission.Request, Route: created.route.Name, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
 	c.send(now, created, plan)
 }
 
-func (c *Core) refuse(submission *Submission, answer Answer, wait time.Duration) {
-	c.ask(Reply{Waiter: submission.Waiter, Answer: answer})
+func (c *Core) refuse(submission *Submission, route string, answer Answer, wait time.Duration) {
+	c.ask(Reply{Waiter: submission.Waiter, Answer: answer, Route: route})
 	c.decided(Decision{
-		Kind: DecidedRefused, Job: submission.Job.ID, Outcome: answer.Outcome,
-		Reason: string(answer.Reason), Wait: wait, Targets: c.Targets(),
+		Kind: DecidedRefused, Job: submission.Job.ID, Request: submission.Request, Outcome: answer.Outcome,
+		Route: route, Reason: string(answer.Reason), Wait: wait, Targets: c.Targets(),
 	})
 }
--- a/dispatcher/callers.go
+++ b/dispatcher/callers.go
@@ -29,15 +29,15 @@
 func (d *Dispatcher) Submit(ctx context.Context, submission heldjob.Submission) (heldjob.Answer, bool) {
 	began := time.Now()
 	submission.Waiter = d.waiters.Add(1)
-	waiting := make(chan heldjob.Answer, 1)
+	waiting := make(chan heldjob.Reply, 1)
 	d.loop.Post(func(now time.Time) {
 		d.answers[submission.Waiter] = waiting
 		d.core.Submit(now, &submission)
 	})
 	select {
-	case answer := <-waiting:
-		d.meters.answered(submission.Path, answer, time.Since(began))
-		return answer, true
+	case reply := <-waiting:
+		d.meters.answered(reply.Route, reply.Answer, time.Since(began))
+		return reply.Answer, true
 	case <-ctx.Done():
 		d.loop.Post(func(time.Time) {
 			delete(d.answers, submission.Waiter)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -56,7 +56,7 @@
 
 	// answers are the open requests by the number of their waiter. The loop
 	// alone uses it.
-	answers map[uint64]chan heldjob.Answer
+	answers map[uint64]chan heldjob.Reply
 
 	mu    sync.Mutex
 	links map[string]*sidecarLink
@@ -70,7 +70,7 @@
 		parts:    parts,
 		meters:   newMeters(parts.Scope),
 		core:     heldjob.New(settings.Self.Zone, random),
-		answers:  make(map[uint64]chan heldjob.Answer),
+		answers:  make(map[uint64]chan heldjob.Reply),
 		links:    make(map[string]*sidecarLink),
 	}
 	made.loop = serial.New(loopRing, tickInterval, made.core.Tick, made.carryOut)
@@ -161,7 +161,7 @@
 		return
 	}
 	delete(d.answers, reply.Waiter)
-	waiting <- reply.Answer
+	waiting <- reply
 }
 
 // accept serves a connection of a process that announces itself.
--- a/dispatcher/meters.go
+++ b/dispatcher/meters.go
@@ -25,6 +25,7 @@
 
 // outcomeKey names a counter of answers.
 type outcomeKey struct {
+	route   string
 	outcome heldjob.Outcome
 	reason  heldjob.Reason
 }
@@ -48,13 +49,14 @@
 }
 
 // answered counts an answer and its time.
-func (m *meters) answered(_ string, answer heldjob.Answer, took time.Duration) {
+func (m *meters) answered(route string, answer heldjob.Answer, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := outcomeKey{answer.Outcome, answer.Reason}
+	key := outcomeKey{route, answer.Outcome, answer.Reason}
 	known, ok := m.outcomes[key]
 	if !ok {
 		scope := m.scope.Tagged(map[string]string{
+			metrics.TagRoute:  route,
 			metrics.TagStatus: answer.Outcome.String(),
 			metrics.TagReason: string(answer.Reason),
 		})
--- a/dispatcher/notes.go
+++ b/dispatcher/notes.go
@@ -47,6 +47,12 @@
 
 func (d *Dispatcher) decisionLine(line *log.Entry, decision heldjob.Decision) *log.Entry {
 	line = line.Str(eventlog.FieldJob, string(decision.Job))
+	if decision.Request != "" {
+		line = line.Str(eventlog.FieldRequest, decision.Request)
+	}
+	if decision.Route != "" {
+		line = line.Str(eventlog.FieldRoute, decision.Route)
+	}
 	if decision.Outcome != 0 {
 		line = line.Str(eventlog.FieldOutcome, decision.Outcome.String())
 	}
