--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -32,6 +32,7 @@
 		}
 		c.again(now, run)
 	case StartUnanswered:
+		c.lost(now)
 		run.phase = unproved
 		c.fence++
 		run.proofFence = c.fence
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -24,6 +24,10 @@
 	answeredAt time.Time
 	// hurriedAt is when a look was asked for beside those under way.
 	hurriedAt time.Time
+	// lostAt is when the newest order without an answer was given up, and
+	// lostLooks the number of looks in a row without one.
+	lostAt    time.Time
+	lostLooks int
 	// blind is true while looks are not answered.
 	blind bool
 
--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -122,6 +122,7 @@
 	old := Listing{Look: f.core.NextLook(), Fence: fence, Born: testBorn}
 	f.core.Listed(f.now, old)
 	must.EqOp(t, 6000, f.freeCPU())
+	must.Len(t, 0, f.starts())
 
 	f.list(nil, nil)
 	again := f.starts()
@@ -237,3 +238,22 @@
 	}}}
 	must.Eq(t, []session.Refusal{session.RefusedRoom}, f.core.Order(f.now, testEntry, request))
 }
+
+// TestLooksAreShortWhileOrdersAreLost covers a minion that leaves orders
+// unanswered: looks are short, so that a lost one costs little, and get more
+// time on an instance that is slow.
+func TestLooksAreShortWhileOrdersAreLost(t *testing.T) {
+	f := newFixture(t)
+	calm, _ := f.core.LookTimes(f.now)
+	f.core.LookFailed(f.now, false)
+	wary, first := f.core.LookTimes(f.now)
+	must.Less(t, calm, wary)
+	f.core.LookFailed(f.now, false)
+	_, second := f.core.LookTimes(f.now)
+	must.Greater(t, first, second)
+	f.list(nil, nil)
+	_, third := f.core.LookTimes(f.now)
+	must.EqOp(t, waryGrace, third)
+	after, _ := f.core.LookTimes(f.now.Add(waryTime + time.Millisecond))
+	must.EqOp(t, calm, after)
+}
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -47,13 +47,8 @@
 // Listed takes the answer to a look.
 func (c *Core) Listed(now time.Time, listing Listing) {
 	c.answeredAt = now
+	c.lostLooks = 0
 	c.blind = false
-	if listing.Fence != c.fence {
-		// A start under a lower fence may still be under way, and the list says
-		// nothing about the time after the raise. Its ends hold all the same.
-		c.takeEnds(now, listing.Finished)
-		return
-	}
 	if c.bornListed != 0 && listing.Born != c.bornListed {
 		c.newIncarnation(now)
 	}
@@ -80,6 +75,8 @@
 		c.settle(now)
 		return
 	}
+	c.lost(now)
+	c.lostLooks++
 	// The look may be carried out late. It does nothing then, under a fence that
 	// the minion has seen a higher one of.
 	c.fence++
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// lookWait is how long a look may wait for an end. It is also the interval
-	// at which the lease is renewed when nothing ends.
-	lookWait = 120 * time.Millisecond
 	// lookPause is the pause after a look that failed, and after one that
 	// brought nothing new at once.
 	lookPause = 15 * time.Millisecond
@@ -24,9 +21,9 @@
 func (e *Executor) look(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		news, err := e.lookOnce(ctx, lookWait)
+		news, err := e.lookOnce(ctx, true)
 		switch {
-		case err != nil:
+		case errors.Is(err, ErrNoMinion):
 			pause(ctx, failedPause)
 		case !news && time.Since(began) < lookPause:
 			pause(ctx, lookPause)
@@ -39,7 +36,7 @@
 	for {
 		select {
 		case <-e.urgent:
-			if _, err := e.lookOnce(ctx, 0); err != nil {
+			if _, err := e.lookOnce(ctx, false); err != nil {
 				pause(ctx, lookPause)
 				e.lookSoonUnlessFailing(err)
 			}
@@ -57,17 +54,22 @@
 	}
 }
 
-// lookOnce sends one look and reports whether it brought new ends.
-func (e *Executor) lookOnce(ctx context.Context, wait time.Duration) (bool, error) {
+// lookOnce sends one look, which may wait for an end, and reports whether it
+// brought new ends.
+func (e *Executor) lookOnce(ctx context.Context, waits bool) (bool, error) {
 	var look Look
 	renew := false
-	alive := e.loop.Do(func(time.Time) {
-		look = Look{Number: e.core.NextLook(), Fence: e.core.Fence(), AckedUpTo: e.core.AckedUpTo(), Wait: wait}
+	alive := e.loop.Do(func(now time.Time) {
+		look = Look{Number: e.core.NextLook(), Fence: e.core.Fence(), AckedUpTo: e.core.AckedUpTo()}
+		look.Wait, look.Grace = e.core.LookTimes(now)
 		renew = e.core.MayRenew()
 	})
 	if !alive {
 		return false, context.Canceled
 	}
+	if !waits {
+		look.Wait = 0
+	}
 	if renew {
 		look.Lease = e.giveLease()
 	}
--- a/executor/minion.go
+++ b/executor/minion.go
@@ -28,4 +28,6 @@
 	Lease int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Grace is how long the answer may take beyond that.
+	Grace time.Duration
 }
