--- a/command/validate.go
+++ b/command/validate.go
@@ -14,12 +14,14 @@
 Examples:
   figring validate --kind entry examples/settings/entry.jsonc
   figring validate --kind sidecar examples/settings/sidecar.jsonc
+  figring validate --kind dispatcher examples/settings/dispatcher.jsonc
+  figring validate --kind executor examples/settings/executor.jsonc
   figring validate --kind bundle --zone schwabing --zone garching examples/settings/bundle.jsonc`
 
 type validateCommand struct {
 	streams *IO
 
-	Kind  string   `long:"kind" required:"true" choice:"entry" choice:"sidecar" choice:"bundle" description:"what the files hold"`
+	Kind  string   `long:"kind" required:"true" choice:"entry" choice:"sidecar" choice:"dispatcher" choice:"executor" choice:"bundle" description:"what the files hold"`
 	Zones []string `long:"zone" value-name:"ZONE" description:"an availability zone that a bundle may name; may be repeated"`
 	Args  struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
@@ -42,6 +44,10 @@
 	switch c.Kind {
 	case "entry":
 		_, err = settings.LoadEntry(file)
+	case "dispatcher":
+		_, err = settings.LoadDispatcher(file)
+	case "executor":
+		_, err = settings.LoadExecutor(file)
 	case "sidecar":
 		_, err = settings.LoadSidecar(file)
 	case "bundle":
--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -35,6 +35,8 @@
 	// maxBounces is the number of refusals after which a job takes any place
 	// that is in time, and waits between tries.
 	maxBounces = 3
+	// warmTime is how long an entry that has just started looks for sidecars.
+	warmTime = 2 * time.Second
 	// replaceInterval is the least time between two tries to place tasks that
 	// found no room.
 	replaceInterval = 5 * time.Millisecond
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -22,6 +22,9 @@
 
 	jobs   map[work.JobID]*job
 	recent *recent
+	// warmUntil is when the sidecars that live must have been found; a job that
+	// finds none before waits for them.
+	warmUntil time.Time
 
 	actions []Action
 	events  []Decision
@@ -41,12 +44,14 @@
 	placed map[work.TaskKey]*task
 }
 
-// New returns the core of an entry in the availability zone.
-func New(zone string, random *rand.Rand) *Core {
+// New returns the core of an entry in the availability zone that starts now.
+func New(zone string, random *rand.Rand, now time.Time) *Core {
 	core := &Core{
 		sidecars: make(map[string]*sidecar),
 		jobs:     make(map[work.JobID]*job),
 		recent:   newRecent(recentAnswers),
+
+		warmUntil: now.Add(warmTime),
 	}
 	core.chooser = placement.Chooser{
 		Zone:      zone,
--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -27,7 +27,7 @@
 func newFixture(t *testing.T, sidecars int) *fixture {
 	t.Helper()
 	f := &fixture{
-		t: t, core: New("a", rand.New(rand.NewPCG(1, 2))), now: time.Unix(1000, 0),
+		t: t, core: New("a", rand.New(rand.NewPCG(1, 2)), time.Unix(1000, 0)), now: time.Unix(1000, 0),
 		replies: make(map[uint64]Answer),
 	}
 	f.core.SetSnapshot(manifest.Snapshot{Version: 1, Manifest: &manifest.Manifest{Version: 1, Routes: []manifest.Route{{
@@ -297,3 +297,25 @@
 	// Four runs of 200 ms at a time over 2.4 s are 48 jobs.
 	must.Greater(t, 45, completed+f.core.Open())
 }
+
+// TestJobsWaitWhileTheEntryWarmsUp covers an entry that has just started: a
+// job waits for the first sidecar while it can still be in time, and is refused
+// at once when it can't, or later.
+func TestJobsWaitWhileTheEntryWarmsUp(t *testing.T) {
+	f := newFixture(t, 0)
+	waiter := f.submit("a", 1)
+	must.EqOp(t, 1, f.core.Open())
+	f.connect("s0")
+	f.tick(25 * time.Millisecond)
+	must.Len(t, 1, f.orders)
+
+	f = newFixture(t, 0)
+	waiter = f.submit("a", 1)
+	f.tick(200 * time.Millisecond)
+	must.EqOp(t, Refused, f.replies[waiter].Outcome)
+	must.EqOp(t, ReasonNoTargets, f.replies[waiter].Reason)
+
+	f = newFixture(t, 0)
+	f.now = f.now.Add(warmTime)
+	must.EqOp(t, Refused, f.replies[f.submit("a", 1)].Outcome)
+}
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -129,7 +129,7 @@
 		c.send(now, job, planned)
 		return
 	}
-	if !job.begun && c.untouched(job) {
+	if !job.begun && c.untouched(job) && !c.worthWaiting(now, job, planned) {
 		c.end(job, Answer{Outcome: Refused, Reason: planned.reason, RetryAfter: max(minRetryAfter, planned.wait)})
 	}
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -122,14 +122,22 @@
 // in time.
 func (c *Core) admit(now time.Time, created *job, submission *Submission) {
 	plan := c.plan(now, created)
-	if !plan.complete {
+	if !plan.complete && !c.worthWaiting(now, created, plan) {
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
 		c.refuse(submission, created.route.Name, answer, plan.wait)
 		return
 	}
 	c.jobs[created.id] = created
 	c.decided(Decision{Kind: DecidedAdmitted, Job: created.id, Request: submission.Request, Route: created.route.Name, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
-	c.send(now, created, plan)
+	if plan.complete {
+		c.send(now, created, plan)
+	}
+}
+
+// worthWaiting reports whether a job without a place may find one in time: the
+// entry has just started and has not met its sidecars yet.
+func (c *Core) worthWaiting(now time.Time, job *job, plan plan) bool {
+	return plan.reason == ReasonNoTargets && c.Targets() == 0 && now.Before(c.warmUntil) && job.slack(now) > 0
 }
 
 func (c *Core) refuse(submission *Submission, route string, answer Answer, wait time.Duration) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/serial"
 	"github.com/figring/figring/decision/heldjob"
@@ -69,7 +70,7 @@
 		settings: settings,
 		parts:    parts,
 		meters:   newMeters(parts.Scope),
-		core:     heldjob.New(settings.Self.Zone, random),
+		core:     heldjob.New(settings.Self.Zone, random, boottime.Now()),
 		answers:  make(map[uint64]chan heldjob.Reply),
 		links:    make(map[string]*sidecarLink),
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/go-playground/validator/v10"
 )
@@ -49,8 +51,16 @@
 		return err
 	}
 	first := failures[0]
-	_, path, _ := strings.Cut(first.Namespace(), ".")
-	return &Error{Field: path, Allowed: allowed(first)}
+	return &Error{Field: settingPath(first.Namespace()), Allowed: allowed(first)}
+}
+
+// settingPath returns the path of a setting in the file from that of its field:
+// without the type of the settings and of embedded ones, which start with a
+// capital.
+func settingPath(namespace string) string {
+	parts := strings.Split(namespace, ".")
+	inFile := slices.DeleteFunc(parts, func(part string) bool { return unicode.IsUpper(rune(part[0])) })
+	return strings.Join(inFile, ".")
 }
 
 // allowed says what a rule allows.
--- /dev/null
+++ b/settings/instance_test.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestInstanceExamplesLoad(t *testing.T) {
+	entry, err := LoadDispatcher(filepath.Join(examples, "dispatcher.jsonc"))
+	must.NoError(t, err)
+	must.Eq(t, []string{"127.0.0.2:8482"}, entry.SeedEntries())
+	sidecar, err := LoadExecutor(filepath.Join(examples, "executor.jsonc"))
+	must.NoError(t, err)
+	must.EqOp(t, "127.0.0.3:8490", sidecar.Minion)
+}
+
+func TestWrongInstanceSettings(t *testing.T) {
+	cases := []struct{ name, old, new, field string }{
+		{"unknown setting", `"zone"`, `"zoen"`, "zoen"},
+		{"listener twice", `"127.0.0.1:8481"`, `"127.0.0.1:8480"`, "readyListen"},
+		{"no address to dial", `"rpcListen": "127.0.0.1:8482"`, `"rpcListen": "0.0.0.0:8482"`, "rpcListen"},
+		{"seed without a port", `"127.0.0.2:8480"`, `"127.0.0.2"`, "seeds[0]"},
+		{"short secret", `"replace-this-secret"`, `"short"`, "secret"},
+		{"grace without a unit", `"6s"`, `"6"`, "stopGrace"},
+		{"no grace", `"6s"`, `"0s"`, "stopGrace"},
+		{"table without a port", `"127.0.0.1:8500"`, `"127.0.0.1"`, "table"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := LoadDispatcher(edited(t, "dispatcher.jsonc", tc.old, tc.new))
+			var wrong *Error
+			must.ErrorAs[*Error](t, err, &wrong)
+			must.EqOp(t, tc.field, wrong.Field)
+		})
+	}
+	_, err := LoadExecutor(edited(t, "executor.jsonc", `"127.0.0.3:8490"`, `"127.0.0.3"`))
+	var wrong *Error
+	must.ErrorAs[*Error](t, err, &wrong)
+	must.EqOp(t, "minion", wrong.Field)
+}
