Soak of real processes with faults from outside

Signals, a loopback proxy before each sidecar, faults of the stand-in table and minions, in series that overlap; callers come again after a broken connection. Checked from the minions' ledger and the callers' answers: no two runs of a task at one time, no minion over its capacity, nothing run of what was refused, service again after the faults.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,7 +30,9 @@
 
 // Settings of a dispatcher.
 type Settings struct {
-	Self   session.Peer
+	Self session.Peer
+	// Listen is the address of the RPC listener.
+	Listen string
 	Secret string
 }
 
@@ -75,7 +77,7 @@
 		links:    make(map[string]*sidecarLink),
 	}
 	made.loop = serial.New(loopRing, tickInterval, made.core.Tick, made.carryOut)
-	listener, err := link.Listen(settings.Self.Address, settings.Secret, session.EntryService, made.accept)
+	listener, err := link.Listen(settings.Listen, settings.Secret, session.EntryService, made.accept)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -32,7 +32,9 @@
 
 // Settings of an executor.
 type Settings struct {
-	Self   session.Peer
+	Self session.Peer
+	// Listen is the address of the RPC listener.
+	Listen string
 	Secret string
 	// Drain bounds the time that running tasks get at a planned stop.
 	Drain time.Duration
@@ -87,7 +89,7 @@
 		sessions: make(map[string]*conn),
 	}
 	made.loop = serial.New(loopRing, tickInterval, made.tick, made.carryOut)
-	listener, err := link.Listen(settings.Self.Address, settings.Secret, serviceName, made.accept)
+	listener, err := link.Listen(settings.Listen, settings.Secret, serviceName, made.accept)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/executor/meters.go
+++ b/executor/meters.go
@@ -18,8 +18,6 @@
 	reports        tally.Counter
 	free           tally.Gauge
 	queued         tally.Gauge
-	starts         map[execution.StartOutcome]tally.Counter
-	refusals       map[session.Refusal]tally.Counter
 	ends           map[work.End]tally.Counter
 }
 
@@ -32,8 +30,6 @@
 		reports:        scope.Counter(metrics.ExecutorReports),
 		free:           scope.Gauge(metrics.ExecutorFree),
 		queued:         scope.Gauge(metrics.ExecutorQueued),
-		starts:         make(map[execution.StartOutcome]tally.Counter),
-		refusals:       make(map[session.Refusal]tally.Counter),
 		ends:           make(map[work.End]tally.Counter),
 	}
 }
@@ -43,12 +39,7 @@
 }
 
 func (m *meters) refusal(reason session.Refusal) {
-	counter, ok := m.refusals[reason]
-	if !ok {
-		counter = m.scope.Tagged(map[string]string{metrics.TagReason: string(reason)}).Counter(metrics.ExecutorRefused)
-		m.refusals[reason] = counter
-	}
-	counter.Inc(1)
+	m.scope.Tagged(map[string]string{metrics.TagReason: string(reason)}).Counter(metrics.ExecutorRefused).Inc(1)
 }
 
 func (m *meters) end(end work.End) {
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -16,6 +16,7 @@
 		task := request.Tasks[i].Task
 		line := e.parts.Log.Routine(eventlog.KindTaken)
 		if refusal != session.RefusedNone {
+			e.meters.refusal(refusal)
 			line = e.parts.Log.Failure(eventlog.KindOrderRefuse).Str(eventlog.FieldReason, string(refusal))
 		}
 		line.Str(eventlog.FieldJob, string(task.Job)).Int(eventlog.FieldTask, task.Index).Str(eventlog.FieldPeer, entry).Msg("")
--- a/instance/executor.go
+++ b/instance/executor.go
@@ -24,6 +24,7 @@
 	defer client.Close()
 	role, err := executor.New(executor.Settings{
 		Self:   common.self,
+		Listen: loaded.RPCListen,
 		Secret: loaded.Secret,
 		Drain:  loaded.StopGrace.Std() - stopMargin,
 	}, executor.Parts{
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -51,7 +51,7 @@
 		options: options,
 		self: session.Peer{
 			Name: loaded.Name, Role: role, Zone: loaded.Zone,
-			Address: loaded.RPCListen, Boot: session.NewBoot(),
+			Address: loaded.RPCAdvertise, Boot: session.NewBoot(),
 		},
 		log:       eventlog.New(options.Out, loaded.Name),
 		metrics:   metrics.NewRoot(),
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -149,7 +149,7 @@
 
 func (s *system) shared(name, zone string, host int) settings.InstanceSettings {
 	return settings.InstanceSettings{
-		Name: name, Zone: zone, RPCListen: s.address(host, s.port), StatusListen: s.address(host, s.port+4),
+		Name: name, Zone: zone, RPCListen: s.address(host, s.port), RPCAdvertise: s.address(host, s.port), StatusListen: s.address(host, s.port+4),
 		Table: s.store.Listener.Addr().String(), Secret: testSecret, StopGrace: settings.Duration(6 * time.Second),
 		Seeds: []string{s.address(entryHost, 1)},
 	}
--- a/settings/instance.go
+++ b/settings/instance.go
@@ -10,9 +10,10 @@
 type InstanceSettings struct {
 	Name string `json:"name" validate:"name"`
 	Zone string `json:"zone" validate:"name"`
-	// RPCListen is where other processes of the system call; they dial the
-	// same address.
+	// RPCListen is where other processes of the system call.
 	RPCListen string `json:"rpcListen" validate:"address"`
+	// RPCAdvertise is the address that others dial; RPCListen by default.
+	RPCAdvertise string `json:"rpcAdvertise" validate:"omitempty,address"`
 	// StatusListen serves metrics.
 	StatusListen string `json:"statusListen" validate:"listen"`
 	// Seeds are addresses of instances that may be entries; their ports don't
@@ -107,6 +108,9 @@
 }
 
 func checkInstance(shared *InstanceSettings, listeners []listener) error {
+	if shared.RPCAdvertise == "" {
+		shared.RPCAdvertise = shared.RPCListen
+	}
 	if err := checkListeners(listeners); err != nil {
 		return err
 	}
--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/figring/figring/platform/standin"
+)
+
+// callers submit jobs, come again after a broken connection, and remember what
+// they were told.
+type callers struct {
+	w *world
+
+	mu sync.Mutex
+	// refused are the jobs whose every submission was refused.
+	refused map[string]bool
+	// completed are the jobs told as completed.
+	completed map[string]bool
+	asked     int
+}
+
+const (
+	// comeAgain is how long a caller waits after a broken connection.
+	comeAgain = 1300 * time.Millisecond
+	patience  = 3 * time.Second
+)
+
+func newCallers(w *world) *callers {
+	return &callers{w: w, refused: make(map[string]bool), completed: make(map[string]bool)}
+}
+
+// run submits jobs at a steady rate until stop is closed, and waits for the
+// answers.
+func (c *callers) run(random *rand.Rand, stop <-chan struct{}) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for number := 0; ; number++ {
+		id := fmt.Sprintf("%08x%08x", random.Uint32(), number)
+		entry, tasks, work := random.IntN(entries), 1+random.IntN(4), 20+random.IntN(200)
+		wait.Go(func() { c.caller(id, entry, tasks, work) })
+		select {
+		case <-stop:
+			return
+		case <-time.After(25 * time.Millisecond):
+		}
+	}
+}
+
+func (c *callers) caller(id string, entry, tasks, work int) {
+	allRefused := true
+	until := time.Now().Add(patience)
+	for time.Now().Before(until) {
+		status, state := c.submit(id, entry, tasks, work)
+		if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+			break
+		}
+		allRefused = false
+		if status == http.StatusOK {
+			c.told(id, state)
+			return
+		}
+		time.Sleep(comeAgain)
+		entry = (entry + 1) % entries
+	}
+	if allRefused {
+		c.mu.Lock()
+		c.refused[id] = true
+		c.mu.Unlock()
+	}
+}
+
+func (c *callers) told(id, state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == "completed" {
+		c.completed[id] = true
+	}
+}
+
+// submit returns the status of the answer, 0 when there was none.
+func (c *callers) submit(id string, entry, tasks, work int) (int, string) {
+	c.mu.Lock()
+	c.asked++
+	c.mu.Unlock()
+	const need = 1500
+	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: need})
+	body, _ := json.Marshal(map[string]any{
+		"spec": string(spec), "best_effort": true,
+		"steps": []map[string]any{{"count": tasks, "cpu": need, "mem_mb": 8, "est_ms": work}},
+	})
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.w.address(10+entry, 1)+prefix+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	request.Host = host
+	request.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	client := &http.Client{Timeout: patience}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	var told struct {
+		State string `json:"state"`
+	}
+	// Refusals have no body.
+	_ = json.NewDecoder(response.Body).Decode(&told)
+	return response.StatusCode, told.State
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,210 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/platform/standin"
+)
+
+const (
+	sidecars = 5
+	entries  = 2
+	host     = "desk.example"
+	prefix   = "/jobs/"
+	capacity = 8000
+)
+
+// world is the stand-ins and the processes of one run.
+type world struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	network int
+	port    int
+
+	table   *standin.Table
+	store   *httptest.Server
+	ledger  *standin.Ledger
+	minions []*standin.Minion
+	proxies []*proxy
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+	ended     bool
+}
+
+func newWorld(t *testing.T, binary string, network int) *world {
+	w := &world{
+		t: t, dir: t.TempDir(), binary: binary, network: network, table: standin.NewTable(),
+		ledger: &standin.Ledger{}, processes: make(map[string]*exec.Cmd), port: freePort(t),
+	}
+	w.store = httptest.NewServer(w.table.Handler())
+	w.configure(1)
+	for i := range sidecars {
+		w.startMinion(i)
+	}
+	t.Cleanup(w.end)
+	for i := range sidecars {
+		w.start(sidecarName(i))
+	}
+	for i := range entries {
+		w.start(entryName(i))
+	}
+	return w
+}
+
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func sidecarName(i int) string { return fmt.Sprintf("side-%d", i) }
+func entryName(i int) string   { return fmt.Sprintf("entry-%d", i) }
+
+func (w *world) configure(version int) {
+	must.NoError(w.t, w.table.Put("op", "config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r", "host": host, "prefix": prefix, "service": "desk", "attempts": 3, "stretch": 1.6, "slo_ms": 300,
+		}},
+		"services": []map[string]any{{"name": "desk"}},
+	}))
+}
+
+// address returns an address of the run's own network. Hosts: entries from 10,
+// sidecars from 50, their proxies from 150, minions from 100.
+func (w *world) address(hostNumber, portOffset int) string {
+	return fmt.Sprintf("127.0.%d.%d:%d", w.network, hostNumber, w.port+portOffset)
+}
+
+func (w *world) startMinion(i int) {
+	minion := standin.NewMinion(fmt.Sprintf("i-%d", i), w.ledger, uint64(i))
+	w.minions = append(w.minions, minion)
+	listener, err := net.Listen("tcp", w.address(100+i, 0))
+	must.NoError(w.t, err)
+	server := &http.Server{Handler: minion.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	between, err := newProxy(w.address(150+i, 0), w.address(50+i, 0))
+	must.NoError(w.t, err)
+	w.proxies = append(w.proxies, between)
+	w.t.Cleanup(func() { minion.Close(); _ = server.Close(); _ = between.listener.Close() })
+	go w.beat(i, minion)
+}
+
+func (w *world) beat(i int, minion *standin.Minion) {
+	url := fmt.Sprintf("http://%s/-/instances/i-%d/heartbeat", w.address(50+i, 1), i)
+	client := &http.Client{Timeout: time.Second}
+	for sequence := 1; !w.over(); sequence++ {
+		body, _ := json.Marshal(map[string]any{
+			"service": "desk", "state": "ready", "seq": sequence, "born": minion.Born(),
+			"capacity": map[string]any{"cpu": capacity, "mem_mb": 1024},
+		})
+		if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
+			_ = response.Body.Close()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+func (w *world) over() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended
+}
+
+// start starts a process, and starts it again whenever it ends.
+func (w *world) start(name string) {
+	role, settings := w.settings(name)
+	encoded, err := json.Marshal(settings)
+	must.NoError(w.t, err)
+	path := filepath.Join(w.dir, name+".jsonc")
+	must.NoError(w.t, os.WriteFile(path, encoded, 0o600))
+	out, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(w.t, err)
+	go func() {
+		defer func() { _ = out.Close() }()
+		for !w.over() {
+			w.runOnce(name, exec.Command(w.binary, role, "--settings", path), out)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+func (w *world) runOnce(name string, command *exec.Cmd, out *os.File) {
+	command.Stdout, command.Stderr = out, out
+	w.mu.Lock()
+	if w.ended {
+		w.mu.Unlock()
+		return
+	}
+	err := command.Start()
+	w.processes[name] = command
+	w.mu.Unlock()
+	if err == nil {
+		_ = command.Wait()
+	}
+}
+
+func (w *world) settings(name string) (string, map[string]any) {
+	var number int
+	shared := map[string]any{
+		"name": name, "seeds": []string{w.address(10, 0), w.address(11, 0)}, "secret": "a-secret-of-the-soak",
+		"table": w.store.Listener.Addr().String(), "stopGrace": "4s",
+	}
+	if _, err := fmt.Sscanf(name, "side-%d", &number); err == nil {
+		shared["zone"] = string(rune('a' + number%3))
+		shared["rpcListen"] = w.address(50+number, 0)
+		shared["rpcAdvertise"] = w.address(150+number, 0)
+		shared["reportsListen"] = w.address(50+number, 1)
+		shared["statusListen"] = w.address(50+number, 2)
+		shared["minion"] = w.address(100+number, 0)
+		return "executor", shared
+	}
+	_, _ = fmt.Sscanf(name, "entry-%d", &number)
+	shared["zone"] = string(rune('a' + number%3))
+	shared["rpcListen"] = w.address(10+number, 0)
+	shared["callersListen"] = w.address(10+number, 1)
+	shared["statusListen"] = w.address(10+number, 2)
+	shared["readyListen"] = w.address(10+number, 3)
+	return "dispatcher", shared
+}
+
+// signal sends a signal to a process of this run.
+func (w *world) signal(name string, what syscall.Signal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if command := w.processes[name]; command != nil && command.Process != nil {
+		_ = command.Process.Signal(what)
+	}
+}
+
+// end kills the processes of this run.
+func (w *world) end() {
+	w.mu.Lock()
+	w.ended = true
+	for _, command := range w.processes {
+		if command.Process != nil {
+			_ = command.Process.Kill()
+		}
+	}
+	w.mu.Unlock()
+	w.store.CloseClientConnections()
+	w.store.Close()
+	time.Sleep(50 * time.Millisecond)
+}
