--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -303,14 +303,14 @@
 // at once when it can't, or later.
 func TestJobsWaitWhileTheEntryWarmsUp(t *testing.T) {
 	f := newFixture(t, 0)
-	waiter := f.submit("a", 1)
+	f.submit("a", 1)
 	must.EqOp(t, 1, f.core.Open())
 	f.connect("s0")
 	f.tick(25 * time.Millisecond)
 	must.Len(t, 1, f.orders)
 
 	f = newFixture(t, 0)
-	waiter = f.submit("a", 1)
+	waiter := f.submit("a", 1)
 	f.tick(200 * time.Millisecond)
 	must.EqOp(t, Refused, f.replies[waiter].Outcome)
 	must.EqOp(t, ReasonNoTargets, f.replies[waiter].Reason)
