--- a/instance/shared.go
+++ b/instance/shared.go
@@ -34,8 +34,9 @@
 }
 
 const (
-	// collectPercent makes the garbage collector run seldom: the heap is small.
-	collectPercent = 400
+	// collectPercent is the growth of the heap in percent between two runs of the
+	// garbage collector. The heap is small, so that a run is cheap.
+	collectPercent = 60
 	// memoryLimit is the size in bytes of the heap beyond which it runs often.
 	memoryLimit = 64 << 20
 )
