--- a/dispatcher/announcer.go
+++ b/dispatcher/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
 )
@@ -33,7 +34,7 @@
 				tries[key] = maxAnnounceTries
 			}
 		}
-		pause(ctx, announceInterval)
+		_ = pause.For(ctx, announceInterval)
 	}
 }
 
@@ -55,12 +56,3 @@
 	d.parts.Directory.Merge(reply.Peers...)
 	return true
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/core.go
+++ b/entry/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/permit"
 	"github.com/figring/figring/decision/routing"
 	"github.com/figring/figring/membership"
@@ -131,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, model.BundleTTL+model.ClockMargin)
 	defer cancel()
 	for ctx.Err() == nil && c.owner.Status(ctx).Running > 0 {
-		pause(ctx, drainPoll)
+		_ = pause.For(ctx, drainPoll)
 	}
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/figring/figring/common/pause"
 )
 
 const (
@@ -21,7 +23,7 @@
 	defer cancel()
 	e.draining.Store(true)
 	e.options.Log.Info().Str("entry", e.self.Name).Msg("draining")
-	pause(ctx, e.options.ReadyDelay)
+	_ = pause.For(ctx, e.options.ReadyDelay)
 	e.mu.Lock()
 	e.stopped = true
 	c := e.core.Load()
@@ -43,14 +45,7 @@
 
 func (e *Entry) awaitIdle(ctx context.Context, c *core) {
 	for ctx.Err() == nil && !c.owner.Idle(ctx) {
-		pause(ctx, drainPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		_ = pause.For(ctx, drainPoll)
 	}
 }
 
--- a/entry/role_test.go
+++ b/entry/role_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store/memory"
 	"github.com/figring/figring/wire"
@@ -141,7 +142,7 @@
 			told = true
 			granted <- struct{}{}
 		}
-		pause(ctx, 100*time.Millisecond)
+		_ = pause.For(ctx, 100*time.Millisecond)
 	}
 }
 
--- a/executor/announcer.go
+++ b/executor/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
 )
@@ -35,7 +36,7 @@
 			pauses[entry.Name] = min(max(pauses[entry.Name]*2, announceInterval), maxAnnouncePause)
 			next[entry.Name] = time.Now().Add(pauses[entry.Name])
 		}
-		pause(ctx, announceInterval)
+		_ = pause.For(ctx, announceInterval)
 	}
 }
 
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/execution"
 )
 
@@ -24,9 +25,9 @@
 		news, err := e.lookOnce(ctx, true)
 		switch {
 		case errors.Is(err, ErrNoMinion):
-			pause(ctx, failedPause)
+			_ = pause.For(ctx, failedPause)
 		case !news && time.Since(began) < lookPause:
-			pause(ctx, lookPause)
+			_ = pause.For(ctx, lookPause)
 		}
 	}
 }
@@ -37,7 +38,7 @@
 		select {
 		case <-e.urgent:
 			if _, err := e.lookOnce(ctx, false); err != nil {
-				pause(ctx, lookPause)
+				_ = pause.For(ctx, lookPause)
 				e.lookSoonUnlessFailing(err)
 			}
 		case <-ctx.Done():
@@ -114,12 +115,3 @@
 	}
 	e.parts.Log.Failure(eventlog.KindOrderFailed).Str(eventlog.FieldName, "minion").Err(err).Msg("")
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -13,6 +13,7 @@
 
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/platform/rows"
 	"github.com/figring/figring/session"
@@ -139,12 +140,8 @@
 		if err == nil {
 			return
 		}
-		timer := time.NewTimer(joinPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, joinPause)
 	}
 }
 
--- a/membership/acquire.go
+++ b/membership/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/figring/figring/claims"
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
 )
@@ -26,7 +27,7 @@
 		if err := m.acquireOnce(ctx); err == nil {
 			continue
 		}
-		if err := pause(ctx, retryInterval); err != nil {
+		if err := pause.For(ctx, retryInterval); err != nil {
 			return err
 		}
 		signal(m.acquireNow)
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
@@ -34,7 +35,7 @@
 
 // refreshSoon repeats the turn after a short pause.
 func (m *Manager) refreshSoon(ctx context.Context) {
-	if pause(ctx, retryInterval) == nil {
+	if pause.For(ctx, retryInterval) == nil {
 		m.Refresh()
 	}
 }
--- a/membership/leave.go
+++ b/membership/leave.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/store"
 )
 
@@ -84,7 +85,7 @@
 		if _, readErr := m.get(ctx, fence.Key); errors.Is(readErr, store.ErrNotFound) {
 			return nil
 		}
-		if pause(ctx, retryInterval) != nil {
+		if pause.For(ctx, retryInterval) != nil {
 			return fmt.Errorf("%w: %w", ErrStore, err)
 		}
 	}
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -229,14 +229,3 @@
 	}
 	return ErrFenced
 }
-
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/membership/register.go
+++ b/membership/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/store"
 )
 
@@ -16,7 +17,7 @@
 		if done || err != nil {
 			return err
 		}
-		if err := pause(ctx, retryInterval); err != nil {
+		if err := pause.For(ctx, retryInterval); err != nil {
 			return err
 		}
 	}
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/store"
 )
 
@@ -44,7 +45,7 @@
 				return settled(took)
 			}
 		}
-		pause(ctx, settleWait)
+		_ = pause.For(ctx, settleWait)
 	}
 	return &UnknownError{Attempt: try.id, cause: errors.Join(err, ctx.Err())}
 }
@@ -67,12 +68,3 @@
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/store"
 )
 
@@ -54,7 +55,7 @@
 	row, found, out, latency := f.begin(key)
 	defer f.end()
 	if latency > 0 {
-		pause(ctx, latency)
+		_ = pause.For(ctx, latency)
 	}
 	switch {
 	case out || ctx.Err() != nil:
--- a/sidecar/backoff.go
+++ b/sidecar/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/figring/figring/common/pause"
 )
 
 // backoff doubles the wait after each failure, with jitter over its upper
@@ -27,19 +29,5 @@
 }
 
 func (b *backoff) wait(ctx context.Context) error {
-	return pause(ctx, b.delay(), nil)
-}
-
-// pause waits for the time, for wake or for the end of ctx.
-func pause(ctx context.Context, length time.Duration, wake <-chan struct{}) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-wake:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, b.delay())
 }
--- a/sidecar/fakes_test.go
+++ b/sidecar/fakes_test.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
 	"github.com/figring/figring/store/memory"
@@ -70,7 +71,7 @@
 
 func (b *fakeBeats) Next(ctx context.Context) (store.Announcement, error) {
 	if b.begun.Swap(true) {
-		if err := pause(ctx, beatInterval, nil); err != nil {
+		if err := pause.For(ctx, beatInterval); err != nil {
 			return store.Announcement{}, err
 		}
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/figring/figring/common/pause"
 )
 
 const (
@@ -88,7 +90,7 @@
 		if now.calls == 0 || !time.Now().Before(limit) {
 			return now.calls
 		}
-		_ = pause(ctx, drainPoll, nil)
+		_ = pause.For(ctx, drainPoll)
 	}
 }
 
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/store"
 )
 
@@ -33,7 +34,7 @@
 			_ = s.box.send(minionLostMessage{})
 			present = false
 		case !errors.Is(err, context.DeadlineExceeded):
-			_ = pause(ctx, announceRetry, nil)
+			_ = pause.For(ctx, announceRetry)
 		}
 	}
 }
