--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -23,6 +23,8 @@
 	lateFactor = 3
 	// answerMargin is kept free before the caller's deadline for the answer.
 	answerMargin = 40 * time.Millisecond
+	// leastChainShare is the part of its estimate that a job takes at least.
+	leastChainShare = 0.5
 	// recentAnswers bounds the answers that are kept for callers who ask again.
 	recentAnswers = 4096
 	// minRetryAfter is the shortest time after which a refused caller is told
--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -59,9 +59,14 @@
 
 // submit hands in a job of tasks with 4,000 thousandths of a core each.
 func (f *fixture) submit(id string, tasks int) uint64 {
+	return f.submitFor(id, tasks, 10*time.Second)
+}
+
+// submitFor hands in a job whose caller waits for the patience.
+func (f *fixture) submitFor(id string, tasks int, patience time.Duration) uint64 {
 	f.waiter++
 	f.core.Submit(f.now, &Submission{
-		Waiter: f.waiter, Host: "h", Path: "/p/" + id, Patience: 10 * time.Second,
+		Waiter: f.waiter, Host: "h", Path: "/p/" + id, Patience: patience,
 		Job: work.Job{ID: work.JobID(id), BestEffort: true, Steps: []work.Step{{
 			Count: tasks, Need: work.Room{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
 		}}},
@@ -319,3 +324,13 @@
 	f.now = f.now.Add(warmTime)
 	must.EqOp(t, Refused, f.replies[f.submit("a", 1)].Outcome)
 }
+
+// TestHopelessJobIsRefusedAtOnce covers a job that comes again when its caller
+// is about to stop waiting.
+func TestHopelessJobIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submitFor("a", 1, 70*time.Millisecond)
+	must.EqOp(t, Refused, f.replies[waiter].Outcome)
+	must.EqOp(t, ReasonTooLate, f.replies[waiter].Reason)
+	must.Len(t, 0, f.orders)
+}
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -118,9 +118,20 @@
 	return j.goal.Sub(now) - j.chain() - startMargin
 }
 
+// hopeless reports whether the caller stops waiting long before the job can
+// end, however far off its estimate is.
+func (j *job) hopeless(now time.Time) bool {
+	least := time.Duration(float64(j.chain()) * leastChainShare)
+	return now.Add(least).After(j.useless)
+}
+
 // admit places all tasks of a new job, or refuses it when that can't be done
 // in time.
 func (c *Core) admit(now time.Time, created *job, submission *Submission) {
+	if created.hopeless(now) {
+		c.refuse(submission, created.route.Name, Answer{Outcome: Refused, Reason: ReasonTooLate, RetryAfter: minRetryAfter}, 0)
+		return
+	}
 	plan := c.plan(now, created)
 	if !plan.complete && !c.worthWaiting(now, created, plan) {
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
--- a/explain/story.go
+++ b/explain/story.go
@@ -101,6 +101,7 @@
 	heldjob.ReasonOverload:    "no minion had room in time",
 	heldjob.ReasonNoManifest:  "the entry had no manifest yet",
 	heldjob.ReasonNoTargets:   "no sidecar took orders for the service",
+	heldjob.ReasonTooLate:     "the caller's deadline was too close for the job to end before it",
 	heldjob.ReasonUnsupported: "the job asks for what is not built",
 	heldjob.ReasonDeadline:    "the caller's deadline came first",
 	heldjob.ReasonCallerGone:  "the caller closed the connection",
