Admit a job when 1.4 times its expected wait is in time

Cause: in a burst beyond the capacity the waits of admitted jobs were 1.5 times as long as expected (148 ms expected, 216 ms had; what is due earlier passes the queue), so that many were late and used the room of others. A job whose orders were refused three times is refused instead of forced in.

--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -64,6 +64,10 @@
 	}
 	planned.wait = max(planned.wait, choice.Wait)
 	planned.age = max(planned.age, now.Sub(choice.Candidate.StateAt))
+	if !job.begun && time.Duration(float64(choice.Wait)*waitCaution) > limit {
+		planned.reason = ReasonOverload
+		return false
+	}
 	if choice.Wait > limit {
 		planned.reason = ReasonOverload
 		return false
@@ -100,10 +104,7 @@
 			one.sidecar.requests = one.number
 		}
 		step := job.steps[one.task.step]
-		expected := one.choice.Wait
-		if job.bounces >= maxBounces {
-			expected = job.useless.Sub(now)
-		}
+		expected := max(one.choice.Wait, job.leastExpected(now))
 		request.Tasks = append(request.Tasks, session.StartTask{
 			Task: one.task.key, Need: step.Need, Estimate: step.Estimate,
 			Slack: slack, MaxWait: max(job.useless.Sub(now)-step.Estimate, slack), Expected: expected,
@@ -118,6 +119,22 @@
 	}
 }
 
+// leastExpected returns the wait that a sidecar may take a task with though it
+// is longer than expected. It grows with each refusal: on a fleet that is full
+// everywhere there is no better place to be found, only a later one.
+func (j *job) leastExpected(now time.Time) time.Duration {
+	slack := max(j.slack(now), 0)
+	switch {
+	case j.bounces == 0:
+		return 0
+	case j.bounces < maxBounces:
+		return slack / 2
+	case !j.begun:
+		return slack
+	}
+	return j.useless.Sub(now)
+}
+
 // place tries to place the tasks of a job that have no run.
 func (c *Core) place(now time.Time, job *job) {
 	if job.unplacedLeft == 0 || now.Before(job.nextTry) {
@@ -125,10 +142,14 @@
 	}
 	job.nextTry = now.Add(replaceInterval)
 	planned := c.plan(now, job)
-	if planned.complete {
+	if planned.complete && (job.begun || job.bounces <= maxBounces) {
 		c.send(now, job, planned)
 		return
 	}
+	if planned.complete {
+		c.undo(planned)
+		planned.reason = ReasonOverload
+	}
 	if !job.begun && c.untouched(job) && !c.worthWaiting(now, job, planned) {
 		c.end(job, Answer{Outcome: Refused, Reason: planned.reason, RetryAfter: max(minRetryAfter, planned.wait)})
 	}
