--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -39,7 +39,7 @@
 	maxBounces = 3
 	// waitCaution is how much longer than expected a wait is taken to be when a
 	// job is admitted: what is due earlier still passes the queue.
-	waitCaution = 1.4
+	waitCaution = 1.8
 	// warmTime is how long an entry that has just started looks for sidecars.
 	warmTime = 2 * time.Second
 	// replaceInterval is the least time between two tries to place tasks that
