--- a/dispatcher/announcer.go
+++ b/dispatcher/announcer.go
@@ -38,6 +38,8 @@
 	}
 }
 
+// announceTo makes one try. A failure needs no line: the other entry is no
+// dependency of this one, and sidecars tell of it too.
 func (d *Dispatcher) announceTo(ctx context.Context, entry session.Peer) bool {
 	client, err := link.Dial(ctx, entry.Address, d.settings.Secret)
 	if err != nil {
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -83,11 +83,13 @@
 	d := l.dispatcher
 	client, err := link.Dial(ctx, peer.Address, d.settings.Secret)
 	if err != nil {
+		l.noteFailed("dial", err)
 		return false
 	}
 	defer client.Close()
 	opened, err := l.hello(ctx, client)
 	if err != nil {
+		l.noteFailed("hello", err)
 		return false
 	}
 	d.parts.Log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, l.name).Msg("")
@@ -98,6 +100,12 @@
 	return true
 }
 
+// noteFailed writes a line about a session that could not be opened.
+func (l *sidecarLink) noteFailed(step string, err error) {
+	l.dispatcher.parts.Log.Routine(eventlog.KindSession).Str(eventlog.FieldPeer, l.name).
+		Str(eventlog.FieldOutcome, "failed").Str(eventlog.FieldReason, step).Err(err).Msg("")
+}
+
 // helloTimeout bounds the opening of a session.
 const helloTimeout = 400 * time.Millisecond
 
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -140,6 +140,7 @@
 		if err == nil {
 			return
 		}
+		s.log.Routine(eventlog.KindLost).Str(eventlog.FieldName, "members").Err(err).Msg("")
 		// The end of ctx ends the loop.
 		_ = pause.For(ctx, joinPause)
 	}
