Write log lines through a ring of our own

Ruled out: our own sharing of entries; the library's synchronous writer with a bounded ring behind it has no race. TestLinesOfManyGoroutines and the tests of instance see it.

--- a/common/eventlog/log.go
+++ b/common/eventlog/log.go
@@ -34,7 +34,7 @@
 // Log writes the lines of one process.
 type Log struct {
 	logger log.Logger
-	writer *log.AsyncWriter
+	ring   *ring
 
 	mu          sync.Mutex
 	limits      map[Kind]*limit
@@ -48,21 +48,24 @@
 
 // New returns a log of the process that writes to out.
 func New(out io.Writer, process string) *Log {
-	writer := &log.AsyncWriter{ChannelSize: ringSize, DiscardOnFull: true, Writer: log.IOWriter{Writer: out}}
+	lines := newRing(ringSize, out)
 	return &Log{
 		logger: log.Logger{
 			Level:      log.InfoLevel,
 			TimeFormat: TimeFormat,
 			Context:    log.NewContext(nil).Str(FieldProcess, process).Value(),
-			Writer:     writer,
+			Writer:     log.IOWriter{Writer: lines},
 		},
-		writer: writer,
+		ring:   lines,
 		limits: make(map[Kind]*limit),
 	}
 }
 
-// Close writes what waits and ends the writer.
-func (l *Log) Close() error { return l.writer.Close() }
+// Close writes what waits and ends the writer. It is called once.
+func (l *Log) Close() error {
+	l.ring.close()
+	return nil
+}
 
 // Routine starts a line of a kind that a request causes in the ordinary
 // course. It returns nil, which takes fields and is not written, above the rate.
--- a/common/eventlog/log_test.go
+++ b/common/eventlog/log_test.go
@@ -74,3 +74,23 @@
 		log.Routine(KindAdmitted).Str(FieldJob, "0123456789abcdef").Str(FieldReason, "deadline").Msg("")
 	}
 }
+
+// TestLinesOfManyGoroutines covers writers that share a log, also after its
+// end: the race detector sees what they share.
+func TestLinesOfManyGoroutines(t *testing.T) {
+	writer := &slowWriter{release: make(chan struct{})}
+	close(writer.release)
+	log := New(writer, "p")
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() {
+			for range 500 {
+				log.Failure(KindFailed).Msg("")
+			}
+		})
+	}
+	wait.Wait()
+	must.NoError(t, log.Close())
+	log.Failure(KindStop).Msg("")
+	must.Positive(t, strings.Count(writer.out.String(), string(KindFailed)))
+}
