Take out names that nothing uses; count the targets once a step

Nothing returned Invalid, ReasonTooLarge, RefusedUnsent or IsZero, no entry set PollRequest.Entries, and two names of the log had no line. The entry's loop walked its sidecars twice after each step. Checked: vet, staticcheck and the tests of session, heldjob, eventlog, explain and instance with -race; the whole check was not run again.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -32,7 +32,6 @@
 	KindEntryLost   Kind = "entry_silent"
 	KindSession     Kind = "session"
 	KindRoom        Kind = "room"
-	KindFence       Kind = "fence_raised"
 )
 
 // The fields of lines.
@@ -64,5 +63,4 @@
 	FieldMinion   = "minion"
 	FieldName     = "dependency"
 	FieldError    = "error"
-	FieldOpen     = "open"
 )
--- a/decision/heldjob/answer.go
+++ b/decision/heldjob/answer.go
@@ -16,8 +16,6 @@
 	GivenUp
 	// NoRoute means that no route takes the job.
 	NoRoute
-	// Invalid means that the job can't be run by anybody.
-	Invalid
 	// Cancelled means that a caller has cancelled the job.
 	Cancelled
 )
@@ -28,7 +26,6 @@
 	Refused:   "refused",
 	GivenUp:   "given_up",
 	NoRoute:   "no_route",
-	Invalid:   "invalid",
 	Cancelled: "cancelled",
 }
 
@@ -43,7 +40,6 @@
 	ReasonOverload    Reason = "overload"
 	ReasonNoManifest  Reason = "no_manifest"
 	ReasonNoTargets   Reason = "no_targets"
-	ReasonTooLarge    Reason = "too_large"
 	ReasonUnsupported Reason = "unsupported"
 	ReasonTooLate     Reason = "too_late"
 	ReasonDeadline    Reason = "deadline"
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -154,7 +154,9 @@
 			d.enqueue(action.Sidecar, &session.StopRequest{Job: action.Job})
 		}
 	}
-	d.targets.Store(int64(d.core.Targets()))
+	targets := d.core.Targets()
+	d.targets.Store(int64(targets))
+	d.meters.targets.Update(float64(targets))
 	d.note()
 }
 
--- a/dispatcher/notes.go
+++ b/dispatcher/notes.go
@@ -13,7 +13,6 @@
 		d.noteOne(decision)
 	}
 	d.meters.open.Update(float64(d.core.Open()))
-	d.meters.targets.Update(float64(d.core.Targets()))
 }
 
 func (d *Dispatcher) noteOne(decision heldjob.Decision) {
--- a/executor/service.go
+++ b/executor/service.go
@@ -206,7 +206,6 @@
 }
 
 func (c *conn) takeNews(request *session.PollRequest) {
-	c.executor.parts.Directory.Merge(request.Entries...)
 	if request.Snapshot != nil {
 		c.executor.parts.Holder.Offer(*request.Snapshot)
 	}
--- a/session/poll.go
+++ b/session/poll.go
@@ -18,8 +18,6 @@
 	// set when the sidecar was seen to know only an older one.
 	SnapshotVersion int64
 	Snapshot        *manifest.Snapshot
-	// Entries are all entries that the sender knows.
-	Entries []Peer
 }
 
 // PollReply carries the events after PollRequest.After in order.
--- a/session/start.go
+++ b/session/start.go
@@ -53,8 +53,6 @@
 	RefusedSuspect Refusal = "suspect"
 	// RefusedTaken means that a run of the task is there for another entry.
 	RefusedTaken Refusal = "taken"
-	// RefusedUnsent is set by an entry that could not send the order.
-	RefusedUnsent Refusal = "unsent"
 )
 
 // StartReply has one refusal for each task of the request, in its order, and
--- a/work/room.go
+++ b/work/room.go
@@ -24,6 +24,3 @@
 func (r Room) Fits(need Room) bool {
 	return need.MilliCPU <= r.MilliCPU && need.MemMB <= r.MemMB && need.GPUs <= r.GPUs
 }
-
-// IsZero reports whether the room is empty in every part.
-func (r Room) IsZero() bool { return r == Room{} }
