Keep the ends of a silent entry's runs, and number events over a sidecar's whole life

Cause: TestJobsAreServed (KNOWN-RED), traced with the logs of all processes: an entry that a sidecar had not heard from for 450 ms was forgotten together with the ends that it had not taken note of. Its next session claimed the tasks, got 'not run', and ran them again though they were done. Worse: events were numbered from 1 again, and the entry's next poll said that it knew all up to the old number, so that what the new session had to tell was dropped and the job hung until its caller's deadline (504). Ruled out: unanswered starts (the trace shows them settled by the next list), lapsed leases (none in the traces). Entries now say with Hello what they know, and ends of tasks that they do not claim are dropped, so that a task that is ordered anew never takes the end of its former run.

--- a/decision/execution/bounds.go
+++ b/decision/execution/bounds.go
@@ -7,6 +7,9 @@
 	// are stopped. A caller sends a job again more than a second after its
 	// connection broke; by then the runs have to be gone.
 	SilenceLimit = 450 * time.Millisecond
+	// silenceKept is how long the ends of a silent entry's runs are kept. The
+	// entry gives its runs up itself before that.
+	silenceKept = 2 * time.Second
 	// OrderMaxAge is the age beyond which an order is refused, because the
 	// entry may have given up on it and placed it elsewhere.
 	OrderMaxAge = 400 * time.Millisecond
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -37,7 +37,10 @@
 	runs    map[work.TaskKey]*run
 	queue   []*run
 	entries map[string]*entryState
-	health  *workerhealth.Judge
+	// newestEvent numbers the events to all entries: an entry that comes back
+	// after it was forgotten hears of no number twice.
+	newestEvent uint64
+	health      *workerhealth.Judge
 
 	// ends holds the listed ends that entries have not taken note of, by the
 	// minion's sequence number.
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -1,6 +1,8 @@
 package execution
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/figring/figring/session"
@@ -12,30 +14,32 @@
 	boot string
 	// echoed is the newest stamp that the entry has repeated.
 	echoed time.Time
+	// silent is true from the moment at which its runs were stopped for want of
+	// a sign, until it opens a new session.
+	silent bool
 	seen   uint64
 
-	events    []session.Event
-	nextEvent uint64
+	events []session.Event
 
 	// claims wait for the first listing.
 	claims []session.Claim
 }
 
-func (e *entryState) silent(now time.Time) bool {
-	return now.Sub(e.echoed) > SilenceLimit
-}
-
-// Hello opens a session of an entry. What a former life of it had is stopped,
-// and so is what it no longer claims.
-func (c *Core) Hello(now time.Time, entry, boot string, claims []session.Claim, minion session.Minion) {
+// Hello opens a session of an entry, which knows all events up to the number.
+// What a former life of it had is stopped, and so is what it no longer claims.
+func (c *Core) Hello(now time.Time, entry, boot string, after uint64, claims []session.Claim, minion session.Minion) {
 	known, ok := c.entries[entry]
 	if !ok || known.boot != boot {
 		c.stopAll(now, entry)
+		c.forgetEnds(entry)
 		known = &entryState{boot: boot}
 		c.entries[entry] = known
 	}
 	known.echoed = now
+	known.silent = false
 	known.seen = 0
+	c.Noted(entry, after)
+	c.dropUnclaimed(entry, claims)
 	c.adoptMinion(now, minion)
 	if !c.listed {
 		known.claims = claims
@@ -55,10 +59,26 @@
 	c.settle(now)
 }
 
+// dropUnclaimed drops the events of tasks that the entry has given up. It may
+// order them anew, and would take the end of the former run for that of the new.
+func (c *Core) dropUnclaimed(entry string, claims []session.Claim) {
+	claimed := make(map[work.TaskKey]bool, len(claims))
+	for _, claim := range claims {
+		claimed[claim.Task] = true
+	}
+	known := c.entries[entry]
+	dropped := make(map[uint64]bool)
+	known.events = slices.DeleteFunc(known.events, func(event session.Event) bool {
+		dropped[event.Number] = !claimed[event.Task]
+		return dropped[event.Number]
+	})
+	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool { return end.entry == entry && dropped[end.event] })
+}
+
 // Knows reports whether the entry has a session that it was heard on in time.
 func (c *Core) Knows(entry string) bool {
-	_, ok := c.entries[entry]
-	return ok
+	known, ok := c.entries[entry]
+	return ok && !known.silent
 }
 
 // settleClaims compares what an entry claims with what is there.
@@ -159,31 +179,31 @@
 	if !ok {
 		return 0
 	}
-	known.nextEvent++
-	known.events = append(known.events, session.Event{Number: known.nextEvent, Task: task, End: end, RunTime: took})
+	c.newestEvent++
+	known.events = append(known.events, session.Event{Number: c.newestEvent, Task: task, End: end, RunTime: took})
 	c.ask(Wake{Entry: entry, Event: true})
-	return known.nextEvent
+	return c.newestEvent
 }
 
-// dropSilent stops the runs of entries that were not heard from.
+// dropSilent stops the runs of entries that were not heard from. The ends of
+// their runs are kept for a while, for an entry that comes back.
 func (c *Core) dropSilent(now time.Time) {
 	for name, known := range c.entries {
-		if !known.silent(now) {
-			continue
+		since := now.Sub(known.echoed)
+		switch {
+		case since > SilenceLimit+silenceKept:
+			delete(c.entries, name)
+			c.forgetEnds(name)
+		case since > SilenceLimit && !known.silent:
+			known.silent = true
+			c.noted(Note{Kind: NoteSilent, Entry: name})
+			c.stopAll(now, name)
 		}
-		c.noted(Note{Kind: NoteSilent, Entry: name})
-		c.stopAll(now, name)
-		delete(c.entries, name)
-		c.forgetEnds(name)
 	}
 }
 
 func (c *Core) forgetEnds(entry string) {
-	for sequence, end := range c.ends {
-		if end.entry == entry {
-			delete(c.ends, sequence)
-		}
-	}
+	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool { return end.entry == entry })
 }
 
 // stopAll withdraws all runs of an entry.
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -12,7 +12,7 @@
 func (c *Core) Order(now time.Time, entry string, request *session.StartRequest) []session.Refusal {
 	refusals := make([]session.Refusal, len(request.Tasks))
 	known, ok := c.entries[entry]
-	if !ok {
+	if !ok || known.silent {
 		return fill(refusals, session.RefusedStale)
 	}
 	c.Echo(entry, request.Echo)
--- a/decision/execution/property_test.go
+++ b/decision/execution/property_test.go
@@ -121,7 +121,7 @@
 		minion: &lateMinion{now: time.Unix(1000, 0), running: make(map[work.TaskKey]*lateRun), used: make(map[work.TaskKey]int)},
 	}
 	w.core.Heartbeat(w.now, session.Minion{ID: "i", Born: testBorn, Capacity: work.Room{MilliCPU: propertyCapacity, MemMB: 1000}}, false)
-	w.core.Hello(w.now, testEntry, testBoot, nil, session.Minion{})
+	w.core.Hello(w.now, testEntry, testBoot, 0, nil, session.Minion{})
 	w.lookNow(true)
 	return w
 }
--- a/executor/service.go
+++ b/executor/service.go
@@ -87,7 +87,7 @@
 	e.parts.Directory.Merge(request.Entry)
 	e.replaceSession(request.Entry.Name, c)
 	e.loop.Do(func(now time.Time) {
-		e.core.Hello(now, request.Entry.Name, request.Entry.Boot, request.Claims, request.Minion)
+		e.core.Hello(now, request.Entry.Name, request.Entry.Boot, e.noted(request), request.Claims, request.Minion)
 		reply.Stamp = session.StampOf(now)
 	})
 	reply.Sidecar = e.settings.Self
@@ -96,6 +96,14 @@
 	return nil
 }
 
+// noted returns the number up to which the entry knows this life's events.
+func (e *Executor) noted(request *session.HelloRequest) uint64 {
+	if request.Boot != e.settings.Self.Boot {
+		return 0
+	}
+	return request.After
+}
+
 func (e *Executor) replaceSession(entry string, with *conn) {
 	e.mu.Lock()
 	old := e.sessions[entry]
--- a/instance/path_test.go
+++ b/instance/path_test.go
@@ -28,6 +28,7 @@
 		must.EqOp(t, http.StatusOK, one.status)
 		must.EqOp(t, "completed", one.state)
 	}
+	s.tellReruns(t)
 	must.Len(t, 160, s.ledger.Entries())
 	must.Len(t, 0, s.ledger.Overlaps())
 }
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -37,6 +36,9 @@
 	minions []*standin.Minion
 	zones   []string
 
+	// logs takes the lines of all processes.
+	logs *logBuffer
+
 	entries []*process
 	sides   []*process
 	network int
@@ -64,7 +66,7 @@
 	networks.next++
 	network := networks.next
 	networks.Unlock()
-	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, network: network, port: freePort(t)}
+	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, logs: &logBuffer{}, network: network, port: freePort(t)}
 	s.store = httptest.NewServer(s.table.Handler())
 	t.Cleanup(s.store.Close)
 	s.configure(1)
@@ -162,7 +164,7 @@
 		Minion:           s.address(minionHost+i, s.port),
 	}
 	return s.start(loaded.Name, func(ctx context.Context) error {
-		return RunExecutor(ctx, Options{Out: io.Discard, Reload: noReload}, loaded)
+		return RunExecutor(ctx, Options{Out: s.logs, Reload: noReload}, loaded)
 	})
 }
 
@@ -173,7 +175,7 @@
 		ReadyListen:      s.address(entryHost+i, s.port+3),
 	}
 	started := s.start(loaded.Name, func(ctx context.Context) error {
-		return RunDispatcher(ctx, Options{Out: io.Discard, Reload: noReload}, loaded)
+		return RunDispatcher(ctx, Options{Out: s.logs, Reload: noReload}, loaded)
 	})
 	started.ip = fmt.Sprintf("127.0.%d.%d", s.network, entryHost+i)
 	return started
--- a/session/hello.go
+++ b/session/hello.go
@@ -22,6 +22,11 @@
 	// Claims are all runs that the entry believes to be at the sidecar. Runs
 	// of it that are not among them are stopped.
 	Claims []Claim
+	// After is the number of the newest event that the entry has taken note of
+	// in the sidecar's present life, as far as it knows.
+	After uint64
+	// Boot is the life of the sidecar that After belongs to.
+	Boot string
 	// Minion is what the entry last knew about the sidecar's minion.
 	Minion Minion
 }
--- a/session/poll.go
+++ b/session/poll.go
@@ -32,7 +32,7 @@
 
 // Event is the end of a run, or the proof that there never is one.
 type Event struct {
-	// Number counts the events of a session from 1.
+	// Number rises over all events of a life of the sidecar.
 	Number uint64
 	Task   work.TaskKey
 	End    work.End
