A run that a list has shown is only missed in lists of looks that are sent later

Cause: second finding of the trace of TestJobsAreServed: a start without an answer was shown by the answer to one look, and an older listing, whose answer came later, did not show it: the sidecar told 'gone' of a run at work, and the entry ran the task again beside it. Ruled out: a minion that lost the run (its ledger shows it at work).

--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -155,7 +155,9 @@
 		}
 		if run.phase == unproved {
 			run.phase = running
-			run.listedBy = listing.Look
+			// A look under way may have been listed before the run began, though
+			// its answer comes later.
+			run.listedBy = c.looks + 1
 			if run.withdrawn {
 				c.stop(now, run, work.EndStopped)
 			}
