Sidecars keep sessions with some of the entries; one way of loading settings

On a fleet of 13 entries and 72 sidecars each pair kept a session. Seeds are kept apart from peers; the four loaders of settings share their steps.

--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -12,6 +12,8 @@
 	ExecutorFree = "executor_free_millicpu"
 	// ExecutorQueued gauges what waits for room, in thousandths of a core.
 	ExecutorQueued = "executor_queued_millicpu"
+	// ExecutorSessions gauges the entries with a session.
+	ExecutorSessions = "executor_sessions"
 	// ExecutorLooksFailed counts looks at the minion without an answer.
 	ExecutorLooksFailed = "executor_looks_failed"
 	// ExecutorAnnounceFailed counts announcements that no entry took.
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -94,6 +94,15 @@
 	return count
 }
 
+// Placed returns the number of tasks that a sidecar has, or may have.
+func (c *Core) Placed(name string) int {
+	known, ok := c.sidecars[name]
+	if !ok {
+		return 0
+	}
+	return len(known.placed)
+}
+
 // Pending returns the number of jobs of a route of which no task was placed.
 func (c *Core) Pending(route string) int {
 	count := 0
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +33,9 @@
 	// Listen is the address of the RPC listener.
 	Listen string
 	Secret string
+	// SidecarsPerEntry is the number of sidecars that each entry should have
+	// sessions with.
+	SidecarsPerEntry int
 }
 
 // Parts are what a dispatcher is built from.
@@ -55,14 +57,15 @@
 
 	leaving atomic.Bool
 	targets atomic.Int64
-	waiters atomic.Uint64
+	// sidecars is the number of sidecars that are known.
+	sidecars atomic.Int64
+	waiters  atomic.Uint64
 
 	// answers are the open requests by the number of their waiter. The loop
 	// alone uses it.
 	answers map[uint64]chan heldjob.Reply
 
-	mu    sync.Mutex
-	links map[string]*sidecarLink
+	links *links
 }
 
 // New opens the listener of a dispatcher.
@@ -74,7 +77,7 @@
 		meters:   newMeters(parts.Scope),
 		core:     heldjob.New(settings.Self.Zone, random, boottime.Now()),
 		answers:  make(map[uint64]chan heldjob.Reply),
-		links:    make(map[string]*sidecarLink),
+		links:    newLinks(),
 	}
 	made.loop = serial.New(loopRing, tickInterval, made.core.Tick, made.carryOut)
 	listener, err := link.Listen(settings.Listen, settings.Secret, session.EntryService, made.accept)
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/figring/figring/decision/subset"
 	"github.com/figring/figring/session"
 )
 
@@ -20,49 +21,126 @@
 	// forgetAfter is how long a sidecar may be away before its address is
 	// forgotten; a living one announces itself.
 	forgetAfter = time.Minute
+	// dismissedTime is how long the entry leaves a sidecar alone that has enough
+	// other entries, unless the sidecar asks for a session.
+	dismissedTime = time.Minute
 )
 
-// keepLinks keeps a link to each known sidecar.
+// links are the links to the sidecars that the entry keeps sessions with.
+type links struct {
+	mu   sync.Mutex
+	open map[string]*sidecarLink
+	// invited are the sidecars that have asked for a session.
+	invited map[string]bool
+	// dismissed says when a sidecar had enough other entries.
+	dismissed map[string]time.Time
+	// asked receives a value after an invitation.
+	asked chan struct{}
+}
+
+func newLinks() *links {
+	return &links{
+		open:      make(map[string]*sidecarLink),
+		invited:   make(map[string]bool),
+		dismissed: make(map[string]time.Time),
+		asked:     make(chan struct{}, 1),
+	}
+}
+
+// invite takes note that a sidecar has asked for a session.
+func (l *links) invite(sidecar string) {
+	l.mu.Lock()
+	l.invited[sidecar] = true
+	delete(l.dismissed, sidecar)
+	l.mu.Unlock()
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
+}
+
+// dismiss takes note that a sidecar has enough other entries.
+func (l *links) dismiss(sidecar string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.invited, sidecar)
+	l.dismissed[sidecar] = time.Now()
+}
+
+// wanted reports whether the entry should have a session with the sidecar. The
+// caller holds the lock.
+func (l *links) wanted(self string, sidecar session.Peer, fleet subset.Fleet) bool {
+	if l.invited[sidecar.Name] {
+		return true
+	}
+	if at, ok := l.dismissed[sidecar.Name]; ok && time.Since(at) < dismissedTime {
+		return false
+	}
+	return subset.Chosen(self, sidecar, fleet)
+}
+
+// get returns the link to a sidecar, nil when there is none.
+func (l *links) get(sidecar string) *sidecarLink {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open[sidecar]
+}
+
+func (l *links) remove(sidecar string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, sidecar)
+}
+
+// keepLinks keeps a link to each sidecar that the entry serves.
 func (d *Dispatcher) keepLinks(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for {
-		for _, peer := range d.parts.Directory.Of(session.RoleSidecar) {
-			d.keepLink(ctx, peer, &wait)
+		sidecars := d.parts.Directory.Of(session.RoleSidecar)
+		d.sidecars.Store(int64(len(sidecars)))
+		fleet := subset.Fleet{Entries: d.entries(), Sidecars: len(sidecars), SidecarsPerEntry: d.settings.SidecarsPerEntry}
+		for _, peer := range sidecars {
+			d.keepLink(ctx, peer, fleet, &wait)
 		}
 		select {
 		case <-d.parts.Directory.Changed():
+		case <-d.links.asked:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// keepLink starts a link to a sidecar that has none, and tells a waiting one
-// that a newer life of its sidecar is known.
-func (d *Dispatcher) keepLink(ctx context.Context, peer session.Peer, wait *sync.WaitGroup) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if known, ok := d.links[peer.Name]; ok {
+// entries returns the known entries with this one.
+func (d *Dispatcher) entries() []session.Peer {
+	d.parts.Directory.Merge(d.settings.Self)
+	return d.parts.Directory.Of(session.RoleEntry)
+}
+
+// keepLink starts a link to a wanted sidecar that has none, and tells a waiting
+// one that a newer life of its sidecar is known.
+func (d *Dispatcher) keepLink(ctx context.Context, peer session.Peer, fleet subset.Fleet, wait *sync.WaitGroup) {
+	d.links.mu.Lock()
+	defer d.links.mu.Unlock()
+	if known, ok := d.links.open[peer.Name]; ok {
 		known.hint(peer.Boot)
 		return
 	}
+	if !d.links.wanted(d.settings.Self.Name, peer, fleet) {
+		return
+	}
 	created := &sidecarLink{dispatcher: d, name: peer.Name, hints: make(chan struct{}, 1), boot: peer.Boot}
-	d.links[peer.Name] = created
+	d.links.open[peer.Name] = created
 	wait.Go(func() {
 		created.run(ctx)
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.links, peer.Name)
+		d.links.remove(peer.Name)
 	})
 }
 
 // enqueue hands a request to the link of a sidecar. The loop alone calls it.
 func (d *Dispatcher) enqueue(name string, request any) {
-	d.mu.Lock()
-	target := d.links[name]
-	d.mu.Unlock()
-	if target != nil {
+	if target := d.links.get(name); target != nil {
 		target.enqueue(request)
 	}
 }
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -90,6 +90,7 @@
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
 			Wait:            pollWait,
+			Sidecars:        int(d.sidecars.Load()),
 			SnapshotVersion: d.parts.Holder.Newest().Version,
 			Snapshot:        s.snapshotFor(known),
 		}
@@ -98,7 +99,9 @@
 			return err
 		}
 		known = reply.SnapshotVersion
-		s.take(&reply)
+		if placed := s.take(&reply); placed == 0 && reply.State.Reason == session.RefusedElsewhere {
+			return errDismissed
+		}
 	}
 	return ctx.Err()
 }
@@ -107,8 +110,9 @@
 	return s.link.dispatcher.parts.Holder.For(known)
 }
 
-// take hands the news of a reply to the core.
-func (s *openSession) take(reply *session.PollReply) {
+// take hands the news of a reply to the core, and returns the number of tasks
+// that the sidecar still has.
+func (s *openSession) take(reply *session.PollReply) int {
 	d := s.link.dispatcher
 	s.heard(reply.Stamp)
 	d.parts.Directory.Merge(reply.Entries...)
@@ -118,12 +122,15 @@
 	if len(reply.Events) > 0 {
 		s.link.after = reply.Events[len(reply.Events)-1].Number
 	}
+	placed := 0
 	d.loop.Do(func(now time.Time) {
 		d.core.Updated(now, s.link.name, reply.State)
 		for _, event := range reply.Events {
 			d.core.Ended(now, s.link.name, event)
 		}
+		placed = d.core.Placed(s.link.name)
 	})
+	return placed
 }
 
 // send sends orders and stops, one at a time.
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -9,9 +9,14 @@
 func (s *service) Closed() {}
 
 // Announce takes processes that the entry may not know, and tells those that
-// it knows. Sidecars among them are dialed.
+// it knows. A sidecar among them asks for a session.
 func (s *service) Announce(request *session.AnnounceRequest, reply *session.AnnounceReply) error {
 	s.dispatcher.parts.Directory.Merge(request.Peers...)
+	for _, peer := range request.Peers {
+		if peer.Role == session.RoleSidecar {
+			s.dispatcher.links.invite(peer.Name)
+		}
+	}
 	reply.Peers = s.dispatcher.parts.Directory.All()
 	return nil
 }
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -50,7 +51,12 @@
 		if !ok {
 			return
 		}
-		if l.session(ctx, peer) {
+		opened, err := l.session(ctx, peer)
+		if errors.Is(err, errDismissed) {
+			l.dispatcher.links.dismiss(l.name)
+			return
+		}
+		if opened {
 			away = time.Now()
 			pauseLength = minDialPause
 		}
@@ -78,26 +84,26 @@
 }
 
 // session opens a session and keeps it until it is lost. It reports whether
-// there was one.
-func (l *sidecarLink) session(ctx context.Context, peer session.Peer) bool {
+// there was one, and why it ended.
+func (l *sidecarLink) session(ctx context.Context, peer session.Peer) (bool, error) {
 	d := l.dispatcher
 	client, err := link.Dial(ctx, peer.Address, d.settings.Secret)
 	if err != nil {
 		l.noteFailed("dial", err)
-		return false
+		return false, err
 	}
 	defer client.Close()
 	opened, err := l.hello(ctx, client)
 	if err != nil {
 		l.noteFailed("hello", err)
-		return false
+		return false, err
 	}
 	d.parts.Log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, l.name).Msg("")
 	err = opened.serve(ctx)
 	l.setOpen(nil)
 	d.loop.Do(func(time.Time) { d.core.Disconnected(l.name, opened.lastSign()) })
 	d.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, l.name).Err(err).Msg("")
-	return true
+	return true, err
 }
 
 // noteFailed writes a line about a session that could not be opened.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -36,6 +36,9 @@
 	// Listen is the address of the RPC listener.
 	Listen string
 	Secret string
+	// SidecarsPerEntry is the number of sidecars that each entry should have
+	// sessions with.
+	SidecarsPerEntry int
 	// Drain bounds the time that running tasks get at a planned stop.
 	Drain time.Duration
 }
@@ -68,6 +71,8 @@
 	clock    execution.LeaseClock
 	instance string
 	sessions map[string]*conn
+	// dismissed are the entries whose sessions are too many.
+	dismissed map[string]bool
 	// lastReport is what the minion said of itself last.
 	lastReport Report
 
--- a/executor/meters.go
+++ b/executor/meters.go
@@ -18,6 +18,7 @@
 	reports        tally.Counter
 	free           tally.Gauge
 	queued         tally.Gauge
+	sessions       tally.Gauge
 	ends           map[work.End]tally.Counter
 }
 
@@ -30,6 +31,7 @@
 		reports:        scope.Counter(metrics.ExecutorReports),
 		free:           scope.Gauge(metrics.ExecutorFree),
 		queued:         scope.Gauge(metrics.ExecutorQueued),
+		sessions:       scope.Gauge(metrics.ExecutorSessions),
 		ends:           make(map[work.End]tally.Counter),
 	}
 }
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -31,6 +31,7 @@
 	free, queued := e.core.Room()
 	e.meters.free.Update(float64(free))
 	e.meters.queued.Update(float64(queued))
+	e.meters.sessions.Update(float64(e.sessionCount()))
 	e.noteRoom(free, queued)
 }
 
@@ -64,6 +65,7 @@
 			Dur(eventlog.FieldEstimate, note.Estimate).Dur(eventlog.FieldWaited, note.Waited).
 			Dur(eventlog.FieldAnswered, note.Answered).Msg("")
 	case execution.NoteSilent:
+		e.closeSession(note.Entry)
 		e.parts.Log.Failure(eventlog.KindEntryLost).Str(eventlog.FieldPeer, note.Entry).Msg("")
 	case execution.NoteSuspect:
 		e.parts.Log.Failure(eventlog.KindSuspect).Msg("")
--- a/executor/service.go
+++ b/executor/service.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
-	"github.com/figring/figring/decision/execution"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
 )
@@ -33,6 +33,8 @@
 	// after a change of the state.
 	events  chan struct{}
 	changes chan struct{}
+	// sidecars is the number of sidecars that the entry knows.
+	sidecars atomic.Int64
 
 	mu        sync.Mutex
 	entry     string
@@ -104,49 +106,6 @@
 	return request.After
 }
 
-func (e *Executor) replaceSession(entry string, with *conn) {
-	e.mu.Lock()
-	old := e.sessions[entry]
-	e.sessions[entry] = with
-	e.mu.Unlock()
-	if old != nil && old != with {
-		old.end()
-		_ = old.raw.Close()
-	}
-}
-
-func (e *Executor) dropSession(entry string, ended *conn) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.sessions[entry] == ended {
-		delete(e.sessions, entry)
-	}
-}
-
-// connected reports whether the entry has a session.
-func (e *Executor) connected(entry string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.sessions[entry] != nil
-}
-
-func (e *Executor) wake(news execution.Wake) {
-	e.mu.Lock()
-	open := e.sessions[news.Entry]
-	e.mu.Unlock()
-	if open == nil {
-		return
-	}
-	told := open.changes
-	if news.Event {
-		told = open.events
-	}
-	select {
-	case told <- struct{}{}:
-	default:
-	}
-}
-
 // Start takes orders.
 func (c *conn) Start(request *session.StartRequest, reply *session.StartReply) error {
 	entry, err := c.current()
@@ -163,7 +122,7 @@
 			return
 		}
 		reply.Refusals = e.core.Order(now, entry, request)
-		reply.State = e.core.StateFor(entry, now)
+		reply.State = e.stateFor(entry, now)
 	})
 	e.logOrder(entry, request, reply)
 	return nil
@@ -214,6 +173,7 @@
 }
 
 func (c *conn) takeNews(request *session.PollRequest) {
+	c.sidecars.Store(int64(request.Sidecars))
 	if request.Snapshot != nil {
 		c.executor.parts.Holder.Offer(*request.Snapshot)
 	}
@@ -227,7 +187,7 @@
 	e.loop.Do(func(at time.Time) {
 		now = at
 		reply.Events = e.core.EventsFor(entry)
-		reply.State = e.core.StateFor(entry, at)
+		reply.State = e.stateFor(entry, at)
 	})
 	if now.IsZero() {
 		return true
@@ -259,13 +219,6 @@
 	return directory.Of(session.RoleEntry)
 }
 
-// sessionCount returns the number of entries with a session.
-func (e *Executor) sessionCount() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.sessions)
-}
-
 // stateChanged reports whether the state differs in what matters to an entry.
 func (c *conn) stateChanged(state *session.State) bool {
 	last := &c.lastState
--- /dev/null
+++ b/executor/sessions.go
@@ -0,0 +1,109 @@
+package executor
+
+import (
+	"maps"
+	"time"
+
+	"github.com/figring/figring/decision/execution"
+	"github.com/figring/figring/session"
+)
+
+func (e *Executor) replaceSession(entry string, with *conn) {
+	e.mu.Lock()
+	old := e.sessions[entry]
+	e.sessions[entry] = with
+	e.mu.Unlock()
+	if old != nil && old != with {
+		old.end()
+		_ = old.raw.Close()
+	}
+}
+
+func (e *Executor) dropSession(entry string, ended *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sessions[entry] == ended {
+		delete(e.sessions, entry)
+	}
+}
+
+// closeSession closes the connection of an entry that was silent for too long:
+// where its instance has lost power nothing else ends it.
+func (e *Executor) closeSession(entry string) {
+	e.mu.Lock()
+	open := e.sessions[entry]
+	delete(e.sessions, entry)
+	e.mu.Unlock()
+	if open != nil {
+		open.end()
+		_ = open.raw.Close()
+	}
+}
+
+// connected reports whether the entry has a session.
+func (e *Executor) connected(entry string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions[entry] != nil
+}
+
+// sessionCount returns the number of entries with a session.
+func (e *Executor) sessionCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+// toldSidecars returns the largest number of sidecars that an entry knows.
+func (e *Executor) toldSidecars() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for _, open := range e.sessions {
+		most = max(most, int(open.sidecars.Load()))
+	}
+	return most
+}
+
+// setDismissed names the entries whose sessions are too many.
+func (e *Executor) setDismissed(entries map[string]bool) {
+	e.mu.Lock()
+	changed := !maps.Equal(e.dismissed, entries)
+	e.dismissed = entries
+	e.mu.Unlock()
+	if !changed {
+		return
+	}
+	for entry := range entries {
+		e.wake(execution.Wake{Entry: entry})
+	}
+}
+
+// stateFor returns what an entry is told. The loop alone calls it.
+func (e *Executor) stateFor(entry string, now time.Time) session.State {
+	state := e.core.StateFor(entry, now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dismissed[entry] {
+		state.Taking = false
+		state.Reason = session.RefusedElsewhere
+	}
+	return state
+}
+
+func (e *Executor) wake(news execution.Wake) {
+	e.mu.Lock()
+	open := e.sessions[news.Entry]
+	e.mu.Unlock()
+	if open == nil {
+		return
+	}
+	told := open.changes
+	if news.Event {
+		told = open.events
+	}
+	select {
+	case told <- struct{}{}:
+	default:
+	}
+}
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -32,7 +32,12 @@
 		return err
 	}
 	defer common.close()
-	role, err := dispatcher.New(dispatcher.Settings{Self: common.self, Listen: loaded.RPCListen, Secret: loaded.Secret}, dispatcher.Parts{
+	role, err := dispatcher.New(dispatcher.Settings{
+		Self:             common.self,
+		Listen:           loaded.RPCListen,
+		Secret:           loaded.Secret,
+		SidecarsPerEntry: loaded.SidecarsPerEntry,
+	}, dispatcher.Parts{
 		Holder:    common.holder,
 		Directory: common.directory,
 		Log:       common.log,
--- a/instance/executor.go
+++ b/instance/executor.go
@@ -26,7 +26,10 @@
 		Self:   common.self,
 		Listen: loaded.RPCListen,
 		Secret: loaded.Secret,
-		Drain:  loaded.StopGrace.Std() - stopMargin,
+
+		SidecarsPerEntry: loaded.SidecarsPerEntry,
+
+		Drain: loaded.StopGrace.Std() - stopMargin,
 	}, executor.Parts{
 		Minion:    client,
 		Holder:    common.holder,
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -71,7 +71,7 @@
 // there tells its own name.
 func (s *shared) addSeeds(loaded *settings.InstanceSettings) {
 	for i, address := range loaded.SeedEntries() {
-		s.directory.Merge(session.Peer{Name: "seed-" + strconv.Itoa(i), Role: session.RoleEntry, Address: address})
+		s.directory.AddSeed("seed-"+strconv.Itoa(i), address)
 	}
 }
 
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -43,6 +43,8 @@
 	sides   []*process
 	network int
 	port    int
+
+	sidecarsPerEntry int
 }
 
 // process is one running instance.
@@ -61,12 +63,20 @@
 // newSystem starts count minions with executors, spread over zones, and the
 // entries.
 func newSystem(t *testing.T, count, entries int) *system {
+	t.Helper()
+	const sidecarsPerEntry = 24
+	return newSystemOf(t, count, entries, sidecarsPerEntry)
+}
+
+// newSystemOf starts a system whose entries have sessions with the number of
+// sidecars, at least.
+func newSystemOf(t *testing.T, count, entries, sidecarsPerEntry int) *system {
 	t.Helper()
 	networks.Lock()
 	networks.next++
 	network := networks.next
 	networks.Unlock()
-	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, logs: &logBuffer{}, network: network, port: freePort(t)}
+	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, logs: &logBuffer{}, network: network, port: freePort(t), sidecarsPerEntry: sidecarsPerEntry}
 	s.store = httptest.NewServer(s.table.Handler())
 	t.Cleanup(s.store.Close)
 	s.configure(1)
@@ -153,7 +163,8 @@
 	return settings.InstanceSettings{
 		Name: name, Zone: zone, RPCListen: s.address(host, s.port), RPCAdvertise: s.address(host, s.port), StatusListen: s.address(host, s.port+4),
 		Table: s.store.Listener.Addr().String(), Secret: testSecret, StopGrace: settings.Duration(6 * time.Second),
-		Seeds: []string{s.address(entryHost, 1)},
+		SidecarsPerEntry: s.sidecarsPerEntry,
+		Seeds:            []string{s.address(entryHost, 1)},
 	}
 }
 
--- a/session/directory/directory.go
+++ b/session/directory/directory.go
@@ -24,13 +24,27 @@
 	return &Directory{peers: make(map[string]session.Peer), changed: make(chan struct{}, 1)}
 }
 
+// AddSeed takes an address where an entry may be found. It stays until it is
+// removed, and is not to be told to others.
+func (d *Directory) AddSeed(name, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers[name] = session.Peer{Name: name, Role: session.RoleEntry, Address: address}
+	d.notify()
+}
+
+// Seeds returns the addresses that were added and not removed.
+func (d *Directory) Seeds() []session.Peer {
+	return d.where(func(peer session.Peer) bool { return peer.Boot == "" })
+}
+
 // Merge takes peers that are unknown, or known by a former life.
 func (d *Directory) Merge(peers ...session.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, peer := range peers {
 		known, ok := d.peers[peer.Name]
-		if peer.Name == "" || peer.Address == "" || (ok && known.Boot >= peer.Boot) {
+		if peer.Name == "" || peer.Address == "" || peer.Boot == "" || (ok && known.Boot >= peer.Boot) {
 			continue
 		}
 		d.peers[peer.Name] = peer
@@ -67,21 +81,27 @@
 // Changed receives a value after a change.
 func (d *Directory) Changed() <-chan struct{} { return d.changed }
 
-// All returns all peers in the order of their names.
+// All returns all peers of which a life is known, in the order of their names.
 func (d *Directory) All() []session.Peer {
+	return d.where(func(peer session.Peer) bool { return peer.Boot != "" })
+}
+
+// Of returns those of All that have the role.
+func (d *Directory) Of(role session.Role) []session.Peer {
+	return d.where(func(peer session.Peer) bool { return peer.Boot != "" && peer.Role == role })
+}
+
+// where returns the peers of a kind in the order of their names.
+func (d *Directory) where(wanted func(session.Peer) bool) []session.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]session.Peer, 0, len(d.peers))
+	var found []session.Peer
 	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
-		all = append(all, d.peers[name])
+		if wanted(d.peers[name]) {
+			found = append(found, d.peers[name])
+		}
 	}
-	return all
-}
-
-// Of returns the peers of a role in the order of their names.
-func (d *Directory) Of(role session.Role) []session.Peer {
-	all := d.All()
-	return slices.DeleteFunc(all, func(peer session.Peer) bool { return peer.Role != role })
+	return found
 }
 
 // Get returns the peer of the name.
--- a/session/poll.go
+++ b/session/poll.go
@@ -14,6 +14,8 @@
 	After uint64
 	// Wait bounds the time until the reply.
 	Wait time.Duration
+	// Sidecars is the number of sidecars that the entry knows.
+	Sidecars int
 	// SnapshotVersion is the newest version that the entry knows; Snapshot is
 	// set when the sidecar was seen to know only an older one.
 	SnapshotVersion int64
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"os"
+	"path/filepath"
 	"reflect"
 
 	"github.com/tailscale/hujson"
@@ -23,6 +24,25 @@
 	return inFile(path, decode(raw, target))
 }
 
+// completed are settings that check their fields against each other and resolve
+// the files that they name, which are relative to the directory.
+type completed[S any] interface {
+	*S
+	complete(dir string) error
+}
+
+// loadCompleted reads and checks settings over their defaults.
+func loadCompleted[S any, P completed[S]](path string, defaults S) (S, error) {
+	loaded := defaults
+	if err := load(path, &loaded); err != nil {
+		return *new(S), err
+	}
+	if err := P(&loaded).complete(filepath.Dir(path)); err != nil {
+		return *new(S), inFile(path, err)
+	}
+	return loaded, nil
+}
+
 func readFile(path string) ([]byte, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"path/filepath"
 	"slices"
 	"time"
 )
@@ -72,14 +71,7 @@
 // LoadEntry reads and checks the settings of an entry. Its errors are of type
 // *Error.
 func LoadEntry(path string) (EntrySettings, error) {
-	loaded := DefaultEntry()
-	if err := load(path, &loaded); err != nil {
-		return EntrySettings{}, err
-	}
-	if err := loaded.complete(filepath.Dir(path)); err != nil {
-		return EntrySettings{}, inFile(path, err)
-	}
-	return loaded, nil
+	return loadCompleted(path, DefaultEntry())
 }
 
 // complete checks the fields against each other and resolves the files.
--- a/settings/instance.go
+++ b/settings/instance.go
@@ -25,10 +25,22 @@
 	Secret string `json:"secret" validate:"min=16"`
 	// StopGrace is the time between the signal to end and the end by force.
 	StopGrace Duration `json:"stopGrace"`
+	// SidecarsPerEntry is the number of sidecars that each entry should have
+	// sessions with, at least; all, where there are no more. Jobs of many tasks
+	// need many. All instances use the same number.
+	SidecarsPerEntry int `json:"sidecarsPerEntry" validate:"min=1,max=100000"`
 }
 
-// check checks the fields against each other.
-func (s *InstanceSettings) check() error {
+func defaultInstance() InstanceSettings { return InstanceSettings{SidecarsPerEntry: 24} }
+
+// completeInstance checks the fields against each other and the listeners.
+func (s *InstanceSettings) completeInstance(listeners []listener) error {
+	if s.RPCAdvertise == "" {
+		s.RPCAdvertise = s.RPCListen
+	}
+	if err := checkListeners(listeners); err != nil {
+		return err
+	}
 	const least = time.Second
 	if s.StopGrace.Std() < least {
 		return &Error{Field: "stopGrace", Allowed: fmt.Sprintf("want at least %s", least)}
@@ -64,20 +76,16 @@
 // LoadDispatcher reads and checks the settings of a dispatcher. Its errors are
 // of type *Error.
 func LoadDispatcher(path string) (DispatcherSettings, error) {
-	var loaded DispatcherSettings
-	if err := load(path, &loaded); err != nil {
-		return DispatcherSettings{}, err
-	}
-	listeners := []listener{
-		{"callersListen", loaded.CallersListen},
-		{"readyListen", loaded.ReadyListen},
-		{"rpcListen", loaded.RPCListen},
-		{"statusListen", loaded.StatusListen},
-	}
-	if err := checkInstance(&loaded.InstanceSettings, listeners); err != nil {
-		return DispatcherSettings{}, inFile(path, err)
-	}
-	return loaded, nil
+	return loadCompleted(path, DispatcherSettings{InstanceSettings: defaultInstance()})
+}
+
+func (s *DispatcherSettings) complete(string) error {
+	return s.completeInstance([]listener{
+		{"callersListen", s.CallersListen},
+		{"readyListen", s.ReadyListen},
+		{"rpcListen", s.RPCListen},
+		{"statusListen", s.StatusListen},
+	})
 }
 
 // ExecutorSettings are the start-up settings of an executor.
@@ -92,27 +100,13 @@
 // LoadExecutor reads and checks the settings of an executor. Its errors are of
 // type *Error.
 func LoadExecutor(path string) (ExecutorSettings, error) {
-	var loaded ExecutorSettings
-	if err := load(path, &loaded); err != nil {
-		return ExecutorSettings{}, err
-	}
-	listeners := []listener{
-		{"reportsListen", loaded.ReportsListen},
-		{"rpcListen", loaded.RPCListen},
-		{"statusListen", loaded.StatusListen},
-	}
-	if err := checkInstance(&loaded.InstanceSettings, listeners); err != nil {
-		return ExecutorSettings{}, inFile(path, err)
-	}
-	return loaded, nil
+	return loadCompleted(path, ExecutorSettings{InstanceSettings: defaultInstance()})
 }
 
-func checkInstance(shared *InstanceSettings, listeners []listener) error {
-	if shared.RPCAdvertise == "" {
-		shared.RPCAdvertise = shared.RPCListen
-	}
-	if err := checkListeners(listeners); err != nil {
-		return err
-	}
-	return shared.check()
+func (s *ExecutorSettings) complete(string) error {
+	return s.completeInstance([]listener{
+		{"reportsListen", s.ReportsListen},
+		{"rpcListen", s.RPCListen},
+		{"statusListen", s.StatusListen},
+	})
 }
--- a/settings/instance_test.go
+++ b/settings/instance_test.go
@@ -11,6 +11,7 @@
 	entry, err := LoadDispatcher(filepath.Join(examples, "dispatcher.jsonc"))
 	must.NoError(t, err)
 	must.Eq(t, []string{"127.0.0.2:8482"}, entry.SeedEntries())
+	must.EqOp(t, 24, entry.SidecarsPerEntry)
 	sidecar, err := LoadExecutor(filepath.Join(examples, "executor.jsonc"))
 	must.NoError(t, err)
 	must.EqOp(t, "127.0.0.3:8490", sidecar.Minion)
@@ -25,6 +26,7 @@
 		{"short secret", `"replace-this-secret"`, `"short"`, "secret"},
 		{"grace without a unit", `"6s"`, `"6"`, "stopGrace"},
 		{"no grace", `"6s"`, `"0s"`, "stopGrace"},
+		{"no sidecars", `"sidecarsPerEntry": 24`, `"sidecarsPerEntry": 0`, "sidecarsPerEntry"},
 		{"table without a port", `"127.0.0.1:8500"`, `"127.0.0.1"`, "table"},
 	}
 	for _, tc := range cases {
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"path/filepath"
 	"time"
 )
 
@@ -55,14 +54,7 @@
 // LoadSidecar reads and checks the settings of a sidecar. Its errors are of
 // type *Error.
 func LoadSidecar(path string) (SidecarSettings, error) {
-	loaded := DefaultSidecar()
-	if err := load(path, &loaded); err != nil {
-		return SidecarSettings{}, err
-	}
-	if err := loaded.complete(filepath.Dir(path)); err != nil {
-		return SidecarSettings{}, inFile(path, err)
-	}
-	return loaded, nil
+	return loadCompleted(path, DefaultSidecar())
 }
 
 // complete checks the fields against each other and resolves the files.
