--- a/common/eventlog/log.go
+++ b/common/eventlog/log.go
@@ -35,6 +35,8 @@
 type Log struct {
 	logger log.Logger
 	ring   *ring
+	// failuresOnly leaves routine lines out.
+	failuresOnly bool
 
 	mu          sync.Mutex
 	limits      map[Kind]*limit
@@ -61,6 +63,9 @@
 	}
 }
 
+// FailuresOnly leaves all routine lines out. It is called before the first line.
+func (l *Log) FailuresOnly() { l.failuresOnly = true }
+
 // Close writes what waits and ends the writer. It is called once.
 func (l *Log) Close() error {
 	l.ring.close()
@@ -70,6 +75,9 @@
 // Routine starts a line of a kind that a request causes in the ordinary
 // course. It returns nil, which takes fields and is not written, above the rate.
 func (l *Log) Routine(kind Kind) *log.Entry {
+	if l.failuresOnly {
+		return nil
+	}
 	return l.line(kind, RoutineRate, RoutineBurst)
 }
 
--- a/common/eventlog/log_test.go
+++ b/common/eventlog/log_test.go
@@ -59,6 +59,18 @@
 	must.Positive(t, dropped)
 }
 
+// TestFailuresOnly covers the log without routine lines.
+func TestFailuresOnly(t *testing.T) {
+	out := &bytes.Buffer{}
+	log := New(out, "p")
+	log.FailuresOnly()
+	log.Routine(KindAdmitted).Str(FieldJob, "j").Msg("")
+	log.Failure(KindFailed).Msg("")
+	must.NoError(t, log.Close())
+	must.EqOp(t, 1, strings.Count(out.String(), "\n"))
+	must.StrContains(t, out.String(), string(KindFailed))
+}
+
 // BenchmarkLine measures the cost of one line to the caller.
 func BenchmarkLine(b *testing.B) {
 	log := New(&bytes.Buffer{}, "p")
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -62,6 +62,9 @@
 		table:     rows.NewClient(loaded.Table),
 		status:    status,
 	}
+	if loaded.Log == settings.LogFailures {
+		made.log.FailuresOnly()
+	}
 	made.addSeeds(loaded)
 	made.log.Failure(eventlog.KindStart).Str("boot", made.self.Boot).Str("address", made.self.Address).Msg("")
 	return made, nil
--- a/settings/instance.go
+++ b/settings/instance.go
@@ -25,13 +25,25 @@
 	Secret string `json:"secret" validate:"min=16"`
 	// StopGrace is the time between the signal to end and the end by force.
 	StopGrace Duration `json:"stopGrace"`
+	// Log says which lines are written: LogAll or LogFailures.
+	Log string `json:"log" validate:"oneof=all failures"`
 	// SidecarsPerEntry is the number of sidecars that each entry should have
 	// sessions with, at least; all, where there are no more. Jobs of many tasks
 	// need many. All instances use the same number.
 	SidecarsPerEntry int `json:"sidecarsPerEntry" validate:"min=1,max=100000"`
 }
 
-func defaultInstance() InstanceSettings { return InstanceSettings{SidecarsPerEntry: 24} }
+// What the log holds.
+const (
+	// LogAll is a line for each decision, up to a rate.
+	LogAll = "all"
+	// LogFailures is failures and changes of what the process believes alone.
+	LogFailures = "failures"
+)
+
+func defaultInstance() InstanceSettings {
+	return InstanceSettings{SidecarsPerEntry: 24, Log: LogAll}
+}
 
 // completeInstance checks the fields against each other and the listeners.
 func (s *InstanceSettings) completeInstance(listeners []listener) error {
--- a/settings/instance_test.go
+++ b/settings/instance_test.go
@@ -26,6 +26,7 @@
 		{"short secret", `"replace-this-secret"`, `"short"`, "secret"},
 		{"grace without a unit", `"6s"`, `"6"`, "stopGrace"},
 		{"no grace", `"6s"`, `"0s"`, "stopGrace"},
+		{"unknown log", `"log": "all"`, `"log": "some"`, "log"},
 		{"no sidecars", `"sidecarsPerEntry": 24`, `"sidecarsPerEntry": 0`, "sidecarsPerEntry"},
 		{"table without a port", `"127.0.0.1:8500"`, `"127.0.0.1"`, "table"},
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -16,6 +16,9 @@
 // they were told.
 type callers struct {
 	w *world
+	// every is the time between two jobs, need what each task takes.
+	every time.Duration
+	need  int64
 
 	mu sync.Mutex
 	// refused are the jobs whose every submission was refused.
@@ -32,7 +35,7 @@
 )
 
 func newCallers(w *world) *callers {
-	return &callers{w: w, refused: make(map[string]bool), completed: make(map[string]bool)}
+	return &callers{w: w, every: 25 * time.Millisecond, need: 1500, refused: make(map[string]bool), completed: make(map[string]bool)}
 }
 
 // run submits jobs at a steady rate until stop is closed, and waits for the
@@ -47,7 +50,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(25 * time.Millisecond):
+		case <-time.After(c.every):
 		}
 	}
 }
@@ -88,11 +91,10 @@
 	c.mu.Lock()
 	c.asked++
 	c.mu.Unlock()
-	const need = 1500
-	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: need})
+	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: c.need})
 	body, _ := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": true,
-		"steps": []map[string]any{{"count": tasks, "cpu": need, "mem_mb": 8, "est_ms": work}},
+		"steps": []map[string]any{{"count": tasks, "cpu": c.need, "mem_mb": 8, "est_ms": work}},
 	})
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.w.address(10+entry, 1)+prefix+id, bytes.NewReader(body))
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,14 +32,20 @@
 
 // TestSoak plays faults with seeds and checks the promises.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "figring")
-	out, err := exec.Command("go", "build", "-o", binary, "../cmd/figring").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(out)))
+	binary := build(t)
 	for at, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, binary, seed, 100+at%100) })
 	}
 }
 
+// build builds the program and returns its path.
+func build(t testing.TB) string {
+	binary := filepath.Join(t.TempDir(), "figring")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/figring").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return binary
+}
+
 func seeds(t *testing.T) []uint64 {
 	asked := os.Getenv(seedsVariable)
 	if asked == "" {
@@ -98,7 +104,7 @@
 }
 
 // awaitService waits until a job is completed at each entry.
-func awaitService(t *testing.T, told *callers, when string) {
+func awaitService(t testing.TB, told *callers, when string) {
 	until := time.Now().Add(calmAfter + patience)
 	for entry := 0; entry < entries; {
 		id := fmt.Sprintf("%016x", time.Now().UnixNano())
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -30,11 +31,13 @@
 
 // world is the stand-ins and the processes of one run.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	binary  string
 	network int
 	port    int
+	// more are settings of all processes beside the usual ones.
+	more map[string]any
 
 	table   *standin.Table
 	store   *httptest.Server
@@ -47,9 +50,15 @@
 	ended     bool
 }
 
-func newWorld(t *testing.T, binary string, network int) *world {
+func newWorld(t testing.TB, binary string, network int) *world {
+	t.Helper()
+	return newWorldWith(t, binary, network, nil)
+}
+
+// newWorldWith starts a world whose processes have more settings.
+func newWorldWith(t testing.TB, binary string, network int, more map[string]any) *world {
 	w := &world{
-		t: t, dir: t.TempDir(), binary: binary, network: network, table: standin.NewTable(),
+		more: more, t: t, dir: t.TempDir(), binary: binary, network: network, table: standin.NewTable(),
 		ledger: &standin.Ledger{}, processes: make(map[string]*exec.Cmd), port: freePort(t),
 	}
 	w.store = httptest.NewServer(w.table.Handler())
@@ -67,7 +76,7 @@
 	return w
 }
 
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { _ = listener.Close() }()
@@ -167,6 +176,7 @@
 		"name": name, "seeds": []string{w.address(10, 0), w.address(11, 0)}, "secret": "a-secret-of-the-soak",
 		"table": w.store.Listener.Addr().String(), "stopGrace": "4s",
 	}
+	maps.Copy(shared, w.more)
 	if _, err := fmt.Sscanf(name, "side-%d", &number); err == nil {
 		shared["zone"] = string(rune('a' + number%3))
 		shared["rpcListen"] = w.address(50+number, 0)
