--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -44,9 +44,14 @@
 	StoreReads = "store_reads"
 	// ManifestVersion gauges the version of the manifest in force.
 	ManifestVersion = "manifest_version"
+	// ManifestAge gauges the seconds since the configuration in force was taken.
+	ManifestAge = "manifest_age_seconds"
+	// ExecutorEntryAge gauges the seconds since the newest sign of an entry.
+	ExecutorEntryAge = "executor_entry_age_seconds"
 	// StoreAge gauges the seconds since the last good read of the table.
 	StoreAge = "store_age_seconds"
 
 	// TagRoute is the name of a route.
 	TagRoute = "route"
+	TagEntry = "entry"
 )
--- a/decision/execution/note.go
+++ b/decision/execution/note.go
@@ -64,6 +64,15 @@
 	return c.free().MilliCPU, c.queuedNeed().MilliCPU
 }
 
+// Contacts returns how long ago each entry was heard of.
+func (c *Core) Contacts(now time.Time) map[string]time.Duration {
+	contacts := make(map[string]time.Duration, len(c.entries))
+	for name, known := range c.entries {
+		contacts[name] = now.Sub(known.echoed)
+	}
+	return contacts
+}
+
 // NewestEnd returns the number of the newest end that the minion has listed.
 func (c *Core) NewestEnd() uint64 { return c.newestEnd }
 
--- a/executor/meters.go
+++ b/executor/meters.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/figring/figring/common/metrics"
@@ -40,6 +42,10 @@
 	m.scope.Tagged(map[string]string{metrics.TagStatus: outcome.String()}).Counter(metrics.ExecutorStarts).Inc(1)
 }
 
+func (m *meters) entryAge(entry string, age time.Duration) {
+	m.scope.Tagged(map[string]string{metrics.TagEntry: entry}).Gauge(metrics.ExecutorEntryAge).Update(age.Seconds())
+}
+
 func (m *meters) refusal(reason session.Refusal) {
 	m.scope.Tagged(map[string]string{metrics.TagReason: string(reason)}).Counter(metrics.ExecutorRefused).Inc(1)
 }
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -45,6 +45,9 @@
 		return
 	}
 	e.nextRoomLine = now.Add(roomInterval)
+	for entry, age := range e.core.Contacts(boottime.Now()) {
+		e.meters.entryAge(entry, age)
+	}
 	phases := e.core.Phases()
 	e.parts.Log.Routine(eventlog.KindRoom).Int64(eventlog.FieldFree, free).Int64("queued_millicpu", queued).
 		Int("queued", phases.Queued).Int("starting", phases.Starting).Int("unproved", phases.Unproved).
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -32,6 +32,9 @@
 	table     *rows.Client
 	status    net.Listener
 	storeLost atomic.Bool
+	// storeReadAt and snapshotAt are when the table was last read and when the
+	// configuration in force was taken, in Unix nanoseconds.
+	storeReadAt, snapshotAt atomic.Int64
 }
 
 const (
@@ -84,6 +87,7 @@
 	group.Go(func() error { watcher.Run(ctx); return nil })
 	group.Go(func() error { s.join(ctx); return nil })
 	group.Go(func() error { followHangups(ctx, s.options, s.log); return nil })
+	group.Go(func() error { s.reportAges(ctx); return nil })
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.metrics.Handler)
 	serve(ctx, group, s.status, mux)
@@ -93,6 +97,7 @@
 	if !s.holder.Offer(snapshot) {
 		return
 	}
+	s.snapshotAt.Store(time.Now().UnixNano())
 	line := s.log.Failure(eventlog.KindManifest).Int64(eventlog.FieldVersion, snapshot.Version)
 	if snapshot.Manifest != nil {
 		line = line.Int64(eventlog.FieldManifest, snapshot.Manifest.Version)
@@ -105,6 +110,8 @@
 	outcome := "ok"
 	if err != nil {
 		outcome = "failed"
+	} else {
+		s.storeReadAt.Store(time.Now().UnixNano())
 	}
 	s.metrics.Scope.Tagged(map[string]string{metrics.TagStatus: outcome}).Counter(metrics.StoreReads).Inc(1)
 	if s.storeLost.Swap(err != nil) == (err != nil) {
@@ -117,6 +124,24 @@
 	s.log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, "table").Msg("")
 }
 
+// ageInterval is how often the ages are reported.
+const ageInterval = time.Second
+
+// reportAges reports how old the process's knowledge is. Before the first
+// knowledge there is no age.
+func (s *shared) reportAges(ctx context.Context) {
+	ages := map[string]*atomic.Int64{metrics.StoreAge: &s.storeReadAt, metrics.ManifestAge: &s.snapshotAt}
+	for ctx.Err() == nil {
+		for name, at := range ages {
+			if since := at.Load(); since != 0 {
+				s.metrics.Scope.Gauge(name).Update(time.Since(time.Unix(0, since)).Seconds())
+			}
+		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, ageInterval)
+	}
+}
+
 const (
 	// joinTimeout bounds one call of a join.
 	joinTimeout = 1500 * time.Millisecond
