--- a/store/memory/table.go
+++ b/store/memory/table.go
@@ -65,7 +65,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if err := validate(txn); err != nil {
+	if err := txn.Validate(); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
@@ -105,31 +105,6 @@
 	return versions
 }
 
-// validate refuses keys that are empty or no text, negative versions, and two
-// writes of one row.
-func validate(txn store.Txn) error {
-	if err := txn.CheckTexts(); err != nil {
-		return err
-	}
-	for _, condition := range txn.Conditions {
-		if condition.Key == "" || condition.Version < 0 {
-			return fmt.Errorf("condition on row %q, version %d: %w",
-				condition.Key, condition.Version, store.ErrInvalid)
-		}
-	}
-	seen := make(map[string]struct{}, len(txn.Writes))
-	for _, write := range txn.Writes {
-		if write.Key == "" {
-			return fmt.Errorf("write with an empty key: %w", store.ErrInvalid)
-		}
-		if _, twice := seen[write.Key]; twice {
-			return fmt.Errorf("two writes of row %q: %w", write.Key, store.ErrInvalid)
-		}
-		seen[write.Key] = struct{}{}
-	}
-	return nil
-}
-
 func copyRow(row store.Row) store.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
