jobstore: accepted jobs in the platform's table; sidecars keep ends until they are stored

A sidecar tells heard from stored ends, keeps those of stored jobs for whoever takes the job over, and renews no lease while no entry reaches it.

--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -71,6 +71,7 @@
 // Tick looks at what is due by time alone.
 func (c *Core) Tick(now time.Time) {
 	c.dropSilent(now)
+	c.dropOldOrphans(now)
 	c.hurryLook(now)
 	c.handBackOverdue(now)
 	c.repeatStops(now)
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -19,7 +19,9 @@
 	bornListed int64
 	// listed is true once a listing under this life's fence was read.
 	listed bool
-	looks  uint64
+	// firstListedAt is when that was.
+	firstListedAt time.Time
+	looks         uint64
 	// answeredAt is when the newest look was answered.
 	answeredAt time.Time
 	// hurriedAt is when a look was asked for beside those under way.
@@ -46,6 +48,10 @@
 	// minion's sequence number.
 	ends      map[uint64]pendingEnd
 	newestEnd uint64
+	// orphans are ends that no entry was told of and that one may ask for.
+	orphans map[work.TaskKey]orphan
+	// keptSeen is true once an entry has told that there are stored jobs.
+	keptSeen bool
 
 	// reportBorn and reportSequence are those of the newest report of the
 	// minion about itself.
@@ -61,6 +67,10 @@
 type pendingEnd struct {
 	entry string
 	event uint64
+	task  work.TaskKey
+	end   work.End
+	// kept means that the end is not forgotten with its entry.
+	kept bool
 }
 
 // New returns the core of a sidecar that has just started. The fence must be
@@ -71,6 +81,7 @@
 		runs:    make(map[work.TaskKey]*run),
 		entries: make(map[string]*entryState),
 		ends:    make(map[uint64]pendingEnd),
+		orphans: make(map[work.TaskKey]orphan),
 		health:  workerhealth.New(),
 	}
 }
@@ -86,8 +97,21 @@
 
 // MayRenew says whether a look that is about to be sent may renew the lease. A
 // minion that does not answer is not renewed further, so that its runs lapse
-// for certain.
-func (c *Core) MayRenew() bool { return !c.blind }
+// for certain; nor is one while no entry is heard from, so that whoever can't
+// reach the sidecar knows that the lease has lapsed.
+func (c *Core) MayRenew(now time.Time) bool {
+	return !c.blind && (!c.listed || now.Sub(c.firstListedAt) <= SilenceLimit || c.heardOf(now))
+}
+
+// heardOf reports whether any entry was heard from in time.
+func (c *Core) heardOf(now time.Time) bool {
+	for _, known := range c.entries {
+		if !known.silent && now.Sub(known.echoed) <= SilenceLimit {
+			return true
+		}
+	}
+	return false
+}
 
 // Take returns the actions asked for since the last call.
 func (c *Core) Take() []Action {
--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	f := &fixture{t: t, core: New(100), now: time.Unix(1000, 0)}
 	f.core.Heartbeat(f.now, session.Minion{ID: "i-1", Service: "desk", Born: testBorn, Capacity: work.Room{MilliCPU: 10000, MemMB: 1000}}, false)
-	f.core.Hello(f.now, testEntry, testBoot, 0, nil, session.Minion{})
+	f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: testBoot})
 	f.list(nil, nil)
 	f.core.Take()
 	return f
@@ -70,6 +70,11 @@
 	return starts
 }
 
+// noted lets the entry take note of all events up to the number.
+func (f *fixture) noted(upTo uint64) {
+	f.core.Noted(testEntry, Known{Heard: upTo, Noted: upTo})
+}
+
 func (f *fixture) freeCPU() int64 {
 	free, _ := f.core.Room()
 	return free
@@ -184,7 +189,7 @@
 	f.core.StartAnswered(f.now, start, Started)
 	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndDone}})
 	must.EqOp(t, 0, f.core.AckedUpTo())
-	f.core.Noted(testEntry, f.core.EventsFor(testEntry)[0].Number)
+	f.noted(f.core.EventsFor(testEntry)[0].Number)
 	must.EqOp(t, 1, f.core.AckedUpTo())
 }
 
@@ -205,7 +210,7 @@
 	f.core.StartAnswered(f.now, f.starts()[0], Started)
 	f.now = f.now.Add(BlindAfter + time.Millisecond)
 	f.core.LookFailed(f.now, false)
-	must.False(t, f.core.MayRenew())
+	must.False(t, f.core.MayRenew(f.now))
 	f.now = f.now.Add(10 * time.Second)
 	f.core.Echo(testEntry, session.StampOf(f.now))
 	f.core.Tick(f.now)
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -25,22 +25,43 @@
 	claims []session.Claim
 }
 
-// Hello opens a session of an entry, which knows all events up to the number.
-// What a former life of it had is stopped, and so is what it no longer claims.
-func (c *Core) Hello(now time.Time, entry, boot string, after uint64, claims []session.Claim, minion session.Minion) {
+// Known says up to which numbers an entry knows events.
+type Known struct {
+	// Heard is the newest event that the entry was told.
+	Heard uint64
+	// Noted is the number up to which nothing need be kept for it.
+	Noted uint64
+}
+
+// Greeting is what an entry says when it opens a session.
+type Greeting struct {
+	Entry, Boot string
+	Events      Known
+	Claims      []session.Claim
+	// Minion is what the entry last knew of the sidecar's minion.
+	Minion session.Minion
+	// KeepsJobs means that there are stored jobs in the system.
+	KeepsJobs bool
+}
+
+// Hello opens a session of an entry. What a former life of it had is stopped,
+// and so is what it no longer claims.
+func (c *Core) Hello(now time.Time, greeting Greeting) {
+	entry, boot, claims := greeting.Entry, greeting.Boot, greeting.Claims
+	c.keptSeen = c.keptSeen || greeting.KeepsJobs
 	known, ok := c.entries[entry]
 	if !ok || known.boot != boot {
 		c.stopAll(now, entry)
-		c.forgetEnds(entry)
+		c.forgetEnds(now, entry)
 		known = &entryState{boot: boot}
 		c.entries[entry] = known
 	}
 	known.echoed = now
 	known.silent = false
 	known.seen = 0
-	c.Noted(entry, after)
+	c.Noted(entry, greeting.Events)
 	c.dropUnclaimed(entry, claims)
-	c.adoptMinion(now, minion)
+	c.adoptMinion(now, greeting.Minion)
 	if !c.listed {
 		known.claims = claims
 		return
@@ -97,7 +118,7 @@
 }
 
 func (c *Core) settleClaim(now time.Time, entry string, claim session.Claim) {
-	if c.hasEvent(entry, claim.Task) {
+	if c.hasEvent(entry, claim.Task) || c.claimOrphan(entry, claim.Task) {
 		return
 	}
 	run, ok := c.runs[claim.Task]
@@ -110,6 +131,7 @@
 		run.need = claim.Need
 		run.needKnown = true
 		run.estimate = claim.Estimate
+		run.kept = claim.Kept
 	}
 }
 
@@ -134,24 +156,16 @@
 	}
 }
 
-// Noted takes note that the entry knows all events up to the number.
-func (c *Core) Noted(entry string, upTo uint64) {
+// Noted takes note of what the entry knows.
+func (c *Core) Noted(entry string, events Known) {
 	known, ok := c.entries[entry]
 	if !ok {
 		return
 	}
-	kept := known.events[:0]
-	for _, event := range known.events {
-		if event.Number > upTo {
-			kept = append(kept, event)
-		}
-	}
-	known.events = kept
-	for sequence, end := range c.ends {
-		if end.entry == entry && end.event <= upTo {
-			delete(c.ends, sequence)
-		}
-	}
+	known.events = slices.DeleteFunc(known.events, func(event session.Event) bool { return event.Number <= events.Heard })
+	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool {
+		return end.entry == entry && end.event <= events.Noted
+	})
 }
 
 // EventsFor returns the events that the entry has not taken note of.
@@ -169,6 +183,11 @@
 	for sequence := range c.ends {
 		upTo = min(upTo, sequence-1)
 	}
+	for _, one := range c.orphans {
+		if one.sequence != 0 {
+			upTo = min(upTo, one.sequence-1)
+		}
+	}
 	return upTo
 }
 
@@ -193,7 +212,7 @@
 		switch {
 		case since > SilenceLimit+silenceKept:
 			delete(c.entries, name)
-			c.forgetEnds(name)
+			c.forgetEnds(now, name)
 		case since > SilenceLimit && !known.silent:
 			known.silent = true
 			c.noted(Note{Kind: NoteSilent, Entry: name})
@@ -202,8 +221,18 @@
 	}
 }
 
-func (c *Core) forgetEnds(entry string) {
-	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool { return end.entry == entry })
+// forgetEnds drops the ends that wait for an entry, but for those that another
+// entry may ask for.
+func (c *Core) forgetEnds(now time.Time, entry string) {
+	for sequence, end := range c.ends {
+		if end.entry != entry {
+			continue
+		}
+		delete(c.ends, sequence)
+		if end.kept {
+			c.orphan(now, end.task, end.end, sequence, false)
+		}
+	}
 }
 
 // stopAll withdraws all runs of an entry.
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -37,6 +37,7 @@
 	}
 	c.ends = make(map[uint64]pendingEnd)
 	c.newestEnd = 0
+	c.unlistOrphans()
 	c.leaving = false
 	c.minionSeen = false
 	c.listed = false
@@ -55,8 +56,9 @@
 	first := !c.listed
 	c.bornListed = listing.Born
 	c.listed = true
-	c.takeEnds(now, listing.Finished)
+	c.takeEnds(now, listing.Finished, first)
 	if first {
+		c.firstListedAt = now
 		c.takeFound(now, listing)
 	}
 	c.takeRunning(now, listing)
@@ -115,13 +117,18 @@
 	}
 }
 
-// takeEnds takes each end that was not seen before.
-func (c *Core) takeEnds(now time.Time, finished []FinishedRun) {
+// takeEnds takes each end that was not seen before. Those of the first listing
+// may be of runs that a former life of the sidecar has started.
+func (c *Core) takeEnds(now time.Time, finished []FinishedRun, first bool) {
 	for _, end := range finished {
 		if end.Sequence <= c.newestEnd {
 			continue
 		}
 		c.newestEnd = end.Sequence
+		if _, known := c.runs[end.Task]; first && !known {
+			c.orphan(now, end.Task, end.End, end.Sequence, true)
+			continue
+		}
 		c.takeEnd(now, end)
 	}
 }
@@ -137,8 +144,12 @@
 		reported = run.stopEnd
 	}
 	c.health.Ended(now, string(run.task.Job), reported, took, run.estimate)
-	if event := c.finish(run, reported, took); event != 0 {
-		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event}
+	event := c.finish(run, reported, took)
+	switch {
+	case event != 0:
+		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, kept: run.kept}
+	case run.kept || !run.needKnown:
+		c.orphan(now, run.task, reported, end.Sequence, !run.kept)
 	}
 }
 
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -58,6 +58,7 @@
 		need:      task.Need,
 		needKnown: true,
 		estimate:  task.Estimate,
+		kept:      task.Kept,
 		number:    1,
 		orderedAt: now,
 		startBy:   now.Add(task.Slack),
--- a/decision/execution/property_test.go
+++ b/decision/execution/property_test.go
@@ -131,7 +131,7 @@
 		minion: &lateMinion{now: time.Unix(1000, 0), running: make(map[work.TaskKey]*lateRun), used: make(map[work.TaskKey]int)},
 	}
 	w.core.Heartbeat(w.now, session.Minion{ID: "i", Born: testBorn, Capacity: work.Room{MilliCPU: propertyCapacity, MemMB: 1000}}, false)
-	w.core.Hello(w.now, testEntry, testBoot, 0, nil, session.Minion{})
+	w.core.Hello(w.now, Greeting{Entry: testEntry, Boot: testBoot})
 	w.lookNow(true)
 	return w
 }
@@ -226,7 +226,7 @@
 	for task := range w.untold {
 		claims = append(claims, session.Claim{Task: task, Need: work.Room{MilliCPU: propertyNeed}, Estimate: 100 * time.Millisecond})
 	}
-	w.core.Hello(w.now, testEntry, testBoot, w.noted, claims, session.Minion{})
+	w.core.Hello(w.now, Greeting{Entry: testEntry, Boot: testBoot, Events: Known{Heard: w.noted, Noted: w.noted}, Claims: claims})
 }
 
 func (w *lateWorld) cancel() {
@@ -267,7 +267,7 @@
 	}
 	if len(events) > 0 {
 		w.noted = events[len(events)-1].Number
-		w.core.Noted(testEntry, w.noted)
+		w.core.Noted(testEntry, Known{Heard: w.noted, Noted: w.noted})
 	}
 }
 
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -32,6 +32,8 @@
 	// entry has claimed yet.
 	needKnown bool
 	estimate  time.Duration
+	// kept means that the task's job is stored.
+	kept bool
 
 	phase   phase
 	number  int
--- a/decision/execution/silence_test.go
+++ b/decision/execution/silence_test.go
@@ -18,7 +18,7 @@
 // hello opens a session anew, in the same life of the entry.
 func (f *fixture) hello(after uint64, claims ...session.Claim) {
 	f.request = 0
-	f.core.Hello(f.now, testEntry, testBoot, after, claims, session.Minion{})
+	f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: testBoot, Events: Known{Heard: after, Noted: after}, Claims: claims})
 }
 
 // started orders a task and lets the minion start it.
@@ -59,13 +59,13 @@
 	start := f.started(key("a", 0))
 	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndDone}})
 	noted := f.core.EventsFor(testEntry)[0].Number
-	f.core.Noted(testEntry, noted)
+	f.noted(noted)
 	f.started(key("b", 0))
 	f.fallSilent()
 	f.now = f.now.Add(silenceKept + time.Millisecond)
 	f.core.Tick(f.now)
 	f.hello(noted, claimOf(key("c", 0)))
-	f.core.Noted(testEntry, noted)
+	f.noted(noted)
 	events := f.core.EventsFor(testEntry)
 	must.Len(t, 1, events)
 	must.EqOp(t, key("c", 0), events[0].Task)
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -63,7 +63,7 @@
 	alive := e.loop.Do(func(now time.Time) {
 		look = Look{Number: e.core.NextLook(), Fence: e.core.Fence(), AckedUpTo: e.core.AckedUpTo()}
 		look.Wait, look.Grace = e.core.LookTimes(now)
-		renew = e.core.MayRenew()
+		renew = e.core.MayRenew(now)
 	})
 	if !alive {
 		return false, context.Canceled
--- a/executor/service.go
+++ b/executor/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/execution"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
 )
@@ -89,7 +90,10 @@
 	e.parts.Directory.Merge(request.Entry)
 	e.replaceSession(request.Entry.Name, c)
 	e.loop.Do(func(now time.Time) {
-		e.core.Hello(now, request.Entry.Name, request.Entry.Boot, e.noted(request), request.Claims, request.Minion)
+		e.core.Hello(now, execution.Greeting{
+			Entry: request.Entry.Name, Boot: request.Entry.Boot, Events: e.known(request),
+			Claims: request.Claims, Minion: request.Minion, KeepsJobs: request.KeepsJobs,
+		})
 		reply.Stamp = session.StampOf(now)
 	})
 	reply.Sidecar = e.settings.Self
@@ -98,12 +102,12 @@
 	return nil
 }
 
-// noted returns the number up to which the entry knows this life's events.
-func (e *Executor) noted(request *session.HelloRequest) uint64 {
+// known returns what the entry knows of this life's events.
+func (e *Executor) known(request *session.HelloRequest) execution.Known {
 	if request.Boot != e.settings.Self.Boot {
-		return 0
+		return execution.Known{}
 	}
-	return request.After
+	return execution.Known{Heard: request.After, Noted: request.Noted}
 }
 
 // Start takes orders.
@@ -142,6 +146,16 @@
 	return nil
 }
 
+// Adopt tells what there is of jobs whose owner is gone. It needs no session.
+func (c *conn) Adopt(request *session.AdoptRequest, reply *session.AdoptReply) error {
+	e := c.executor
+	if request.Sidecar != e.settings.Self.Name {
+		return errOtherSidecar
+	}
+	e.loop.Do(func(now time.Time) { *reply = e.core.Adopt(now, request) })
+	return nil
+}
+
 // Poll answers with the events after the last noted one as soon as there are
 // any, with a changed state after a short while, and else after the wait.
 func (c *conn) Poll(request *session.PollRequest, reply *session.PollReply) error {
@@ -154,7 +168,7 @@
 	known := false
 	c.executor.loop.Do(func(time.Time) {
 		c.executor.core.Echo(entry, request.Echo)
-		c.executor.core.Noted(entry, request.After)
+		c.executor.core.Noted(entry, execution.Known{Heard: request.After, Noted: request.Noted})
 		known = c.executor.core.Knows(entry)
 	})
 	if !known {
--- /dev/null
+++ b/jobstore/record.go
@@ -0,0 +1,68 @@
+package jobstore
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/work"
+)
+
+// Record is a job as it was accepted.
+type Record struct {
+	Job work.Job `json:"job"`
+	// Route is the route that took the job, as it was then.
+	Route manifest.Route `json:"route"`
+	// Accepted is the time of day of the acceptance.
+	Accepted time.Time `json:"accepted"`
+}
+
+// Owner is one life of the entry that runs a job.
+type Owner struct {
+	Name string `json:"name"`
+	Boot string `json:"boot"`
+}
+
+// TaskFailures is how often one task has failed.
+type TaskFailures struct {
+	Step  int `json:"step"`
+	Index int `json:"index"`
+	Count int `json:"count"`
+}
+
+// Progress is how far an open job has come.
+type Progress struct {
+	Owner Owner `json:"owner"`
+	// Write numbers the owner's writes, so that it knows its own again.
+	Write    uint64         `json:"write"`
+	Done     TaskSet        `json:"done,omitempty"`
+	Failures []TaskFailures `json:"failures,omitempty"`
+}
+
+// Outcome is how a job ended.
+type Outcome string
+
+// The outcomes of a job.
+const (
+	Completed Outcome = "completed"
+	Failed    Outcome = "failed"
+	Cancelled Outcome = "cancelled"
+)
+
+// Ending is the end of a job.
+type Ending struct {
+	Outcome Outcome `json:"outcome"`
+	// By is who wrote it.
+	By Owner `json:"by"`
+	// At is the time of day of the end.
+	At time.Time `json:"at"`
+}
+
+// encode returns the value of a row. The types of this package always encode.
+func encode(value any) []byte {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
--- /dev/null
+++ b/jobstore/store.go
@@ -0,0 +1,150 @@
+package jobstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+
+	"github.com/figring/figring/store"
+	"github.com/figring/figring/work"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("jobstore")
+
+// Partitions is the number of partitions that jobs are spread over. All
+// processes of a system use the same number, also over restarts.
+const Partitions = 4
+
+const (
+	specPrefix = "spec/"
+	openPrefix = "open/"
+	donePrefix = "done/"
+	// listLimit is the number of rows that one read returns at most.
+	listLimit = 400
+)
+
+// Store reads jobs. Writer writes them.
+type Store struct{ parts [Partitions]store.Table }
+
+// New returns a store over the partitions that open returns by number.
+func New(open func(partition int) store.Table) *Store {
+	made := &Store{}
+	for number := range made.parts {
+		made.parts[number] = open(number)
+	}
+	return made
+}
+
+// partitionOf returns the number of a job's partition.
+func partitionOf(id work.JobID) int { return int(xxhash.Sum64String(string(id)) % Partitions) }
+
+func (s *Store) part(id work.JobID) store.Table { return s.parts[partitionOf(id)] }
+
+// Open is an open job as it is stored.
+type Open struct {
+	ID       work.JobID
+	Progress Progress
+	// Version is that of the row of its progress.
+	Version int64
+}
+
+// State is what is stored of a job. At most one of its fields is set; none when
+// the job is not known.
+type State struct {
+	Open   *Open
+	Ending *Ending
+}
+
+// Find returns what is stored of a job.
+func (s *Store) Find(ctx context.Context, id work.JobID) (State, error) {
+	// A job moves from open to done. It is looked for in that order, and once
+	// more in case it moved between the two reads.
+	for range 2 {
+		open, err := s.findOpen(ctx, id)
+		if err != nil || open != nil {
+			return State{Open: open}, err
+		}
+		ending, err := s.findEnding(ctx, id)
+		if err != nil || ending != nil {
+			return State{Ending: ending}, err
+		}
+	}
+	return State{}, nil
+}
+
+func (s *Store) findOpen(ctx context.Context, id work.JobID) (*Open, error) {
+	row, err := s.part(id).Get(ctx, openPrefix+string(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return decodeOpen(id, row)
+}
+
+func decodeOpen(id work.JobID, row store.Row) (*Open, error) {
+	open := &Open{ID: id, Version: row.Version}
+	if err := json.Unmarshal(row.Value, &open.Progress); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return open, nil
+}
+
+func (s *Store) findEnding(ctx context.Context, id work.JobID) (*Ending, error) {
+	row, err := s.part(id).Get(ctx, donePrefix+string(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ending := &Ending{}
+	if err := json.Unmarshal(row.Value, ending); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ending, nil
+}
+
+// Record returns a job as it was accepted.
+func (s *Store) Record(ctx context.Context, id work.JobID) (Record, error) {
+	row, err := s.part(id).Get(ctx, specPrefix+string(id))
+	if err != nil {
+		return Record{}, Error.Wrap(err)
+	}
+	var record Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, Error.Wrap(err)
+	}
+	return record, nil
+}
+
+// ListOpen returns all open jobs. A row that can't be read is left out and
+// counted.
+func (s *Store) ListOpen(ctx context.Context) (found []Open, unreadable int, err error) {
+	for _, part := range s.parts {
+		for from := ""; ; {
+			page, err := part.List(ctx, openPrefix, from, listLimit)
+			if err != nil {
+				return nil, 0, Error.Wrap(err)
+			}
+			for _, row := range page.Rows {
+				open, err := decodeOpen(work.JobID(row.Key[len(openPrefix):]), row)
+				if err != nil {
+					unreadable++
+					continue
+				}
+				found = append(found, *open)
+			}
+			if page.Next == "" {
+				break
+			}
+			from = page.Next
+		}
+	}
+	return found, unreadable, nil
+}
--- /dev/null
+++ b/jobstore/taskset.go
@@ -0,0 +1,25 @@
+package jobstore
+
+// TaskSet is a set of tasks: for each step a bitmap of the tasks' indexes, so
+// that a wide step fits into a row.
+type TaskSet [][]byte
+
+const bitsPerByte = 8
+
+// Add adds a task.
+func (s *TaskSet) Add(step, index int) {
+	for len(*s) <= step {
+		*s = append(*s, nil)
+	}
+	at := index / bitsPerByte
+	for len((*s)[step]) <= at {
+		(*s)[step] = append((*s)[step], 0)
+	}
+	(*s)[step][at] |= 1 << (index % bitsPerByte)
+}
+
+// Has reports whether the task is in the set.
+func (s TaskSet) Has(step, index int) bool {
+	at := index / bitsPerByte
+	return step < len(s) && at < len(s[step]) && s[step][at]&(1<<(index%bitsPerByte)) != 0
+}
--- /dev/null
+++ b/session/adopt.go
@@ -0,0 +1,32 @@
+package session
+
+import "github.com/figring/figring/work"
+
+// AdoptRequest asks a sidecar for what it has of jobs whose owner is gone. It
+// needs no session.
+type AdoptRequest struct {
+	// Sidecar is the name of the instance that is meant.
+	Sidecar string
+	// Owner and Boot name the life of the entry that owned the jobs.
+	Owner, Boot string
+	Jobs        []work.JobID
+	// Stored are tasks whose ends, told before, are stored by now.
+	Stored []work.TaskKey
+}
+
+// AdoptReply tells what the sidecar has.
+type AdoptReply struct {
+	// InTouch means that the owner lives: the sidecar hears from it.
+	InTouch bool
+	// Busy means that runs of the jobs may still be at work. They are being
+	// stopped.
+	Busy bool
+	// Ends are the ends of the jobs' tasks that may not be stored.
+	Ends []TaskEnd
+}
+
+// TaskEnd is how a run of a task ended.
+type TaskEnd struct {
+	Task work.TaskKey
+	End  work.End
+}
--- a/session/hello.go
+++ b/session/hello.go
@@ -12,6 +12,8 @@
 	Task     work.TaskKey
 	Need     work.Room
 	Estimate time.Duration
+	// Kept means that the task's job is stored.
+	Kept bool
 }
 
 // HelloRequest opens a session. It must be the first call on a connection.
@@ -22,11 +24,14 @@
 	// Claims are all runs that the entry believes to be at the sidecar. Runs
 	// of it that are not among them are stopped.
 	Claims []Claim
-	// After is the number of the newest event that the entry has taken note of
-	// in the sidecar's present life, as far as it knows.
+	// After and Noted are as in PollRequest, for the sidecar's present life as
+	// far as the entry knows it.
 	After uint64
-	// Boot is the life of the sidecar that After belongs to.
+	Noted uint64
+	// Boot is the life of the sidecar that After and Noted belong to.
 	Boot string
+	// KeepsJobs means that there are stored jobs in the system.
+	KeepsJobs bool
 	// Minion is what the entry last knew about the sidecar's minion.
 	Minion Minion
 }
--- a/session/poll.go
+++ b/session/poll.go
@@ -10,8 +10,11 @@
 // PollRequest waits for news. It is also the heartbeat of the session.
 type PollRequest struct {
 	Echo Stamp
-	// After is the number of the newest event that the entry has taken note of.
+	// After is the number of the newest event that the entry has heard.
 	After uint64
+	// Noted is the number up to which events need not be kept for the entry any
+	// more: what it has to store of them is stored.
+	Noted uint64
 	// Wait bounds the time until the reply.
 	Wait time.Duration
 	// Sidecars is the number of sidecars that the entry knows.
--- a/session/service.go
+++ b/session/service.go
@@ -9,5 +9,6 @@
 	MethodPoll     = SidecarService + ".Poll"
 	MethodStart    = SidecarService + ".Start"
 	MethodStop     = SidecarService + ".Stop"
+	MethodAdopt    = SidecarService + ".Adopt"
 	MethodAnnounce = EntryService + ".Announce"
 )
--- a/session/start.go
+++ b/session/start.go
@@ -24,6 +24,9 @@
 	Slack time.Duration
 	// MaxWait bounds the wait for room; the task is handed back after it.
 	MaxWait time.Duration
+	// Kept means that the job is stored: an end of the task is not forgotten
+	// before an entry has stored it.
+	Kept bool
 	// Expected is the wait that the entry has counted on. The sidecar refuses
 	// the task when it expects a much longer one, so that the entry can choose
 	// anew from a newer state.
