--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -32,6 +32,7 @@
 	KindEntryLost   Kind = "entry_silent"
 	KindSession     Kind = "session"
 	KindRoom        Kind = "room"
+	KindDisowned    Kind = "disowned"
 )
 
 // The fields of lines.
--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
@@ -31,9 +32,40 @@
 	Route string
 }
 
-func (Order) action()   {}
-func (StopJob) action() {}
-func (Reply) action()   {}
+// CreateJob stores a new job, owned by this entry.
+type CreateJob struct {
+	Job   work.Job
+	Route manifest.Route
+}
+
+// AbandonJob takes a CreateJob back, if it was not sent.
+type AbandonJob struct{ Job work.JobID }
+
+// SaveJob stores how far a job has come.
+type SaveJob struct {
+	Job      work.JobID
+	Progress Progress
+}
+
+// EndJob stores how a job has ended.
+type EndJob struct {
+	Job     work.JobID
+	Outcome Outcome
+}
+
+// Progress is how far a stored job has come.
+type Progress struct {
+	Done     []work.TaskKey
+	Failures map[work.TaskKey]int
+}
+
+func (Order) action()      {}
+func (StopJob) action()    {}
+func (Reply) action()      {}
+func (CreateJob) action()  {}
+func (AbandonJob) action() {}
+func (SaveJob) action()    {}
+func (EndJob) action()     {}
 
 // Submission is a job that a caller has handed in.
 type Submission struct {
--- a/decision/heldjob/answer.go
+++ b/decision/heldjob/answer.go
@@ -18,6 +18,8 @@
 	NoRoute
 	// Cancelled means that a caller has cancelled the job.
 	Cancelled
+	// Accepted means that the job is stored and will be run.
+	Accepted
 )
 
 var outcomeNames = map[Outcome]string{
@@ -27,6 +29,7 @@
 	GivenUp:   "given_up",
 	NoRoute:   "no_route",
 	Cancelled: "cancelled",
+	Accepted:  "accepted",
 }
 
 // String returns the name of the outcome for logs and metrics.
@@ -46,6 +49,8 @@
 	ReasonCallerGone  Reason = "caller_gone"
 	ReasonTaskFailed  Reason = "task_failed"
 	ReasonDraining    Reason = "draining"
+	ReasonStoreOut    Reason = "store_out"
+	ReasonTooMany     Reason = "too_many_jobs"
 )
 
 // Answer ends a submission.
--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -42,6 +42,20 @@
 	waitCaution = 1.8
 	// warmTime is how long an entry that has just started looks for sidecars.
 	warmTime = 2 * time.Second
+	// maxKeptJobs bounds the stored jobs of one entry.
+	maxKeptJobs = 20_000
+	// keptWait is the longest expected wait for room with which a task of a
+	// stored job is placed; others wait at the entry.
+	keptWait = 40 * time.Millisecond
+	// keptMaxWait bounds the wait for room at a sidecar.
+	keptMaxWait = 400 * time.Millisecond
+	// keptDeadMargin is how much longer than DeadAfter the tasks of stored jobs
+	// wait for a lost sidecar: it may hold the end of a task, and such a task
+	// must not run again.
+	keptDeadMargin = 4 * time.Second
+	// maxQueueMisses is the number of jobs without room after which the rest of
+	// the queue waits.
+	maxQueueMisses = 8
 	// replaceInterval is the least time between two tries to place tasks that
 	// found no room.
 	replaceInterval = 5 * time.Millisecond
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -22,6 +22,15 @@
 
 	jobs   map[work.JobID]*job
 	recent *recent
+	// storing are the jobs that are being stored, queue the stored jobs in the
+	// order in which they get room.
+	storing map[work.JobID]*storing
+	queue   []*job
+	// owning is true while no other entry may take the stored jobs over.
+	owning   bool
+	storeOut bool
+	// nextQueueTry is when the queue is looked at again.
+	nextQueueTry time.Time
 	// warmUntil is when the sidecars that live must have been found; a job that
 	// finds none before waits for them.
 	warmUntil time.Time
@@ -42,6 +51,10 @@
 	deadAt time.Time
 	// placed are the tasks that the sidecar has, or may have.
 	placed map[work.TaskKey]*task
+	// notes are the events of the sidecar's present life that are not noted yet,
+	// in their order.
+	notes []*note
+	noted uint64
 }
 
 // New returns the core of an entry in the availability zone that starts now.
@@ -50,6 +63,7 @@
 		sidecars: make(map[string]*sidecar),
 		jobs:     make(map[work.JobID]*job),
 		recent:   newRecent(recentAnswers),
+		storing:  make(map[work.JobID]*storing),
 
 		warmUntil: now.Add(warmTime),
 	}
@@ -175,7 +189,7 @@
 	claims := make([]session.Claim, 0, len(known.placed))
 	for key, task := range known.placed {
 		step := c.jobs[key.Job].steps[task.step]
-		claims = append(claims, session.Claim{Task: key, Need: step.Need, Estimate: step.Estimate})
+		claims = append(claims, session.Claim{Task: key, Need: step.Need, Estimate: step.Estimate, Kept: c.jobs[key.Job].kept != nil})
 	}
 	return claims
 }
@@ -208,7 +222,11 @@
 // Tick looks at what is due by time alone.
 func (c *Core) Tick(now time.Time) {
 	c.reviveLost(now)
+	c.tickKept(now)
 	for _, job := range c.jobs {
+		if job.kept != nil {
+			continue
+		}
 		if now.After(job.useless) {
 			c.giveUp(job, ReasonDeadline)
 			continue
@@ -224,8 +242,13 @@
 			continue
 		}
 		for _, task := range known.placed {
+			if c.jobs[task.key.Job].kept != nil && now.Before(known.deadAt.Add(keptDeadMargin)) {
+				continue
+			}
 			c.runEnded(now, name, task, work.EndLapsed)
 		}
-		delete(c.sidecars, name)
+		if len(known.placed) == 0 && len(known.notes) == 0 {
+			delete(c.sidecars, name)
+		}
 	}
 }
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -34,6 +34,7 @@
 	DecidedRepeated DecisionKind = "repeated"
 	DecidedReplaced DecisionKind = "task_freed"
 	DecidedAnswered DecisionKind = "answered"
+	DecidedDisowned DecisionKind = "disowned"
 )
 
 func (c *Core) decided(decision Decision) { c.events = append(c.events, decision) }
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -40,6 +40,8 @@
 	route    manifest.Route
 	tasks    []*task
 	openLeft int
+	// openOf counts the tasks of each step that are not done.
+	openOf []int
 
 	submitted time.Time
 	// goal is the end of the latency objective, by the caller's estimate.
@@ -55,6 +57,18 @@
 	nextTry      time.Time
 	// bounces counts the answers that refused tasks.
 	bounces int
+	// kept is set for a stored job, which nobody waits for.
+	kept *kept
+}
+
+// eligible reports whether all steps that a step comes after are done.
+func (j *job) eligible(step int) bool {
+	for _, before := range j.steps[step].After {
+		if j.openOf[before] > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (j *job) chain() time.Duration {
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/figring/figring/decision/placement"
 	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
 )
 
 // plan is the placement of the unplaced tasks of a job.
@@ -75,16 +76,21 @@
 		planned.reason = ReasonOverload
 		return false
 	}
+	c.choose(planned, numbers, task, choice, step.Need, wanted.Slack)
+	return true
+}
+
+// choose adds a choice to a plan. It counts as sent from now on.
+func (c *Core) choose(planned *plan, numbers map[*sidecar]uint64, task *task, choice placement.Choice, need work.Room, slack time.Duration) {
 	chosen := c.sidecars[choice.Candidate.Name]
 	number, ok := numbers[chosen]
 	if !ok {
 		number = chosen.requests + 1
 		numbers[chosen] = number
 	}
-	chosen.candidate.Sent(number, step.Need, wanted.Slack)
+	chosen.candidate.Sent(number, need, slack)
 	planned.choices = append(planned.choices, plannedTask{task, choice, chosen, number})
 	planned.gathered[choice.Candidate.Name] = true
-	return true
 }
 
 // undo takes the choices of an incomplete plan back.
@@ -108,11 +114,11 @@
 			one.sidecar.requests = one.number
 		}
 		step := job.steps[one.task.step]
-		expected := max(one.choice.Wait, job.leastExpected(now))
 		request.Tasks = append(request.Tasks, session.StartTask{
-			Task: one.task.key, Need: step.Need, Estimate: step.Estimate,
-			Slack: slack, MaxWait: max(job.useless.Sub(now)-step.Estimate, slack), Expected: expected,
+			Task: one.task.key, Need: step.Need, Estimate: step.Estimate, Slack: slack,
+			MaxWait: job.maxWait(now, step.Estimate), Expected: max(one.choice.Wait, job.leastExpected(now)),
 		})
+		request.Tasks[len(request.Tasks)-1].Kept = job.kept != nil
 		one.task.phase = ordered
 		one.task.sidecar = one.sidecar.candidate.Name
 		one.sidecar.placed[one.task.key] = one.task
@@ -123,11 +129,22 @@
 	}
 }
 
+// maxWait bounds the wait of a task for room at a sidecar.
+func (j *job) maxWait(now time.Time, estimate time.Duration) time.Duration {
+	if j.kept != nil {
+		return keptMaxWait
+	}
+	return max(j.useless.Sub(now)-estimate, j.slack(now), 0)
+}
+
 // leastExpected returns the wait that a sidecar may take a task with though it
 // is longer than expected. It grows with each refusal: on a fleet that is full
 // everywhere there is no better place to be found, only a later one.
 func (j *job) leastExpected(now time.Time) time.Duration {
 	slack := max(j.slack(now), 0)
+	if j.kept != nil {
+		return keptWait
+	}
 	switch {
 	case j.bounces == 0:
 		return 0
@@ -141,6 +158,10 @@
 
 // place tries to place the tasks of a job that have no run.
 func (c *Core) place(now time.Time, job *job) {
+	if job.kept != nil {
+		c.placeKept(now, job)
+		return
+	}
 	if job.unplacedLeft == 0 || now.Before(job.nextTry) {
 		return
 	}
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -57,9 +57,13 @@
 	if !ok {
 		return
 	}
-	if placed, ok := known.placed[event.Task]; ok {
+	placed, ok := known.placed[event.Task]
+	told := known.told(event.Number, ok && c.jobs[event.Task.Job].kept != nil && decides(event.End))
+	if ok {
+		c.await(placed, told)
 		c.runEnded(now, name, placed, event.End)
 	}
+	known.advance()
 }
 
 func (c *Core) runEnded(now time.Time, name string, placed *task, end work.End) {
@@ -84,6 +88,9 @@
 		c.end(job, Answer{Outcome: Failed, Reason: ReasonTaskFailed})
 		return
 	}
+	if end == work.EndFailed {
+		c.changed(job)
+	}
 	job.nextTry = time.Time{}
 	c.place(now, job)
 }
@@ -107,9 +114,12 @@
 	done.phase = ended
 	job.unplacedLeft--
 	job.openLeft--
+	job.openOf[done.step]--
 	if job.openLeft == 0 {
 		c.end(job, Answer{Outcome: Completed})
+		return
 	}
+	c.changed(job)
 }
 
 // giveUp ends a job that can't be answered in time.
@@ -123,6 +133,10 @@
 
 // end answers all callers of a job and stops what is left of it.
 func (c *Core) end(job *job, answer Answer) {
+	if job.kept != nil {
+		c.endKept(job, answer)
+		return
+	}
 	for waiter := range job.waiters {
 		c.ask(Reply{Waiter: waiter, Answer: answer, Route: job.route.Name})
 	}
@@ -135,6 +149,12 @@
 
 // drop forgets a job and stops its runs.
 func (c *Core) drop(job *job) {
+	c.stopRuns(job)
+	delete(c.jobs, job.id)
+}
+
+// stopRuns stops all runs of a job.
+func (c *Core) stopRuns(job *job) {
 	stopped := make(map[string]bool)
 	for _, task := range job.tasks {
 		if task.phase != ordered && task.phase != lost {
@@ -147,7 +167,6 @@
 			c.ask(StopJob{Sidecar: name, Job: job.id})
 		}
 	}
-	delete(c.jobs, job.id)
 }
 
 // CallerGone takes the end of a caller's connection. A job that nobody waits
@@ -167,7 +186,7 @@
 // Cancel ends a job on its caller's order and reports whether it is known.
 func (c *Core) Cancel(id work.JobID) bool {
 	job, ok := c.jobs[id]
-	if ok {
+	if ok && job.kept == nil {
 		c.end(job, Answer{Outcome: Cancelled})
 		return true
 	}
@@ -187,6 +206,8 @@
 // GiveUpAll ends all jobs: the entry is about to end.
 func (c *Core) GiveUpAll(reason Reason) {
 	for _, job := range c.jobs {
-		c.giveUp(job, reason)
+		if job.kept == nil {
+			c.giveUp(job, reason)
+		}
 	}
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -26,12 +26,19 @@
 		c.refuse(submission, route.Name, Answer{Outcome: Refused, Reason: ReasonUnsupported}, 0)
 		return
 	}
+	if !submission.Job.BestEffort {
+		c.submitKept(now, submission, route)
+		return
+	}
 	c.admit(now, newJob(now, submission, route), submission)
 }
 
 // repeated answers or joins a job whose identity is known.
 func (c *Core) repeated(now time.Time, submission *Submission) bool {
-	if known, ok := c.jobs[submission.Job.ID]; ok {
+	if known, ok := c.jobs[submission.Job.ID]; ok && known.kept != nil {
+		c.accepted(submission)
+		return true
+	} else if ok {
 		known.waiters[submission.Waiter] = true
 		known.useless = laterOf(known.useless, uselessAt(now, known.goal, known.submitted, submission.Patience))
 		c.decided(Decision{Kind: DecidedJoined, Job: known.id, Request: submission.Request})
@@ -55,8 +62,6 @@
 // unsupported names what the job asks for and is not built, if anything.
 func unsupported(job *work.Job, route manifest.Route) string {
 	switch {
-	case !job.BestEffort:
-		return "kept"
 	case job.LongRunning:
 		return "long_running"
 	case job.Occurrences > 1:
@@ -75,15 +80,17 @@
 }
 
 func newJob(now time.Time, submission *Submission, route manifest.Route) *job {
-	created := &job{
-		id:        submission.Job.ID,
-		spec:      submission.Job.Spec,
-		steps:     submission.Job.Steps,
-		route:     route,
-		submitted: now,
-		waiters:   map[uint64]bool{submission.Waiter: true},
-	}
+	created := plainJob(now, submission.Job, route)
+	created.waiters = map[uint64]bool{submission.Waiter: true}
+	created.useless = uselessAt(now, created.goal, now, submission.Patience)
+	return created
+}
+
+// plainJob returns a job of which nothing has run.
+func plainJob(now time.Time, asked work.Job, route manifest.Route) *job {
+	created := &job{id: asked.ID, spec: asked.Spec, steps: asked.Steps, route: route, submitted: now}
 	for number, step := range created.steps {
+		created.openOf = append(created.openOf, step.Count)
 		for index := range step.Count {
 			created.tasks = append(created.tasks, &task{
 				key:  work.TaskKey{Job: created.id, Step: number, Index: index},
@@ -98,7 +105,6 @@
 		stretch = defaultStretch
 	}
 	created.goal = now.Add(time.Duration(stretch*float64(created.chain())) + route.Objective)
-	created.useless = uselessAt(now, created.goal, now, submission.Patience)
 	return created
 }
 
--- /dev/null
+++ b/decision/joblease/watch.go
@@ -0,0 +1,81 @@
+package joblease
+
+import "time"
+
+// Beat is the row of one entry.
+type Beat struct {
+	Name string `json:"name"`
+	// Boot is the life of the entry that wrote the row.
+	Boot string `json:"boot"`
+	// Count rises with each renewal.
+	Count uint64 `json:"count"`
+	// Left means that this life owns nothing any more: it has ended in order, or
+	// another entry has revoked it.
+	Left bool `json:"left,omitempty"`
+	// Version is that of the row.
+	Version int64 `json:"-"`
+}
+
+// Watch follows the rows of all entries.
+type Watch struct {
+	seen   map[string]seen
+	readAt time.Time
+}
+
+// seen is a row and since when it has been the same.
+type seen struct {
+	beat  Beat
+	since time.Time
+}
+
+// NewWatch returns a watch that has seen nothing.
+func NewWatch() *Watch { return &Watch{seen: make(map[string]seen)} }
+
+// Observe takes all rows as of a successful read that was sent at the time. After
+// a gap without reads the time of every row starts anew.
+func (w *Watch) Observe(now time.Time, beats []Beat) {
+	gap := now.Sub(w.readAt) > maxReadGap
+	w.readAt = now
+	observed := make(map[string]seen, len(beats))
+	for _, beat := range beats {
+		known, ok := w.seen[beat.Name]
+		if !ok || gap || known.beat != beat {
+			known = seen{beat: beat, since: now}
+		}
+		observed[beat.Name] = known
+	}
+	w.seen = observed
+}
+
+// Alive reports whether a life of an entry may still run its stored jobs, as of
+// the newest read. A life without a row has ended: each writes its row before its
+// first job.
+func (w *Watch) Alive(name, boot string) bool {
+	known, ok := w.seen[name]
+	return ok && known.beat.Boot == boot && !known.beat.Left
+}
+
+// Lapsed returns the rows that may be revoked.
+func (w *Watch) Lapsed() []Beat {
+	var lapsed []Beat
+	for _, known := range w.seen {
+		if !known.beat.Left && w.readAt.Sub(known.since) > TakeoverAfter {
+			lapsed = append(lapsed, known.beat)
+		}
+	}
+	return lapsed
+}
+
+// Living returns the names of the entries that renew their rows.
+func (w *Watch) Living() []string {
+	var names []string
+	for name, known := range w.seen {
+		if !known.beat.Left && w.readAt.Sub(known.since) <= TakeoverAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Any reports whether there is a row at all: stored jobs may exist.
+func (w *Watch) Any() bool { return len(w.seen) > 0 }
--- a/dispatcher/callers.go
+++ b/dispatcher/callers.go
@@ -7,7 +7,6 @@
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/manifest"
-	"github.com/figring/figring/work"
 )
 
 // JobState is what a caller may learn of a job.
@@ -47,28 +46,6 @@
 	}
 }
 
-// Cancel ends a job and reports whether it was known.
-func (d *Dispatcher) Cancel(_ context.Context, id work.JobID) bool {
-	known := false
-	d.loop.Do(func(time.Time) { known = d.core.Cancel(id) })
-	return known
-}
-
-// State returns what is known of a job.
-func (d *Dispatcher) State(_ context.Context, id work.JobID) (JobState, bool) {
-	var state JobState
-	known := false
-	d.loop.Do(func(time.Time) { state.Answer, state.Begun, state.Open, known = d.core.State(id) })
-	return state, known
-}
-
-// Pending counts the jobs of a route of which nothing has started.
-func (d *Dispatcher) Pending(_ context.Context, route string) int {
-	count := 0
-	d.loop.Do(func(time.Time) { count = d.core.Pending(route) })
-	return count
-}
-
 // Malformed counts a request that could not be read.
 func (d *Dispatcher) Malformed(reason string) {
 	d.meters.malformed.Inc(1)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/serial"
 	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/directory"
@@ -36,6 +38,9 @@
 	// SidecarsPerEntry is the number of sidecars that each entry should have
 	// sessions with.
 	SidecarsPerEntry int
+	// PartWrites is the number of transactions a second that the table takes for
+	// one partition.
+	PartWrites int
 }
 
 // Parts are what a dispatcher is built from.
@@ -44,6 +49,11 @@
 	Directory *directory.Directory
 	Log       *eventlog.Log
 	Scope     tally.Scope
+	// Jobs and Owners keep accepted jobs.
+	Jobs   *jobstore.Store
+	Owners *jobstore.Owners
+	// StoreOut reports whether the platform's table is known to be away.
+	StoreOut func() bool
 }
 
 // Dispatcher is a running entry.
@@ -65,7 +75,13 @@
 	// alone uses it.
 	answers map[uint64]chan heldjob.Reply
 
-	links *links
+	// life ends with Run; background are the duties that outlive a request.
+	life       context.Context
+	endLife    context.CancelFunc
+	background sync.WaitGroup
+
+	links  *links
+	keeper *keeper
 }
 
 // New opens the listener of a dispatcher.
@@ -85,6 +101,8 @@
 		return nil, Error.Wrap(err)
 	}
 	made.listener = listener
+	made.life, made.endLife = context.WithCancel(context.Background())
+	made.keeper = newKeeper(made, parts.Jobs, parts.Owners)
 	return made, nil
 }
 
@@ -97,7 +115,10 @@
 	group.Go(func() error { d.followManifest(working); return nil })
 	group.Go(func() error { d.keepLinks(working); return nil })
 	group.Go(func() error { d.announce(working); return nil })
+	group.Go(func() error { d.keeper.run(working); return nil })
 	<-working.Done()
+	d.endLife()
+	d.background.Wait()
 	d.listener.Close()
 	return group.Wait()
 }
@@ -146,23 +167,38 @@
 }
 
 // carryOut does what the core asked for.
-func (d *Dispatcher) carryOut(time.Time) {
-	for _, action := range d.core.Take() {
-		switch action := action.(type) {
-		case heldjob.Reply:
-			d.answer(action)
-		case heldjob.Order:
-			d.enqueue(action.Sidecar, &action.Request)
-		case heldjob.StopJob:
-			d.enqueue(action.Sidecar, &session.StopRequest{Job: action.Job})
+func (d *Dispatcher) carryOut(now time.Time) {
+	for actions := d.core.Take(); len(actions) > 0; actions = d.core.Take() {
+		for _, action := range actions {
+			d.carryOutOne(now, action)
 		}
 	}
+	d.core.SetStoreOut(d.parts.StoreOut())
 	targets := d.core.Targets()
 	d.targets.Store(int64(targets))
 	d.meters.targets.Update(float64(targets))
 	d.note()
 }
 
+func (d *Dispatcher) carryOutOne(now time.Time, action heldjob.Action) {
+	switch action := action.(type) {
+	case heldjob.Reply:
+		d.answer(action)
+	case heldjob.Order:
+		d.enqueue(action.Sidecar, &action.Request)
+	case heldjob.StopJob:
+		d.enqueue(action.Sidecar, &session.StopRequest{Job: action.Job})
+	case heldjob.CreateJob:
+		d.keeper.create(now, action)
+	case heldjob.AbandonJob:
+		d.keeper.abandon(action.Job)
+	case heldjob.SaveJob:
+		d.keeper.save(action)
+	case heldjob.EndJob:
+		d.keeper.end(action)
+	}
+}
+
 func (d *Dispatcher) answer(reply heldjob.Reply) {
 	waiting, ok := d.answers[reply.Waiter]
 	if !ok {
--- /dev/null
+++ b/dispatcher/jobs.go
@@ -0,0 +1,213 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/pause"
+	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/jobstore"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/link"
+	"github.com/figring/figring/work"
+)
+
+const (
+	// entryTimeout bounds a call to another entry.
+	entryTimeout = 300 * time.Millisecond
+	// findTimeout bounds the reading of a job's state.
+	findTimeout = 1500 * time.Millisecond
+	// tellFor is how long another entry is told that a job of its has ended.
+	tellFor = 10 * time.Second
+	// tellPause is the pause between two tries.
+	tellPause = 200 * time.Millisecond
+	// cancelTries bounds the tries at a job that changes meanwhile.
+	cancelTries = 20
+)
+
+// State returns the state of a job: of this entry, or as it is stored. It
+// returns ErrNoJob or ErrUnavailable.
+func (d *Dispatcher) State(ctx context.Context, id work.JobID) (JobState, error) {
+	var state JobState
+	known := false
+	d.loop.Do(func(time.Time) { state.Answer, state.Begun, state.Open, known = d.core.State(id) })
+	if known {
+		return state, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	stored, err := d.parts.Jobs.Find(ctx, id)
+	switch {
+	case err != nil:
+		return JobState{}, ErrUnavailable
+	case stored.Ending != nil:
+		return JobState{Begun: true, Answer: heldjob.Answer{Outcome: outcomeOf(stored.Ending.Outcome)}}, nil
+	case stored.Open != nil:
+		return JobState{Open: true, Begun: d.begun(ctx, stored.Open)}, nil
+	}
+	return JobState{}, ErrNoJob
+}
+
+func outcomeOf(stored jobstore.Outcome) heldjob.Outcome {
+	for outcome, name := range outcomes {
+		if name == stored {
+			return outcome
+		}
+	}
+	return heldjob.Failed
+}
+
+// begun asks the owner of a job whether a task has started. Without an answer
+// the stored progress tells.
+func (d *Dispatcher) begun(ctx context.Context, open *jobstore.Open) bool {
+	if len(open.Progress.Done) > 0 || len(open.Progress.Failures) > 0 {
+		return true
+	}
+	owner, ok := d.parts.Directory.Get(open.Progress.Owner.Name)
+	if !ok {
+		return false
+	}
+	var reply session.JobReply
+	if d.callEntry(ctx, owner, session.MethodJob, &session.JobRequest{Job: open.ID}, &reply) != nil {
+		return false
+	}
+	return reply.Begun
+}
+
+func (d *Dispatcher) callEntry(ctx context.Context, entry session.Peer, method string, request, reply any) error {
+	client, err := link.Dial(ctx, entry.Address, d.settings.Secret)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	return client.Call(ctx, method, request, reply, entryTimeout)
+}
+
+// Cancel ends a job, at whatever entry it is. It returns ErrNoJob, or
+// ErrUnavailable when the job may go on.
+func (d *Dispatcher) Cancel(ctx context.Context, id work.JobID) error {
+	for range cancelTries {
+		if ended, err := d.cancelOwn(ctx, id); ended || err != nil {
+			return err
+		}
+		limited, cancel := context.WithTimeout(ctx, findTimeout)
+		stored, err := d.parts.Jobs.Find(limited, id)
+		cancel()
+		switch {
+		case err != nil:
+			return ErrUnavailable
+		case stored.Ending != nil:
+			return nil
+		case stored.Open == nil:
+			return ErrNoJob
+		}
+		if ended, err := d.cancelStored(ctx, stored.Open); ended || err != nil {
+			return err
+		}
+	}
+	return ErrUnavailable
+}
+
+// cancelOwn cancels a job of this entry. It reports false when it has none.
+func (d *Dispatcher) cancelOwn(ctx context.Context, id work.JobID) (bool, error) {
+	waiter := d.waiters.Add(1)
+	waiting := make(chan heldjob.Reply, 1)
+	held, kept := false, false
+	d.loop.Do(func(time.Time) {
+		d.answers[waiter] = waiting
+		if kept = d.core.CancelKept(id, waiter); !kept {
+			delete(d.answers, waiter)
+			held = d.core.Cancel(id)
+		}
+	})
+	if !kept {
+		return held, nil
+	}
+	select {
+	case reply := <-waiting:
+		return reply.Answer.Outcome == heldjob.Cancelled, nil
+	case <-ctx.Done():
+		d.loop.Post(func(time.Time) { delete(d.answers, waiter) })
+		return false, ErrUnavailable
+	}
+}
+
+// cancelStored cancels a job that another entry owns, and tells it. It reports
+// false when the job has changed meanwhile.
+func (d *Dispatcher) cancelStored(ctx context.Context, open *jobstore.Open) (bool, error) {
+	results := make(chan jobstore.Result, 1)
+	var by jobstore.Owner
+	d.loop.Do(func(time.Time) { by = d.keeper.self() })
+	ending := jobstore.Ending{Outcome: jobstore.Cancelled, By: by, At: time.Now()}
+	change := jobstore.End(open.ID, open.Version, ending, func(result jobstore.Result) { results <- result })
+	if !d.keeper.writer.Put(change) {
+		return false, ErrUnavailable
+	}
+	select {
+	case result := <-results:
+		if result.Written {
+			d.background.Go(func() { d.tellOwner(open) })
+			d.loop.Post(func(now time.Time) { d.keeper.endings = append(d.keeper.endings, endedJob{open.ID, now}) })
+		}
+		return result.Written, nil
+	case <-ctx.Done():
+		change.Abandon()
+		return false, ErrUnavailable
+	}
+}
+
+// tellOwner tells the owner of a job that it was ended, until it has heard or
+// can't be reached for long.
+func (d *Dispatcher) tellOwner(open *jobstore.Open) {
+	ctx, cancel := context.WithTimeout(d.life, tellFor)
+	defer cancel()
+	for ctx.Err() == nil {
+		owner, ok := d.parts.Directory.Get(open.Progress.Owner.Name)
+		if ok && d.callEntry(ctx, owner, session.MethodEnded, &session.EndedRequest{Job: open.ID}, &session.EndedReply{}) == nil {
+			return
+		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, tellPause)
+	}
+	d.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, open.Progress.Owner.Name).
+		Str(eventlog.FieldJob, string(open.ID)).Str(eventlog.FieldReason, "not told of the end").Msg("")
+}
+
+// Pending counts the jobs of a route of which nothing has started, at all
+// entries while there may be stored ones.
+func (d *Dispatcher) Pending(ctx context.Context, route string) int {
+	count := 0
+	d.loop.Do(func(time.Time) { count = d.core.Pending(route) })
+	if !d.keeper.seen.Load() {
+		return count
+	}
+	others := d.parts.Directory.Of(session.RoleEntry)
+	counts := make([]session.PendingReply, len(others))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, other := range others {
+		if other.Name == d.settings.Self.Name {
+			continue
+		}
+		group.Go(func() error {
+			// An entry that does not answer counts as 0: its jobs are with it, or
+			// with others soon.
+			_ = d.callEntry(ctx, other, session.MethodPending, &session.PendingRequest{Route: route}, &counts[i])
+			return nil
+		})
+	}
+	// The calls return no errors.
+	_ = group.Wait()
+	for _, one := range counts {
+		count += one.Count
+	}
+	return count
+}
+
+// Release gives the stored jobs up to other entries: the process is about to end.
+func (d *Dispatcher) Release(ctx context.Context) {
+	d.loop.Do(func(time.Time) { d.core.SetOwning(false) })
+	d.keeper.leave(ctx)
+}
--- /dev/null
+++ b/dispatcher/keeper.go
@@ -0,0 +1,215 @@
+package dispatcher
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/decision/joblease"
+	"github.com/figring/figring/jobstore"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// endingsKept is how long the end of a job can be asked for.
+const endingsKept = 3 * time.Minute
+
+// keeper stores the jobs of this entry and takes over those of entries that are
+// gone.
+type keeper struct {
+	dispatcher *Dispatcher
+	store      *jobstore.Store
+	owners     *jobstore.Owners
+	writer     *jobstore.Writer
+
+	// wanted is true once this entry has had a stored job: it has to renew its
+	// row then.
+	wanted atomic.Bool
+	// seen is true while any entry has a row: stored jobs may exist.
+	seen  atomic.Bool
+	renew chan struct{}
+
+	// The loop alone uses the following.
+
+	// lives counts the lives of the owner within this life of the process; each
+	// begins after the former one was revoked.
+	lives int
+	lease joblease.Lease
+	// held are new jobs that wait for the first renewal.
+	held     []*jobstore.Change
+	creating map[work.JobID]*jobstore.Change
+	versions map[work.JobID]int64
+	writes   uint64
+	endings  []endedJob
+}
+
+// endedJob is a job whose end is stored.
+type endedJob struct {
+	id work.JobID
+	at time.Time
+}
+
+func newKeeper(d *Dispatcher, store *jobstore.Store, owners *jobstore.Owners) *keeper {
+	k := &keeper{
+		dispatcher: d,
+		store:      store,
+		owners:     owners,
+		renew:      make(chan struct{}, 1),
+		creating:   make(map[work.JobID]*jobstore.Change),
+		versions:   make(map[work.JobID]int64),
+	}
+	k.writer = jobstore.NewWriter(store, k.interval, k.writeFailed)
+	return k
+}
+
+// interval returns the least time between two transactions of this entry on a
+// partition: all entries together stay below what a partition takes.
+func (k *keeper) interval() time.Duration {
+	const share = 0.8
+	entries := len(k.dispatcher.parts.Directory.Of(session.RoleEntry))
+	return time.Duration(float64(max(entries, 1)) * float64(time.Second) / (share * float64(k.dispatcher.settings.PartWrites)))
+}
+
+func (k *keeper) writeFailed(err error) {
+	k.dispatcher.parts.Log.Routine(eventlog.KindLost).Str(eventlog.FieldName, "jobs").Err(err).Msg("")
+}
+
+func (k *keeper) run(ctx context.Context) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { k.writer.Run(ctx); return nil })
+	group.Go(func() error { k.renewLoop(ctx); return nil })
+	group.Go(func() error { k.takeOverLoop(ctx); return nil })
+	// The duties end with ctx and return no errors.
+	_ = group.Wait()
+}
+
+// self returns the owner that this entry is at present. The loop alone calls it.
+func (k *keeper) self() jobstore.Owner {
+	own := k.dispatcher.settings.Self
+	return jobstore.Owner{Name: own.Name, Boot: own.Boot + "." + strconv.Itoa(k.lives)}
+}
+
+// want makes the entry renew its row from now on.
+func (k *keeper) want() {
+	if !k.wanted.Swap(true) {
+		select {
+		case k.renew <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// create stores a new job. The loop alone calls it.
+func (k *keeper) create(now time.Time, action heldjob.CreateJob) {
+	k.want()
+	k.writes++
+	id, accepted := action.Job.ID, time.Now()
+	record := jobstore.Record{Job: action.Job, Route: action.Route, Accepted: accepted}
+	change := jobstore.Create(record, jobstore.Progress{Owner: k.self(), Write: k.writes}, func(result jobstore.Result) {
+		k.dispatcher.loop.Post(func(now time.Time) {
+			delete(k.creating, id)
+			k.versions[id] = result.Version
+			k.dispatcher.core.Created(now, id, result.Written, accepted)
+		})
+	})
+	k.creating[id] = change
+	if !k.lease.Valid(now) {
+		k.held = append(k.held, change)
+		return
+	}
+	k.put(change)
+}
+
+// put hands a new job to the writer, or refuses it.
+func (k *keeper) put(change *jobstore.Change) {
+	if !k.writer.Put(change) && change.Abandon() {
+		delete(k.creating, change.ID())
+		k.dispatcher.core.Abandoned(change.ID(), true)
+	}
+}
+
+// abandon takes a new job back that can't be stored in time.
+func (k *keeper) abandon(id work.JobID) {
+	change, ok := k.creating[id]
+	if !ok {
+		return
+	}
+	notSent := change.Abandon()
+	if notSent {
+		delete(k.creating, id)
+	}
+	k.dispatcher.core.Abandoned(id, notSent)
+}
+
+// save stores how far a job has come. The loop alone calls it.
+func (k *keeper) save(action heldjob.SaveJob) {
+	k.writes++
+	progress := jobstore.Progress{Owner: k.self(), Write: k.writes}
+	for _, task := range action.Progress.Done {
+		progress.Done.Add(task.Step, task.Index)
+	}
+	for task, count := range action.Progress.Failures {
+		progress.Failures = append(progress.Failures, jobstore.TaskFailures{Step: task.Step, Index: task.Index, Count: count})
+	}
+	k.write(action.Job, jobstore.Save(action.Job, k.versions[action.Job], progress, k.saved(action.Job, false)))
+}
+
+var outcomes = map[heldjob.Outcome]jobstore.Outcome{
+	heldjob.Completed: jobstore.Completed,
+	heldjob.Failed:    jobstore.Failed,
+	heldjob.Cancelled: jobstore.Cancelled,
+}
+
+// end stores how a job has ended. The loop alone calls it.
+func (k *keeper) end(action heldjob.EndJob) {
+	ending := jobstore.Ending{Outcome: outcomes[action.Outcome], By: k.self(), At: time.Now()}
+	k.write(action.Job, jobstore.End(action.Job, k.versions[action.Job], ending, k.saved(action.Job, true)))
+}
+
+// write hands a change of a job to the writer. Nothing is lost when its ring is
+// full: the writer of a partition this far behind gets the change later.
+func (k *keeper) write(id work.JobID, change *jobstore.Change) {
+	if k.writer.Put(change) {
+		return
+	}
+	k.dispatcher.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "jobs").
+		Str(eventlog.FieldJob, string(id)).Str(eventlog.FieldReason, "ring full").Msg("")
+	time.AfterFunc(ringRetry, func() {
+		k.dispatcher.loop.Post(func(time.Time) { k.write(id, change) })
+	})
+}
+
+// ringRetry is the pause before a change is handed in again.
+const ringRetry = 100 * time.Millisecond
+
+// saved returns what takes the result of a write of a job.
+func (k *keeper) saved(id work.JobID, ended bool) func(jobstore.Result) {
+	return func(result jobstore.Result) {
+		k.dispatcher.loop.Post(func(now time.Time) {
+			k.versions[id] = result.Version
+			if ended || !result.Written {
+				delete(k.versions, id)
+			}
+			if ended && result.Written {
+				k.endings = append(k.endings, endedJob{id, now})
+			}
+			k.dispatcher.core.Saved(id, result.Written)
+		})
+	}
+}
+
+// forgetOld drops the ends that nobody asks for any more. The loop alone calls it.
+func (k *keeper) forgetOld(now time.Time) {
+	for len(k.endings) > 0 && now.Sub(k.endings[0].at) > endingsKept {
+		change := jobstore.Forget(k.endings[0].id, func(jobstore.Result) {})
+		if !k.writer.Put(change) {
+			return
+		}
+		k.endings = k.endings[1:]
+	}
+}
--- a/dispatcher/notes.go
+++ b/dispatcher/notes.go
@@ -29,6 +29,8 @@
 			Int(eventlog.FieldTask, decision.Task).Str(eventlog.FieldPeer, decision.Sidecar).Msg("")
 	case heldjob.DecidedAnswered:
 		d.noteAnswer(decision)
+	case heldjob.DecidedDisowned:
+		d.decisionLine(d.parts.Log.Failure(eventlog.KindDisowned), decision).Msg("")
 	case heldjob.DecidedJoined:
 		d.decisionLine(d.parts.Log.Failure(eventlog.KindJoined), decision).Msg("")
 	case heldjob.DecidedRepeated:
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -89,6 +89,7 @@
 		request := session.PollRequest{
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
+			Noted:           s.link.noted,
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
 			SnapshotVersion: d.parts.Holder.Newest().Version,
@@ -129,6 +130,7 @@
 			d.core.Ended(now, s.link.name, event)
 		}
 		placed = d.core.Placed(s.link.name)
+		s.link.noted = max(s.link.noted, d.core.NotedUpTo(s.link.name))
 	})
 	return placed
 }
--- /dev/null
+++ b/dispatcher/renewal.go
@@ -0,0 +1,129 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figring/figring/common/boottime"
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/pause"
+	"github.com/figring/figring/decision/joblease"
+	"github.com/figring/figring/jobstore"
+)
+
+const (
+	// renewTimeout bounds one renewal.
+	renewTimeout = 900 * time.Millisecond
+	// renewRetry is the pause after a renewal that failed.
+	renewRetry = 150 * time.Millisecond
+)
+
+// renewLoop renews the entry's row once it has had a stored job.
+func (k *keeper) renewLoop(ctx context.Context) {
+	var row joblease.Beat
+	for ctx.Err() == nil {
+		if !k.wanted.Load() {
+			select {
+			case <-k.renew:
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		rest := joblease.RenewEvery
+		sentAt := boottime.Now()
+		err := k.renewOnce(ctx, &row)
+		k.renewed(ctx, sentAt, err)
+		if err != nil {
+			rest = renewRetry
+		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, rest)
+	}
+}
+
+// renewOnce writes the row. A row that another entry has revoked begins a new
+// life of this owner: its former jobs are others'.
+func (k *keeper) renewOnce(ctx context.Context, row *joblease.Beat) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	next := *row
+	k.dispatcher.loop.Do(func(time.Time) { next.Name, next.Boot = k.self().Name, k.self().Boot })
+	next.Count++
+	version, err := k.owners.Put(ctx, next)
+	if err == nil {
+		next.Version = version
+		*row = next
+		return nil
+	}
+	if !errors.Is(err, jobstore.ErrRevoked) {
+		return err
+	}
+	found, readErr := k.owners.Get(ctx, next.Name)
+	if readErr != nil {
+		return readErr
+	}
+	if found.Boot == next.Boot && !found.Left {
+		// An earlier renewal was done, and its answer lost.
+		*row = found
+		return err
+	}
+	if row.Boot == next.Boot {
+		k.newLife()
+	}
+	row.Version = found.Version
+	return err
+}
+
+// newLife gives the jobs of the revoked life up.
+func (k *keeper) newLife() {
+	k.dispatcher.loop.Do(func(time.Time) {
+		k.lives++
+		k.lease = joblease.Lease{}
+		k.dispatcher.core.SetOwning(false)
+		for _, id := range k.dispatcher.core.KeptJobs() {
+			k.dispatcher.core.Disown(id)
+		}
+	})
+	k.dispatcher.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "ownership").Msg("")
+}
+
+// renewed takes the outcome of a renewal. A lease that had run out holds again
+// only for jobs that are still this entry's; their next write finds out, and
+// whoever took them over has revoked the row before.
+func (k *keeper) renewed(_ context.Context, sentAt time.Time, err error) {
+	k.dispatcher.loop.Do(func(now time.Time) {
+		if err == nil {
+			k.lease.Renewed(sentAt)
+		}
+		k.dispatcher.core.SetOwning(k.lease.Valid(now))
+		if !k.lease.Valid(now) {
+			return
+		}
+		held := k.held
+		k.held = nil
+		for _, change := range held {
+			k.put(change)
+		}
+		k.forgetOld(now)
+	})
+}
+
+// leave tells other entries that this one owns nothing any more.
+func (k *keeper) leave(ctx context.Context) {
+	if !k.wanted.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	row, err := k.owners.Get(ctx, k.dispatcher.settings.Self.Name)
+	if err != nil || row.Version == 0 {
+		return
+	}
+	row.Left = true
+	if _, err := k.owners.Put(ctx, row); err != nil {
+		// Others find out when the row lapses.
+		k.writeFailed(err)
+	}
+}
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -25,6 +25,8 @@
 	// afterBoot.
 	after     uint64
 	afterBoot string
+	// noted is the number up to which the sidecar need not keep events.
+	noted uint64
 }
 
 // hint tells the link that a life of its sidecar is known.
@@ -118,7 +120,7 @@
 // hello opens a session with what the entry believes to be at the sidecar.
 func (l *sidecarLink) hello(ctx context.Context, client *link.Client) (*openSession, error) {
 	d := l.dispatcher
-	request := session.HelloRequest{Entry: d.settings.Self, Sidecar: l.name, After: l.after, Boot: l.afterBoot}
+	request := session.HelloRequest{Entry: d.settings.Self, Sidecar: l.name, After: l.after, Noted: l.noted, Boot: l.afterBoot, KeepsJobs: d.keeper.seen.Load()}
 	d.loop.Do(func(time.Time) { request.Claims, request.Minion = d.core.Opening(l.name) })
 	var reply session.HelloReply
 	if err := client.Call(ctx, session.MethodHello, &request, &reply, helloTimeout); err != nil {
@@ -127,11 +129,15 @@
 		return nil, err
 	}
 	opened := newOpenSession(l, client, &reply)
-	if l.afterBoot != reply.Sidecar.Boot {
-		l.after = 0
+	newLife := l.afterBoot != reply.Sidecar.Boot
+	if newLife {
+		l.after, l.noted = 0, 0
 		l.afterBoot = reply.Sidecar.Boot
 	}
 	d.loop.Do(func(time.Time) {
+		if newLife {
+			d.core.NewLife(l.name)
+		}
 		l.setOpen(opened)
 		d.core.Connected(l.name, reply.Sidecar.Zone, request.Claims)
 	})
--- /dev/null
+++ b/dispatcher/takeover.go
@@ -0,0 +1,337 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figring/figring/common/boottime"
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/pause"
+	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/decision/joblease"
+	"github.com/figring/figring/jobstore"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/link"
+	"github.com/figring/figring/work"
+)
+
+const (
+	// watchEvery is how often the rows of the owners are read while there are
+	// any, idleWatchEvery while there are none.
+	watchEvery     = time.Second
+	idleWatchEvery = 2 * time.Second
+	// watchTimeout bounds one read of the rows.
+	watchTimeout = 1500 * time.Millisecond
+	// scanAfterChange is how long open jobs are looked for after the owners have
+	// changed: a write that was held up may add one late.
+	scanAfterChange = 20 * time.Second
+	// scanEvery is how often open jobs are looked for then, calmScanEvery else.
+	scanEvery     = 2 * time.Second
+	calmScanEvery = 30 * time.Second
+	// scanTimeout bounds one scan.
+	scanTimeout = 10 * time.Second
+	// adoptTimeout bounds one call to a sidecar, adoptPause is the pause between
+	// two while runs are being stopped, and adoptPatience is how long a sidecar
+	// may be out of reach before its runs count as lapsed.
+	adoptTimeout  = 600 * time.Millisecond
+	adoptPause    = 150 * time.Millisecond
+	adoptPatience = 3 * time.Second
+	// anyoneAfter is how long the jobs of a life wait for the entry that they
+	// fall to before any entry takes them.
+	anyoneAfter = 5 * time.Second
+)
+
+// takeOverLoop follows the owners and takes over the jobs of those that are gone.
+func (k *keeper) takeOverLoop(ctx context.Context) {
+	t := &takeover{keeper: k, watch: joblease.NewWatch(), orphanSince: make(map[jobstore.Owner]time.Time)}
+	for ctx.Err() == nil {
+		t.round(ctx)
+		rest := idleWatchEvery
+		if k.seen.Load() {
+			rest = watchEvery
+		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, rest)
+	}
+}
+
+// takeover is the state of takeOverLoop.
+type takeover struct {
+	*keeper
+	watch *joblease.Watch
+	// owners are the lives that the last read has shown.
+	shown map[string]string
+	// scanUntil is until when open jobs are looked for often.
+	scanUntil, nextScan time.Time
+	// orphanSince is since when jobs of a life were found that is gone.
+	orphanSince map[jobstore.Owner]time.Time
+}
+
+func (t *takeover) round(ctx context.Context) {
+	now := boottime.Now()
+	limited, cancel := context.WithTimeout(ctx, watchTimeout)
+	beats, err := t.owners.List(limited)
+	cancel()
+	if err != nil {
+		t.writeFailed(err)
+		return
+	}
+	t.watch.Observe(now, beats)
+	t.seen.Store(t.watch.Any())
+	t.revoke(ctx)
+	t.noteChanges(now, beats)
+	if !t.watch.Any() || now.Before(t.nextScan) {
+		return
+	}
+	t.nextScan = now.Add(calmScanEvery)
+	if now.Before(t.scanUntil) {
+		t.nextScan = now.Add(scanEvery)
+	}
+	t.scan(ctx, now)
+}
+
+// revoke ends the ownership of lives that have stopped renewing.
+func (t *takeover) revoke(ctx context.Context) {
+	for _, lapsed := range t.watch.Lapsed() {
+		if lapsed.Name == t.dispatcher.settings.Self.Name {
+			continue
+		}
+		lapsed.Left = true
+		limited, cancel := context.WithTimeout(ctx, watchTimeout)
+		_, err := t.owners.Put(limited, lapsed)
+		cancel()
+		t.dispatcher.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "owner "+lapsed.Name).Err(err).Msg("")
+	}
+}
+
+// noteChanges makes scans frequent when a life has begun or ended.
+func (t *takeover) noteChanges(now time.Time, beats []joblease.Beat) {
+	shown := make(map[string]string, len(beats))
+	changed := t.shown == nil
+	for _, beat := range beats {
+		life := beat.Boot
+		if beat.Left {
+			life += " left"
+		}
+		shown[beat.Name] = life
+		changed = changed || t.shown[beat.Name] != life
+	}
+	t.shown = shown
+	if changed {
+		t.scanUntil = now.Add(scanAfterChange)
+		t.nextScan = now
+	}
+}
+
+// scan takes over the open jobs of lives that are gone.
+func (t *takeover) scan(ctx context.Context, now time.Time) {
+	limited, cancel := context.WithTimeout(ctx, scanTimeout)
+	defer cancel()
+	open, unreadable, err := t.store.ListOpen(limited)
+	if err != nil {
+		t.writeFailed(err)
+		return
+	}
+	if unreadable > 0 {
+		t.dispatcher.parts.Log.Failure(eventlog.KindMalformed).Int(eventlog.FieldCount, unreadable).Str(eventlog.FieldReason, "stored jobs").Msg("")
+	}
+	var self jobstore.Owner
+	t.dispatcher.loop.Do(func(time.Time) { self = t.self() })
+	orphans := make(map[jobstore.Owner][]jobstore.Open)
+	for _, one := range open {
+		if owner := one.Progress.Owner; owner != self && !t.watch.Alive(owner.Name, owner.Boot) {
+			orphans[owner] = append(orphans[owner], one)
+		}
+	}
+	for owner := range t.orphanSince {
+		if len(orphans[owner]) == 0 {
+			delete(t.orphanSince, owner)
+		}
+	}
+	for owner, jobs := range orphans {
+		if _, ok := t.orphanSince[owner]; !ok {
+			t.orphanSince[owner] = now
+		}
+		if own := t.mine(now, owner, jobs); len(own) > 0 {
+			t.adopt(ctx, owner, own)
+		}
+	}
+}
+
+// mine returns the jobs that fall to this entry: the living entries share them,
+// and after a while any entry takes what is left.
+func (t *takeover) mine(now time.Time, owner jobstore.Owner, jobs []jobstore.Open) []jobstore.Open {
+	if now.Sub(t.orphanSince[owner]) > anyoneAfter {
+		return jobs
+	}
+	self := t.dispatcher.settings.Self.Name
+	living := append(t.watch.Living(), self)
+	return slices.DeleteFunc(slices.Clone(jobs), func(job jobstore.Open) bool {
+		return preferred(string(job.ID), living) != self
+	})
+}
+
+// preferred returns the entry that a job falls to, by rendezvous hashing.
+func preferred(job string, entries []string) string {
+	return slices.MaxFunc(entries, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(job+"\x00"+a), xxhash.Sum64String(job+"\x00"+b))
+	})
+}
+
+// adopt takes jobs of a life over once nothing of them is at work any more.
+func (t *takeover) adopt(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open) {
+	t.want()
+	ends, ok := t.askSidecars(ctx, owner, jobs)
+	if !ok {
+		return
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var stored []work.TaskKey
+	for _, job := range jobs {
+		record, err := t.store.Record(ctx, job.ID)
+		if err != nil {
+			t.writeFailed(err)
+			continue
+		}
+		wait.Add(1)
+		t.takeOver(record, job, ends[job.ID], func(written bool) {
+			defer wait.Done()
+			mu.Lock()
+			defer mu.Unlock()
+			for _, one := range ends[job.ID] {
+				if written {
+					stored = append(stored, one.Task)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	t.dispatcher.parts.Log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, "jobs of "+owner.Name).
+		Int(eventlog.FieldCount, len(jobs)).Msg("")
+	if len(stored) > 0 {
+		t.tellSidecars(ctx, &session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Stored: stored})
+	}
+}
+
+// ownerBoot returns the life of the process that an owner was.
+func ownerBoot(owner jobstore.Owner) string {
+	for i := len(owner.Boot) - 1; i >= 0; i-- {
+		if owner.Boot[i] == '.' {
+			return owner.Boot[:i]
+		}
+	}
+	return owner.Boot
+}
+
+// takeOver writes this entry as the owner of a job, with the ends that sidecars
+// have told, and runs it.
+func (t *takeover) takeOver(record jobstore.Record, job jobstore.Open, ends []session.TaskEnd, done func(written bool)) {
+	progress := job.Progress
+	failures := make(map[work.TaskKey]int)
+	for _, one := range progress.Failures {
+		failures[work.TaskKey{Job: job.ID, Step: one.Step, Index: one.Index}] = one.Count
+	}
+	for _, one := range ends {
+		if one.End == work.EndDone {
+			progress.Done.Add(one.Task.Step, one.Task.Index)
+			continue
+		}
+		failures[one.Task]++
+	}
+	progress.Failures = nil
+	for task, count := range failures {
+		progress.Failures = append(progress.Failures, jobstore.TaskFailures{Step: task.Step, Index: task.Index, Count: count})
+	}
+	t.dispatcher.loop.Do(func(time.Time) {
+		t.writes++
+		progress.Owner, progress.Write = t.self(), t.writes
+	})
+	change := jobstore.Save(job.ID, job.Version, progress, func(result jobstore.Result) {
+		done(result.Written)
+		if result.Written {
+			t.dispatcher.loop.Post(func(now time.Time) {
+				t.versions[job.ID] = result.Version
+				t.dispatcher.core.Keep(now, heldjob.KeptJob{
+					Job: record.Job, Route: record.Route, Accepted: record.Accepted,
+					Done: progress.Done.Has, Failures: failures,
+				})
+			})
+		}
+	})
+	if !t.writer.Put(change) {
+		done(false)
+	}
+}
+
+// askSidecars asks all sidecars for what they have of the jobs until nothing of
+// them is at work. It reports false when the owner turns out to live.
+func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open) (map[work.JobID][]session.TaskEnd, bool) {
+	request := session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner)}
+	for _, job := range jobs {
+		request.Jobs = append(request.Jobs, job.ID)
+	}
+	began := boottime.Now()
+	for ctx.Err() == nil {
+		answers := t.tellSidecars(ctx, &request)
+		if answers.inTouch {
+			return nil, false
+		}
+		patient := boottime.Now().Sub(began) < adoptPatience
+		if !answers.busy && (answers.missing == 0 || !patient) {
+			return answers.ends, true
+		}
+		// The end of ctx ends the loop.
+		_ = pause.For(ctx, adoptPause)
+	}
+	return nil, false
+}
+
+// answers is what the sidecars have told together.
+type answers struct {
+	inTouch, busy bool
+	// missing counts the sidecars that did not answer.
+	missing int
+	ends    map[work.JobID][]session.TaskEnd
+}
+
+// tellSidecars calls all known sidecars at once.
+func (t *takeover) tellSidecars(ctx context.Context, request *session.AdoptRequest) answers {
+	sum := answers{ends: make(map[work.JobID][]session.TaskEnd)}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, sidecar := range t.dispatcher.parts.Directory.Of(session.RoleSidecar) {
+		wait.Go(func() {
+			reply, err := t.askSidecar(ctx, sidecar, *request)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				sum.missing++
+				return
+			}
+			sum.inTouch = sum.inTouch || reply.InTouch
+			sum.busy = sum.busy || reply.Busy
+			for _, one := range reply.Ends {
+				sum.ends[one.Task.Job] = append(sum.ends[one.Task.Job], one)
+			}
+		})
+	}
+	wait.Wait()
+	return sum
+}
+
+func (t *takeover) askSidecar(ctx context.Context, sidecar session.Peer, request session.AdoptRequest) (session.AdoptReply, error) {
+	request.Sidecar = sidecar.Name
+	var reply session.AdoptReply
+	client, err := link.Dial(ctx, sidecar.Address, t.dispatcher.settings.Secret)
+	if err != nil {
+		return reply, err
+	}
+	defer client.Close()
+	return reply, client.Call(ctx, session.MethodAdopt, &request, &reply, adoptTimeout)
+}
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -5,14 +5,17 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figring/figring/dispatcher"
+	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/platform/front"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/settings"
+	"github.com/figring/figring/store"
 )
 
 const (
@@ -25,6 +28,14 @@
 	drainPoll = 25 * time.Millisecond
 )
 
+// The tables of stored jobs, and of the entries that own some.
+const (
+	jobsTable   = "jobs"
+	ownersTable = "owners"
+)
+
+func partitionName(number int) string { return "p" + strconv.Itoa(number) }
+
 // RunDispatcher runs an entry until ctx ends, and drains it.
 func RunDispatcher(ctx context.Context, options Options, loaded settings.DispatcherSettings) error {
 	common, err := newShared(options, session.RoleEntry, &loaded.InstanceSettings)
@@ -37,11 +48,15 @@
 		Listen:           loaded.RPCListen,
 		Secret:           loaded.Secret,
 		SidecarsPerEntry: loaded.SidecarsPerEntry,
+		PartWrites:       loaded.PartWrites,
 	}, dispatcher.Parts{
 		Holder:    common.holder,
 		Directory: common.directory,
 		Log:       common.log,
 		Scope:     common.metrics.Scope,
+		Jobs:      jobstore.New(func(partition int) store.Table { return common.table.Part(jobsTable, partitionName(partition)) }),
+		Owners:    jobstore.NewOwners(common.table.Part(ownersTable, "")),
+		StoreOut:  common.storeLost.Load,
 	})
 	if err != nil {
 		return err
@@ -106,6 +121,7 @@
 	role.GiveUpAll()
 	limited, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
+	role.Release(limited)
 	// What is open beyond the limit is cut off by the end of the process.
 	_ = server.Shutdown(limited)
 }
--- a/jobstore/change.go
+++ b/jobstore/change.go
@@ -34,6 +34,9 @@
 	abandoned
 )
 
+// ID returns the job that the change is of.
+func (c *Change) ID() work.JobID { return c.id }
+
 // Abandon takes the change back. It reports false when the change was sent
 // before: it may be stored then.
 func (c *Change) Abandon() bool { return c.phase.CompareAndSwap(waiting, abandoned) }
--- a/session/service.go
+++ b/session/service.go
@@ -11,4 +11,7 @@
 	MethodStop     = SidecarService + ".Stop"
 	MethodAdopt    = SidecarService + ".Adopt"
 	MethodAnnounce = EntryService + ".Announce"
+	MethodJob      = EntryService + ".Job"
+	MethodEnded    = EntryService + ".Ended"
+	MethodPending  = EntryService + ".Pending"
 )
--- a/settings/instance_test.go
+++ b/settings/instance_test.go
@@ -27,6 +27,7 @@
 		{"grace without a unit", `"6s"`, `"6"`, "stopGrace"},
 		{"no grace", `"6s"`, `"0s"`, "stopGrace"},
 		{"unknown log", `"log": "all"`, `"log": "some"`, "log"},
+		{"no writes", `"partWritesPerSecond": 150`, `"partWritesPerSecond": 0`, "partWritesPerSecond"},
 		{"no sidecars", `"sidecarsPerEntry": 24`, `"sidecarsPerEntry": 0`, "sidecarsPerEntry"},
 		{"table without a port", `"127.0.0.1:8500"`, `"127.0.0.1"`, "table"},
 	}
