--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -88,15 +88,34 @@
 
 // submit returns the status of the answer, 0 when there was none.
 func (c *callers) submit(id string, entry, tasks, work int) (int, string) {
+	return c.send(id, entry, tasks, work, true)
+}
+
+// submitKept submits a job that has to be stored.
+func (c *callers) submitKept(id string, entry, tasks, work int) (int, string) {
+	return c.send(id, entry, tasks, work, false)
+}
+
+func (c *callers) send(id string, entry, tasks, work int, bestEffort bool) (int, string) {
 	c.mu.Lock()
 	c.asked++
 	c.mu.Unlock()
 	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: c.need})
 	body, _ := json.Marshal(map[string]any{
-		"spec": string(spec), "best_effort": true,
+		"spec": string(spec), "best_effort": bestEffort,
 		"steps": []map[string]any{{"count": tasks, "cpu": c.need, "mem_mb": 8, "est_ms": work}},
 	})
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.w.address(10+entry, 1)+prefix+id, bytes.NewReader(body))
+	return c.call(http.MethodPost, id, entry, body)
+}
+
+// state returns the state of a job, empty when there is no answer.
+func (c *callers) state(id string, entry int) string {
+	_, state := c.call(http.MethodGet, id, entry, nil)
+	return state
+}
+
+func (c *callers) call(method, id string, entry int, body []byte) (int, string) {
+	request, err := http.NewRequest(method, "http://"+c.w.address(10+entry, 1)+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
