An owner that was revoked keeps the jobs that nobody has taken over

Now it writes its jobs anew as another owner, and drops those that others have taken by then; others take the jobs of a revoked owner that lives 5 s later, by force: its runs are stopped, and ends are told to both. Test: TestForcedAdoption.

--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -26,10 +26,13 @@
 	guess bool
 }
 
+// decides reports whether an end tells something about the job of its task.
+func decides(end work.End) bool { return end == work.EndDone || end == work.EndFailed }
+
 // orphan keeps an end for an entry that may ask for it. Only ends that decide
 // about a job matter.
 func (c *Core) orphan(now time.Time, task work.TaskKey, end work.End, sequence uint64, guess bool) {
-	if end != work.EndDone && end != work.EndFailed {
+	if !decides(end) {
 		return
 	}
 	c.orphans[task] = orphan{end: end, sequence: sequence, since: now, guess: guess}
@@ -73,10 +76,12 @@
 // is left of them.
 func (c *Core) Adopt(now time.Time, request *session.AdoptRequest) session.AdoptReply {
 	known, ok := c.entries[request.Owner]
-	if ok && known.boot == request.Boot && !known.silent && now.Sub(known.echoed) <= SilenceLimit {
+	ok = ok && known.boot == request.Boot
+	inTouch := ok && !known.silent && now.Sub(known.echoed) <= SilenceLimit
+	if inTouch && !request.Force {
 		return session.AdoptReply{InTouch: true}
 	}
-	if ok && known.boot == request.Boot {
+	if ok && !inTouch {
 		c.forgetEnds(now, request.Owner)
 	}
 	for _, task := range request.Stored {
@@ -101,5 +106,10 @@
 			reply.Ends = append(reply.Ends, session.TaskEnd{Task: task, End: one.end})
 		}
 	}
+	for _, one := range c.ends {
+		if wanted[one.task.Job] && one.entry == request.Owner && decides(one.end) {
+			reply.Ends = append(reply.Ends, session.TaskEnd{Task: one.task, End: one.end})
+		}
+	}
 	return reply
 }
--- a/decision/execution/orphan_test.go
+++ b/decision/execution/orphan_test.go
@@ -61,6 +61,23 @@
 	must.EqOp(t, 1, f.core.AckedUpTo())
 }
 
+// TestForcedAdoption covers an owner that lives and was revoked: its runs are
+// stopped, and the ends that it may not have stored are told to the new owner
+// and kept for the former one.
+func TestForcedAdoption(t *testing.T) {
+	f := newFixture(t)
+	f.keptDone(key("a", 0))
+	f.started(key("a", 1))
+	request := adoption("a")
+	must.True(t, f.core.Adopt(f.now, request).InTouch)
+	request.Force = true
+	reply := f.core.Adopt(f.now, request)
+	must.True(t, reply.Busy)
+	must.Eq(t, []session.TaskEnd{{Task: key("a", 0), End: work.EndDone}}, reply.Ends)
+	must.Len(t, 1, f.core.EventsFor(testEntry))
+	must.EqOp(t, 0, f.core.AckedUpTo())
+}
+
 // TestAdoptionStopsRuns covers runs of an entry that is gone: they are stopped,
 // and whoever adopts the job waits for that.
 func TestAdoptionStopsRuns(t *testing.T) {
--- a/decision/heldjob/kept.go
+++ b/decision/heldjob/kept.go
@@ -16,6 +16,10 @@
 	// saving is true while a write is under way, dirty when there is more to
 	// store after it.
 	saving, dirty bool
+	// unsure means that another entry may have taken the job over: the entry has
+	// lost its ownership and has to write the job anew. confirming means that the
+	// write under way does that.
+	unsure, confirming bool
 	// outcome is set once the job has ended; it is stored then and told later.
 	outcome Outcome
 	// awaiting are the events that the next write stores, underWay those of the
@@ -199,6 +203,7 @@
 	}
 	stored.saving = true
 	stored.dirty = false
+	stored.confirming = stored.unsure
 	stored.underWay, stored.awaiting = stored.awaiting, nil
 	if stored.outcome != 0 {
 		c.ask(EndJob{Job: job.id, Outcome: stored.outcome})
@@ -256,6 +261,8 @@
 	settle(stored.underWay)
 	stored.underWay = nil
 	stored.saving = false
+	stored.unsure = stored.unsure && !stored.confirming
+	stored.confirming = false
 	if stored.outcome == 0 || stored.dirty {
 		c.flush(job)
 		return
@@ -265,6 +272,30 @@
 	delete(c.jobs, id)
 }
 
+// Reown writes all stored jobs anew: the entry has become another owner. Nothing
+// of them is started before. Those that others have taken over are disowned by
+// that.
+func (c *Core) Reown() {
+	for _, job := range c.jobs {
+		if job.kept != nil {
+			c.reown(job)
+		}
+	}
+}
+
+// ReownJob does so with one job.
+func (c *Core) ReownJob(id work.JobID) {
+	if job, ok := c.jobs[id]; ok && job.kept != nil {
+		c.reown(job)
+	}
+}
+
+func (c *Core) reown(job *job) {
+	job.kept.unsure = true
+	job.kept.confirming = false
+	c.changed(job)
+}
+
 func settle(notes []*note) {
 	for _, one := range notes {
 		one.settled = true
--- a/decision/heldjob/keptplace.go
+++ b/decision/heldjob/keptplace.go
@@ -49,7 +49,7 @@
 // placeKept places as many tasks of a stored job as have room now, and reports
 // whether there was room for all that may run.
 func (c *Core) placeKept(now time.Time, job *job) bool {
-	if !c.owning || job.kept.outcome != 0 || job.unplacedLeft == 0 {
+	if !c.owning || job.kept.unsure || job.kept.outcome != 0 || job.unplacedLeft == 0 {
 		return true
 	}
 	if now.Before(job.nextTry) {
--- a/dispatcher/keeper.go
+++ b/dispatcher/keeper.go
@@ -108,13 +108,16 @@
 func (k *keeper) create(now time.Time, action heldjob.CreateJob) {
 	k.want()
 	k.writes++
-	id, accepted := action.Job.ID, time.Now()
+	id, accepted, life := action.Job.ID, time.Now(), k.lives
 	record := jobstore.Record{Job: action.Job, Route: action.Route, Accepted: accepted}
 	change := jobstore.Create(record, jobstore.Progress{Owner: k.self(), Write: k.writes}, func(result jobstore.Result) {
 		k.dispatcher.loop.Post(func(now time.Time) {
 			delete(k.creating, id)
 			k.versions[id] = result.Version
 			k.dispatcher.core.Created(now, id, result.Written, accepted)
+			if life != k.lives {
+				k.dispatcher.core.ReownJob(id)
+			}
 		})
 	})
 	k.creating[id] = change
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -76,15 +76,14 @@
 	return err
 }
 
-// newLife gives the jobs of the revoked life up.
+// newLife makes this entry another owner. It keeps the jobs that nobody has taken
+// over by then.
 func (k *keeper) newLife() {
 	k.dispatcher.loop.Do(func(time.Time) {
 		k.lives++
 		k.lease = joblease.Lease{}
 		k.dispatcher.core.SetOwning(false)
-		for _, id := range k.dispatcher.core.KeptJobs() {
-			k.dispatcher.core.Disown(id)
-		}
+		k.dispatcher.core.Reown()
 	})
 	k.dispatcher.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "ownership").Msg("")
 }
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -43,7 +43,8 @@
 	adoptPause    = 150 * time.Millisecond
 	adoptPatience = 3 * time.Second
 	// anyoneAfter is how long the jobs of a life wait for the entry that they
-	// fall to before any entry takes them.
+	// fall to, or for their owner, where that lives and has lost the store. After
+	// that any entry takes them.
 	anyoneAfter = 5 * time.Second
 )
 
@@ -154,10 +155,16 @@
 		t.dispatcher.parts.Log.Failure(eventlog.KindMalformed).Int(eventlog.FieldCount, unreadable).Str(eventlog.FieldReason, "stored jobs").Msg("")
 	}
 	var self jobstore.Owner
-	t.dispatcher.loop.Do(func(time.Time) { self = t.self() })
+	own := make(map[work.JobID]bool)
+	t.dispatcher.loop.Do(func(time.Time) {
+		self = t.self()
+		for _, id := range t.dispatcher.core.KeptJobs() {
+			own[id] = true
+		}
+	})
 	orphans := make(map[jobstore.Owner][]jobstore.Open)
 	for _, one := range open {
-		if owner := one.Progress.Owner; owner != self && !t.watch.Alive(owner.Name, owner.Boot) {
+		if owner := one.Progress.Owner; owner != self && !own[one.ID] && !t.watch.Alive(owner.Name, owner.Boot) {
 			orphans[owner] = append(orphans[owner], one)
 		}
 	}
@@ -170,8 +177,8 @@
 		if _, ok := t.orphanSince[owner]; !ok {
 			t.orphanSince[owner] = now
 		}
-		if own := t.mine(now, owner, jobs); len(own) > 0 {
-			t.adopt(ctx, owner, own)
+		if fallen := t.mine(now, owner, jobs); len(fallen) > 0 {
+			t.adopt(ctx, now, owner, fallen)
 		}
 	}
 }
@@ -197,9 +204,9 @@
 }
 
 // adopt takes jobs of a life over once nothing of them is at work any more.
-func (t *takeover) adopt(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open) {
+func (t *takeover) adopt(ctx context.Context, now time.Time, owner jobstore.Owner, jobs []jobstore.Open) {
 	t.want()
-	ends, ok := t.askSidecars(ctx, owner, jobs)
+	ends, ok := t.askSidecars(ctx, owner, jobs, now.Sub(t.orphanSince[owner]) > anyoneAfter)
 	if !ok {
 		return
 	}
@@ -284,8 +291,8 @@
 
 // askSidecars asks all sidecars for what they have of the jobs until nothing of
 // them is at work. It reports false when the owner turns out to live.
-func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open) (map[work.JobID][]session.TaskEnd, bool) {
-	request := session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner)}
+func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open, force bool) (map[work.JobID][]session.TaskEnd, bool) {
+	request := session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Force: force}
 	for _, job := range jobs {
 		request.Jobs = append(request.Jobs, job.ID)
 	}
--- a/session/adopt.go
+++ b/session/adopt.go
@@ -10,6 +10,9 @@
 	// Owner and Boot name the life of the entry that owned the jobs.
 	Owner, Boot string
 	Jobs        []work.JobID
+	// Force means that the owner was revoked long ago and may not start anything:
+	// its runs are stopped though it lives.
+	Force bool
 	// Stored are tasks whose ends, told before, are stored by now.
 	Stored []work.TaskKey
 }
