--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -22,6 +22,12 @@
 	replies map[uint64]Answer
 	orders  []Order
 	stops   []StopJob
+
+	// What was asked of the store.
+	creates   []CreateJob
+	saves     []SaveJob
+	endings   []EndJob
+	takebacks []AbandonJob
 }
 
 func newFixture(t *testing.T, sidecars int) *fixture {
@@ -84,6 +90,14 @@
 			f.orders = append(f.orders, action)
 		case StopJob:
 			f.stops = append(f.stops, action)
+		case CreateJob:
+			f.creates = append(f.creates, action)
+		case SaveJob:
+			f.saves = append(f.saves, action)
+		case EndJob:
+			f.endings = append(f.endings, action)
+		case AbandonJob:
+			f.takebacks = append(f.takebacks, action)
 		}
 	}
 }
--- /dev/null
+++ b/decision/heldjob/kept_test.go
@@ -0,0 +1,276 @@
+package heldjob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// keep hands in a job that has to be stored.
+func (f *fixture) keep(id string, tasks int) uint64 {
+	f.waiter++
+	f.core.Submit(f.now, &Submission{
+		Waiter: f.waiter, Host: "h", Path: "/p/" + id, Patience: time.Second,
+		Job: work.Job{ID: work.JobID(id), Steps: []work.Step{keptStep(tasks)}},
+	})
+	f.collect()
+	return f.waiter
+}
+
+func keptStep(tasks int) work.Step {
+	return work.Step{Count: tasks, Need: work.Room{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond}
+}
+
+// created answers all creations as written.
+func (f *fixture) created() {
+	for _, create := range f.creates {
+		f.core.Created(f.now, create.Job.ID, true, f.now)
+	}
+	f.creates = nil
+	f.collect()
+}
+
+// saved answers all writes of progress and ends.
+func (f *fixture) saved(written bool) {
+	saves, endings := f.saves, f.endings
+	f.saves, f.endings = nil, nil
+	for _, save := range saves {
+		f.core.Saved(save.Job, written)
+	}
+	for _, ending := range endings {
+		f.core.Saved(ending.Job, written)
+	}
+	f.collect()
+}
+
+// endAs tells the end of each task of an order, with rising numbers.
+func (f *fixture) endAs(order Order, end work.End, number uint64) {
+	for i, task := range order.Request.Tasks {
+		f.core.Ended(f.now, order.Sidecar, session.Event{Number: number + uint64(i), Task: task.Task, End: end})
+	}
+	f.collect()
+}
+
+// TestKeptJobIsAcceptedWhenStored covers the calm path: accepted when stored,
+// started after that, shown as completed when the end is stored, and its events
+// noted only then.
+func TestKeptJobIsAcceptedWhenStored(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	waiter := f.keep("j", 2)
+	must.Len(t, 1, f.creates)
+	must.Len(t, 0, f.orders)
+	must.MapNotContainsKey(t, f.replies, waiter)
+	f.created()
+	must.EqOp(t, Accepted, f.replies[waiter].Outcome)
+	order := f.take(session.RefusedNone)[0]
+	must.True(t, order.Request.Tasks[0].Kept)
+	f.endAs(order, work.EndDone, 1)
+	must.EqOp(t, 0, f.core.NotedUpTo(order.Sidecar))
+	_, _, open, _ := f.core.State("j")
+	must.True(t, open)
+	for len(f.saves)+len(f.endings) > 0 {
+		f.saved(true)
+	}
+	must.EqOp(t, 2, f.core.NotedUpTo(order.Sidecar))
+	answer, _, open, known := f.core.State("j")
+	must.True(t, known)
+	must.False(t, open)
+	must.EqOp(t, Completed, answer.Outcome)
+}
+
+// TestKeptJobComesAgain covers a job that comes again while it is stored, while it
+// runs and after its end: it is stored once and always accepted.
+func TestKeptJobComesAgain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	first, second := f.keep("j", 1), f.keep("j", 1)
+	must.Len(t, 1, f.creates)
+	f.created()
+	must.EqOp(t, Accepted, f.replies[first].Outcome)
+	must.EqOp(t, Accepted, f.replies[second].Outcome)
+	must.EqOp(t, Accepted, f.replies[f.keep("j", 1)].Outcome)
+	f.endAs(f.take(session.RefusedNone)[0], work.EndDone, 1)
+	f.saved(true)
+	must.EqOp(t, Completed, f.replies[f.keep("j", 1)].Outcome)
+	must.Len(t, 0, f.creates)
+}
+
+// TestKnownElsewhere covers a job that another entry has stored: it is accepted,
+// and not run here.
+func TestKnownElsewhere(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	waiter := f.keep("j", 1)
+	f.core.Created(f.now, "j", false, f.now)
+	f.collect()
+	must.EqOp(t, Accepted, f.replies[waiter].Outcome)
+	must.Len(t, 0, f.orders)
+	must.Len(t, 0, f.core.KeptJobs())
+}
+
+// TestStoreOutIsToldAtOnce covers a store that is known to be away.
+func TestStoreOutIsToldAtOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetStoreOut(true)
+	answer := f.replies[f.keep("j", 1)]
+	must.EqOp(t, Refused, answer.Outcome)
+	must.EqOp(t, ReasonStoreOut, answer.Reason)
+	must.Positive(t, answer.RetryAfter)
+	must.Len(t, 0, f.creates)
+}
+
+// TestCallerOfASlowStore covers a job that can't be stored while its caller
+// waits: it is refused when it was not sent, else the outcome is not known, also
+// for those who ask later.
+func TestCallerOfASlowStore(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.keep("j", 1)
+	f.tick(time.Second)
+	must.Len(t, 1, f.takebacks)
+	f.core.Abandoned("j", true)
+	f.collect()
+	must.EqOp(t, Refused, f.replies[waiter].Outcome)
+
+	waiter = f.keep("k", 1)
+	f.tick(time.Second)
+	f.core.Abandoned("k", false)
+	f.collect()
+	must.EqOp(t, GivenUp, f.replies[waiter].Outcome)
+	again := f.keep("k", 1)
+	must.Len(t, 2, f.creates)
+	f.core.Created(f.now, "k", true, f.now)
+	f.collect()
+	must.EqOp(t, Accepted, f.replies[again].Outcome)
+}
+
+// TestNothingStartsWithoutOwnership covers an entry that may have lost its jobs.
+func TestNothingStartsWithoutOwnership(t *testing.T) {
+	f := newFixture(t, 1)
+	f.keep("j", 1)
+	f.created()
+	f.tick(time.Second)
+	must.Len(t, 0, f.orders)
+	f.core.SetOwning(true)
+	f.tick(time.Second)
+	must.Len(t, 1, f.orders)
+}
+
+// TestRevokedOwnerConfirmsItsJobs covers an entry that has become another owner:
+// it starts nothing of a job before it has written it anew, and gives up what
+// another entry has taken.
+func TestRevokedOwnerConfirmsItsJobs(t *testing.T) {
+	f := newFixture(t, 0)
+	f.core.SetOwning(true)
+	f.keep("j", 1)
+	f.keep("k", 1)
+	f.created()
+	f.core.Reown()
+	f.collect()
+	must.Len(t, 2, f.saves)
+	f.connect("s0")
+	f.tick(time.Second)
+	must.Len(t, 0, f.orders)
+	f.saves = nil
+	f.core.Saved("j", true)
+	f.core.Saved("k", false)
+	f.tick(time.Second)
+	must.Len(t, 1, f.orders)
+	must.EqOp(t, "j", string(f.orders[0].Job))
+	must.Eq(t, []work.JobID{"j"}, f.core.KeptJobs())
+}
+
+// TestLostSidecarHoldsKeptTasks covers a sidecar that was lost: it may hold the
+// end of a task, which is not run again before the sidecar has told or surely
+// forgotten it.
+func TestLostSidecarHoldsKeptTasks(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	f.keep("j", 1)
+	f.created()
+	order := f.take(session.RefusedNone)[0]
+	f.core.Disconnected(order.Sidecar, f.now)
+	f.connect("other")
+	f.tick(DeadAfter + time.Millisecond)
+	must.Len(t, 0, f.orders)
+	claims := f.connect(order.Sidecar)
+	must.Len(t, 1, claims)
+	must.True(t, claims[0].Kept)
+	f.endAs(order, work.EndDone, 1)
+	must.Len(t, 1, f.endings)
+
+	f.keep("k", 1)
+	f.created()
+	order = f.take(session.RefusedNone)[0]
+	f.core.Disconnected(order.Sidecar, f.now)
+	f.tick(DeadAfter + keptDeadMargin + time.Millisecond)
+	must.Len(t, 1, f.orders)
+}
+
+// TestTakenOverJob covers a job of which some is done and some has failed.
+func TestTakenOverJob(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	route := manifest.Route{Name: "r", Service: "desk", Attempts: 2}
+	job := work.Job{ID: "j", Steps: []work.Step{keptStep(3)}}
+	f.core.Keep(f.now, KeptJob{
+		Job: job, Route: route, Accepted: f.now,
+		Done:     func(_, index int) bool { return index == 0 },
+		Failures: map[work.TaskKey]int{{Job: "j", Index: 1}: 1},
+	})
+	f.collect()
+	placed := 0
+	for _, order := range f.orders {
+		placed += len(order.Request.Tasks)
+	}
+	must.EqOp(t, 2, placed)
+	for i, order := range f.take(session.RefusedNone) {
+		f.endAs(order, work.EndFailed, uint64(10*i+1))
+	}
+	must.Len(t, 1, f.endings)
+	must.EqOp(t, Failed, f.endings[0].Outcome)
+
+	all := KeptJob{Job: work.Job{ID: "k", Steps: []work.Step{keptStep(1)}}, Route: route, Done: func(int, int) bool { return true }}
+	f.core.Keep(f.now, all)
+	f.collect()
+	must.EqOp(t, Completed, f.endings[1].Outcome)
+}
+
+// TestCancelIsToldWhenStored covers the cancel of a job at its owner.
+func TestCancelIsToldWhenStored(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	f.keep("j", 1)
+	f.created()
+	f.take(session.RefusedNone)
+	f.waiter++
+	must.True(t, f.core.CancelKept("j", f.waiter))
+	must.False(t, f.core.CancelKept("none", f.waiter))
+	f.collect()
+	must.Len(t, 1, f.stops)
+	must.MapNotContainsKey(t, f.replies, f.waiter)
+	f.saved(true)
+	must.EqOp(t, Cancelled, f.replies[f.waiter].Outcome)
+}
+
+// TestQueueOrder covers more jobs than there is room for: they get room by
+// priority, then by age.
+func TestQueueOrder(t *testing.T) {
+	f := newFixture(t, 1)
+	for i, priority := range []int{1, 1, 0} {
+		f.core.Keep(f.now, KeptJob{
+			Job:   work.Job{ID: work.JobID(rune('a' + i)), Steps: []work.Step{keptStep(2)}},
+			Route: manifest.Route{Name: "r", Service: "desk", Attempts: 1, Priority: priority},
+
+			Accepted: f.now.Add(time.Duration(i) * time.Second),
+		})
+	}
+	f.core.SetOwning(true)
+	f.tick(time.Second)
+	must.EqOp(t, "c", string(f.orders[0].Job))
+}
