--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -44,6 +44,9 @@
 	if c.health.Suspect() && (len(c.runs) > 0 || !c.health.TrialDue(now)) {
 		return session.RefusedSuspect
 	}
+	if !c.minion.Suits(task.Label) {
+		return session.RefusedLabel
+	}
 	if !c.minion.Capacity.Fits(task.Need) || len(c.queue) >= maxQueued {
 		return session.RefusedRoom
 	}
@@ -59,6 +62,7 @@
 		needKnown: true,
 		estimate:  task.Estimate,
 		kept:      task.Kept,
+		label:     task.Label,
 		number:    1,
 		orderedAt: now,
 		startBy:   now.Add(task.Slack),
@@ -100,7 +104,7 @@
 	free := c.free()
 	kept := c.queue[:0]
 	for _, waiting := range c.queue {
-		if !free.Fits(waiting.need) || c.heldByTrial() {
+		if !free.Fits(waiting.need) || !c.minion.Suits(waiting.label) || c.heldByTrial() {
 			kept = append(kept, waiting)
 			continue
 		}
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -32,6 +32,8 @@
 	// entry has claimed yet.
 	needKnown bool
 	estimate  time.Duration
+	// label is one that the minion must have; empty for none.
+	label string
 	// kept means that the task's job is stored.
 	kept bool
 
--- a/decision/heldjob/keptplace.go
+++ b/decision/heldjob/keptplace.go
@@ -82,6 +82,9 @@
 		Estimate:     step.Estimate,
 		Slack:        slack,
 		Gathered:     planned.gathered,
+		Label:        step.Label,
+		Rack:         step.Rack,
+		Full:         c.full(job, task.step, planned),
 		MaxWait:      keptWait,
 		FailedBefore: task.failures > 0,
 	}, task.avoided)
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -58,6 +58,9 @@
 		Estimate:     step.Estimate,
 		Slack:        max(job.slack(now), 0),
 		Gathered:     planned.gathered,
+		Label:        step.Label,
+		Rack:         step.Rack,
+		Full:         c.full(job, task.step, planned),
 		MaxWait:      limit,
 		FailedBefore: task.failures > 0,
 	}
@@ -80,6 +83,29 @@
 	return true
 }
 
+// full returns what reports whether a sidecar has as many tasks of a step as it
+// may, with those that are planned; nil for a step without a bound.
+func (c *Core) full(job *job, step int, planned *plan) func(string) bool {
+	limit := job.steps[step].MaxPerMinion
+	if limit == 0 {
+		return nil
+	}
+	return func(name string) bool {
+		count := 0
+		for key := range c.sidecars[name].placed {
+			if key.Job == job.id && key.Step == step {
+				count++
+			}
+		}
+		for _, one := range planned.choices {
+			if one.task.step == step && one.choice.Candidate.Name == name {
+				count++
+			}
+		}
+		return count >= limit
+	}
+}
+
 // choose adds a choice to a plan. It counts as sent from now on.
 func (c *Core) choose(planned *plan, numbers map[*sidecar]uint64, task *task, choice placement.Choice, need work.Room, slack time.Duration) {
 	chosen := c.sidecars[choice.Candidate.Name]
@@ -115,7 +141,7 @@
 		}
 		step := job.steps[one.task.step]
 		request.Tasks = append(request.Tasks, session.StartTask{
-			Task: one.task.key, Need: step.Need, Estimate: step.Estimate, Slack: slack,
+			Task: one.task.key, Need: step.Need, Label: step.Label, Estimate: step.Estimate, Slack: slack,
 			MaxWait: job.maxWait(now, step.Estimate), Expected: max(one.choice.Wait, job.leastExpected(now)),
 		})
 		request.Tasks[len(request.Tasks)-1].Kept = job.kept != nil
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -76,6 +76,7 @@
 	switch end {
 	case work.EndDone:
 		c.taskDone(job, placed)
+		c.placeNext(now, job)
 		return
 	case work.EndFailed:
 		placed.failures++
@@ -95,6 +96,15 @@
 	c.place(now, job)
 }
 
+// placeNext places tasks of a stored job for which room or their turn may have
+// come by the end of another one.
+func (c *Core) placeNext(now time.Time, job *job) {
+	if job.kept != nil {
+		job.nextTry = time.Time{}
+		c.placeKept(now, job)
+	}
+}
+
 func (t *task) avoid(name string) {
 	if t.avoided == nil {
 		t.avoided = make(map[string]bool)
--- /dev/null
+++ b/decision/heldjob/steps_test.go
@@ -0,0 +1,88 @@
+package heldjob
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// keepSteps takes a stored job of steps to run.
+func (f *fixture) keepSteps(steps ...work.Step) {
+	f.core.SetOwning(true)
+	f.core.Keep(f.now, KeptJob{
+		Job:   work.Job{ID: "j", Steps: steps},
+		Route: manifest.Route{Name: "r", Service: "desk", Attempts: 2},
+	})
+	f.collect()
+}
+
+// steps returns the steps of the tasks that were ordered, in their order.
+func steps(orders []Order) []int {
+	var found []int
+	for _, order := range orders {
+		for _, task := range order.Request.Tasks {
+			found = append(found, task.Task.Step)
+		}
+	}
+	return found
+}
+
+// TestStepsComeAfterEachOther covers a job of three steps, of which the last comes
+// after both others: nothing of it starts before all their tasks are done.
+func TestStepsComeAfterEachOther(t *testing.T) {
+	f := newFixture(t, 4)
+	last := keptStep(1)
+	last.After = []int{0, 1}
+	f.keepSteps(keptStep(2), keptStep(1), last)
+	first := f.take(session.RefusedNone)
+	must.SliceContainsAll(t, []int{0, 0, 1}, steps(first))
+	for i, order := range first {
+		must.Len(t, 0, f.orders)
+		f.endAs(order, work.EndDone, uint64(10*i+1))
+	}
+	must.Eq(t, []int{2}, steps(f.orders))
+	f.endAs(f.take(session.RefusedNone)[0], work.EndDone, 100)
+	for len(f.saves) > 0 {
+		f.saved(true)
+	}
+	must.Len(t, 1, f.endings)
+	must.EqOp(t, Completed, f.endings[0].Outcome)
+}
+
+// TestFailedTaskHoldsTheNextStep covers a task that fails once: what comes after
+// it waits for its next run.
+func TestFailedTaskHoldsTheNextStep(t *testing.T) {
+	f := newFixture(t, 2)
+	next := keptStep(1)
+	next.After = []int{0}
+	f.keepSteps(keptStep(1), next)
+	f.endAs(f.take(session.RefusedNone)[0], work.EndFailed, 1)
+	again := f.take(session.RefusedNone)
+	must.Eq(t, []int{0}, steps(again))
+	f.endAs(again[0], work.EndDone, 2)
+	must.Eq(t, []int{1}, steps(f.orders))
+}
+
+// TestTasksOfAMinionAreBounded covers a step that may have one task on a minion:
+// the rest waits, also while a sidecar is lost.
+func TestTasksOfAMinionAreBounded(t *testing.T) {
+	f := newFixture(t, 2)
+	bounded := keptStep(3)
+	bounded.MaxPerMinion = 1
+	f.keepSteps(bounded)
+	orders := f.take(session.RefusedNone)
+	must.Len(t, 2, orders)
+	must.NotEqOp(t, orders[0].Sidecar, orders[1].Sidecar)
+	for _, order := range orders {
+		must.Len(t, 1, order.Request.Tasks)
+	}
+	f.tick(DeadAfter)
+	must.Len(t, 0, f.orders)
+	f.endAs(orders[0], work.EndDone, 1)
+	must.Len(t, 1, f.orders)
+	must.EqOp(t, orders[0].Sidecar, f.orders[0].Sidecar)
+}
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -68,7 +68,7 @@
 		return "occurrences"
 	case route.Advised:
 		return "advice"
-	case len(job.Steps) != 1:
+	case job.BestEffort && len(job.Steps) != 1:
 		return "steps"
 	}
 	for _, step := range job.Steps {
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -22,6 +22,9 @@
 	soundPace = 1.8
 	// paceCost is added for each whole estimate that a sound minion takes longer.
 	paceCost = 10 * time.Millisecond
+	// farShare is the part of its estimate that a task takes longer where its
+	// data is on another rack.
+	farShare = 0.5
 	// gatherGain is taken off for a minion that another task of the same job
 	// goes to: tasks that share a minion share their messages.
 	gatherGain = 6 * time.Millisecond
@@ -40,6 +43,12 @@
 	MaxWait time.Duration
 	// Gathered are the sidecars that other tasks of the same job go to.
 	Gathered map[string]bool
+	// Label is one that the minion must have; empty for none.
+	Label string
+	// Rack names the rack with the data; empty where it does not matter.
+	Rack string
+	// Full reports whether a sidecar has as many tasks of the step as it may.
+	Full func(sidecar string) bool
 	// FailedBefore keeps the task away from minions on trial.
 	FailedBefore bool
 }
@@ -83,6 +92,9 @@
 	if !state.Taking || state.Minion.Service != task.Service || c.Evacuated(candidate.Zone) {
 		return false
 	}
+	if !state.Minion.Suits(task.Label) || (task.Full != nil && task.Full(candidate.Name)) {
+		return false
+	}
 	if state.Suspect && (!state.TrialDue || len(candidate.unseen) > 0 || task.FailedBefore) {
 		return false
 	}
@@ -101,6 +113,9 @@
 	if choice.Candidate.Zone != c.Zone {
 		cost += remoteCost
 	}
+	if task.Rack != "" && !state.Minion.Suits(task.Rack) {
+		cost += time.Duration(farShare * float64(task.Estimate))
+	}
 	if task.Gathered[choice.Candidate.Name] {
 		cost -= gatherGain
 	}
--- a/decision/placement/choose_test.go
+++ b/decision/placement/choose_test.go
@@ -97,3 +97,41 @@
 	must.True(t, ok)
 	must.Greater(t, 200*time.Millisecond, choice.Wait)
 }
+
+// TestLabelIsRequired covers a task that only some minions may run.
+func TestLabelIsRequired(t *testing.T) {
+	plain := candidate("plain", 64000, nil)
+	labelled := candidate("labelled", 6000, func(s *session.State) { s.Minion.Labels = []string{"b", "r1"} })
+	wanted := task(time.Second)
+	wanted.Label = "b"
+	choice, ok := chooser().Choose([]*Candidate{plain, labelled}, wanted, nil)
+	must.True(t, ok)
+	must.EqOp(t, "labelled", choice.Candidate.Name)
+	_, ok = chooser().Choose([]*Candidate{plain}, wanted, nil)
+	must.False(t, ok)
+}
+
+// TestRackIsPreferred covers a task whose data is on one rack: it runs there
+// while there is room in time, else elsewhere.
+func TestRackIsPreferred(t *testing.T) {
+	far := candidate("far", 64000, nil)
+	near := candidate("near", 10000, func(s *session.State) { s.Minion.Labels = []string{"r1"} })
+	wanted := task(50 * time.Millisecond)
+	wanted.Rack = "r1"
+	choice, _ := chooser().Choose([]*Candidate{far, near}, wanted, nil)
+	must.EqOp(t, "near", choice.Candidate.Name)
+	near.State.Free = work.Room{}
+	near.State.Turnover = time.Minute
+	choice, _ = chooser().Choose([]*Candidate{far, near}, wanted, nil)
+	must.EqOp(t, "far", choice.Candidate.Name)
+}
+
+// TestFullMinionIsLeft covers a step with a bound for each minion.
+func TestFullMinionIsLeft(t *testing.T) {
+	one, other := candidate("one", 64000, nil), candidate("other", 7000, nil)
+	wanted := task(time.Second)
+	wanted.Full = func(name string) bool { return name == "one" }
+	choice, ok := chooser().Choose([]*Candidate{one, other}, wanted, nil)
+	must.True(t, ok)
+	must.EqOp(t, "other", choice.Candidate.Name)
+}
--- a/instance/kept_test.go
+++ b/instance/kept_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -219,3 +220,36 @@
 	}
 	s.checkKept()
 }
+
+// TestStepsAndLabels covers a job of two steps whose tasks may run on one minion
+// only, and at most two tasks of the second on it.
+func TestStepsAndLabels(t *testing.T) {
+	s := newSystem(t, 3, 2)
+	body := keptJob(4, 500, 60*time.Millisecond)
+	first := body["steps"].([]map[string]any)[0]
+	first["required_label"] = "rack-1"
+	second := map[string]any{"count": 6, "cpu": 100, "mem_mb": 10, "est_ms": 60, "after": []int{0}, "max_per_server": 2}
+	body["steps"] = []map[string]any{first, second}
+	must.EqOp(t, http.StatusOK, s.submit(s.entries[0], keptID(0), body).status)
+	s.awaitState(s.entries[1], keptID(0), "completed", 10*time.Second)
+	var firstEnded time.Time
+	onMinion := make(map[string]int)
+	for _, entry := range s.ledger.Entries() {
+		if strings.HasPrefix(entry.Task, keptID(0)+".0.0.") {
+			must.EqOp(t, "i-1", entry.Minion)
+			firstEnded = later(firstEnded, entry.Ended)
+			continue
+		}
+		must.False(t, entry.Began.Before(firstEnded))
+		onMinion[entry.Minion]++
+	}
+	must.MapEq(t, map[string]int{"i-0": 2, "i-1": 2, "i-2": 2}, onMinion)
+	s.checkKept()
+}
+
+func later(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
+}
--- a/instance/path_test.go
+++ b/instance/path_test.go
@@ -187,6 +187,13 @@
 	must.Len(t, 0, s.ledger.Overlaps())
 }
 
+// after is a job whose only step comes after the step of the number.
+func after(step int) map[string]any {
+	body := job(1, 100, time.Millisecond)
+	body["steps"].([]map[string]any)[0]["after"] = []int{step}
+	return body
+}
+
 // TestBadRequests covers what callers may send wrong.
 func TestBadRequests(t *testing.T) {
 	s := newSystem(t, 1, 1)
@@ -205,6 +212,7 @@
 		{"negative count", http.MethodPost, testPrefix + "00000000000000aa", job(-1, 1, 0), http.StatusBadRequest},
 		{"too large a body", http.MethodPost, testPrefix + "00000000000000aa", string(make([]byte, 70000)), http.StatusRequestEntityTooLarge},
 		{"a gang", http.MethodPost, testPrefix + "00000000000000ac", gang, http.StatusServiceUnavailable},
+		{"a step after a later one", http.MethodPost, testPrefix + "00000000000000ac", after(0), http.StatusBadRequest},
 		{"larger than any minion", http.MethodPost, testPrefix + "00000000000000ad", job(1, 9000, 0), http.StatusServiceUnavailable},
 		{"state of no job", http.MethodGet, testPrefix + "00000000000000ae", nil, http.StatusGone},
 		{"cancel of no job", http.MethodDelete, testPrefix + "00000000000000ae", nil, http.StatusGone},
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -146,7 +146,7 @@
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": testService, "state": "ready", "seq": sequence, "born": minion.Born(),
-			"capacity": map[string]any{"cpu": 8000, "mem_mb": 1024},
+			"capacity": map[string]any{"cpu": 8000, "mem_mb": 1024}, "labels": []string{fmt.Sprintf("rack-%d", i)},
 		})
 		response, err := http.Post(url, "application/json", bytes.NewReader(body))
 		if err == nil {
--- a/session/minion.go
+++ b/session/minion.go
@@ -1,6 +1,10 @@
 package session
 
-import "github.com/figring/figring/work"
+import (
+	"slices"
+
+	"github.com/figring/figring/work"
+)
 
 // Minion is what is known of one incarnation of a minion.
 type Minion struct {
@@ -11,3 +15,8 @@
 	Capacity work.Room
 	Labels   []string
 }
+
+// Suits reports whether the minion has the label; every one has the empty label.
+func (m *Minion) Suits(label string) bool {
+	return label == "" || slices.Contains(m.Labels, label)
+}
--- a/session/start.go
+++ b/session/start.go
@@ -24,6 +24,8 @@
 	Slack time.Duration
 	// MaxWait bounds the wait for room; the task is handed back after it.
 	MaxWait time.Duration
+	// Label is one that the minion must have; empty for none.
+	Label string
 	// Kept means that the job is stored: an end of the task is not forgotten
 	// before an entry has stored it.
 	Kept bool
@@ -50,6 +52,8 @@
 	RefusedZone Refusal = "zone"
 	// RefusedNoMinion means that no minion has announced itself.
 	RefusedNoMinion Refusal = "no_minion"
+	// RefusedLabel means that the minion has not the label that is asked for.
+	RefusedLabel Refusal = "label"
 	// RefusedStale means that the order may have been held up on its way.
 	RefusedStale Refusal = "stale"
 	// RefusedSuspect means that the minion is on trial and busy with it.
--- a/work/job.go
+++ b/work/job.go
@@ -26,6 +26,12 @@
 	Estimate time.Duration
 	// After lists the steps whose tasks must all be done first.
 	After []int
+	// Label is one that the minion must have; empty for none.
+	Label string
+	// Rack names the rack with the data; elsewhere the tasks take longer.
+	Rack string
+	// MaxPerMinion bounds the tasks of the step on one minion; 0 for no bound.
+	MaxPerMinion int
 	// Unsupported names the first feature that the step asks for and that is
 	// not built; empty when there is none.
 	Unsupported string
