--- a/instance/kept_test.go
+++ b/instance/kept_test.go
@@ -253,3 +253,26 @@
 	}
 	return one
 }
+
+// TestWritesAreShared covers many jobs at a time: writes are grouped over jobs,
+// and none is made for each task.
+func TestWritesAreShared(t *testing.T) {
+	s := newSystem(t, 4, 2)
+	const jobs, tasks = 150, 4
+	before := s.table.Transactions()
+	var wait sync.WaitGroup
+	for i := range jobs {
+		wait.Go(func() {
+			must.EqOp(t, http.StatusOK, s.submit(s.entries[i%2], keptID(i), keptJob(tasks, 50, 20*time.Millisecond)).status)
+		})
+	}
+	wait.Wait()
+	for i := range jobs {
+		s.awaitState(s.entries[0], keptID(i), "completed", 20*time.Second)
+	}
+	writes := float64(s.table.Transactions()-before) / jobs
+	t.Logf("%.2f transactions a job of %d tasks", writes, tasks)
+	// An acceptance and an end alone are two.
+	must.Less(t, 2.0, writes)
+	s.checkKept()
+}
