--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -5,7 +5,6 @@
 	"context"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,11 +12,8 @@
 	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/pause"
-	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/decision/joblease"
 	"github.com/figring/figring/jobstore"
-	"github.com/figring/figring/session"
-	"github.com/figring/figring/session/link"
 	"github.com/figring/figring/work"
 )
 
@@ -202,156 +198,3 @@
 		return cmp.Compare(xxhash.Sum64String(job+"\x00"+a), xxhash.Sum64String(job+"\x00"+b))
 	})
 }
-
-// adopt takes jobs of a life over once nothing of them is at work any more.
-func (t *takeover) adopt(ctx context.Context, now time.Time, owner jobstore.Owner, jobs []jobstore.Open) {
-	t.want()
-	ends, ok := t.askSidecars(ctx, owner, jobs, now.Sub(t.orphanSince[owner]) > anyoneAfter)
-	if !ok {
-		return
-	}
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	var stored []work.TaskKey
-	for _, job := range jobs {
-		record, err := t.store.Record(ctx, job.ID)
-		if err != nil {
-			t.writeFailed(err)
-			continue
-		}
-		wait.Add(1)
-		t.takeOver(record, job, ends[job.ID], func(written bool) {
-			defer wait.Done()
-			mu.Lock()
-			defer mu.Unlock()
-			for _, one := range ends[job.ID] {
-				if written {
-					stored = append(stored, one.Task)
-				}
-			}
-		})
-	}
-	wait.Wait()
-	t.dispatcher.parts.Log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, "jobs of "+owner.Name).
-		Int(eventlog.FieldCount, len(jobs)).Msg("")
-	if len(stored) > 0 {
-		t.tellSidecars(ctx, &session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Stored: stored})
-	}
-}
-
-// ownerBoot returns the life of the process that an owner was.
-func ownerBoot(owner jobstore.Owner) string {
-	for i := len(owner.Boot) - 1; i >= 0; i-- {
-		if owner.Boot[i] == '.' {
-			return owner.Boot[:i]
-		}
-	}
-	return owner.Boot
-}
-
-// takeOver writes this entry as the owner of a job, with the ends that sidecars
-// have told, and runs it.
-func (t *takeover) takeOver(record jobstore.Record, job jobstore.Open, ends []session.TaskEnd, done func(written bool)) {
-	progress := job.Progress
-	failures := make(map[work.TaskKey]int)
-	for _, one := range progress.Failures {
-		failures[work.TaskKey{Job: job.ID, Step: one.Step, Index: one.Index}] = one.Count
-	}
-	for _, one := range ends {
-		if one.End == work.EndDone {
-			progress.Done.Add(one.Task.Step, one.Task.Index)
-			continue
-		}
-		failures[one.Task]++
-	}
-	progress.Failures = nil
-	for task, count := range failures {
-		progress.Failures = append(progress.Failures, jobstore.TaskFailures{Step: task.Step, Index: task.Index, Count: count})
-	}
-	t.dispatcher.loop.Do(func(time.Time) {
-		t.writes++
-		progress.Owner, progress.Write = t.self(), t.writes
-	})
-	change := jobstore.Save(job.ID, job.Version, progress, func(result jobstore.Result) {
-		done(result.Written)
-		if result.Written {
-			t.dispatcher.loop.Post(func(now time.Time) {
-				t.versions[job.ID] = result.Version
-				t.dispatcher.core.Keep(now, heldjob.KeptJob{
-					Job: record.Job, Route: record.Route, Accepted: record.Accepted,
-					Done: progress.Done.Has, Failures: failures,
-				})
-			})
-		}
-	})
-	if !t.writer.Put(change) {
-		done(false)
-	}
-}
-
-// askSidecars asks all sidecars for what they have of the jobs until nothing of
-// them is at work. It reports false when the owner turns out to live.
-func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open, force bool) (map[work.JobID][]session.TaskEnd, bool) {
-	request := session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Force: force}
-	for _, job := range jobs {
-		request.Jobs = append(request.Jobs, job.ID)
-	}
-	began := boottime.Now()
-	for ctx.Err() == nil {
-		answers := t.tellSidecars(ctx, &request)
-		if answers.inTouch {
-			return nil, false
-		}
-		patient := boottime.Now().Sub(began) < adoptPatience
-		if !answers.busy && (answers.missing == 0 || !patient) {
-			return answers.ends, true
-		}
-		// The end of ctx ends the loop.
-		_ = pause.For(ctx, adoptPause)
-	}
-	return nil, false
-}
-
-// answers is what the sidecars have told together.
-type answers struct {
-	inTouch, busy bool
-	// missing counts the sidecars that did not answer.
-	missing int
-	ends    map[work.JobID][]session.TaskEnd
-}
-
-// tellSidecars calls all known sidecars at once.
-func (t *takeover) tellSidecars(ctx context.Context, request *session.AdoptRequest) answers {
-	sum := answers{ends: make(map[work.JobID][]session.TaskEnd)}
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	for _, sidecar := range t.dispatcher.parts.Directory.Of(session.RoleSidecar) {
-		wait.Go(func() {
-			reply, err := t.askSidecar(ctx, sidecar, *request)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				sum.missing++
-				return
-			}
-			sum.inTouch = sum.inTouch || reply.InTouch
-			sum.busy = sum.busy || reply.Busy
-			for _, one := range reply.Ends {
-				sum.ends[one.Task.Job] = append(sum.ends[one.Task.Job], one)
-			}
-		})
-	}
-	wait.Wait()
-	return sum
-}
-
-func (t *takeover) askSidecar(ctx context.Context, sidecar session.Peer, request session.AdoptRequest) (session.AdoptReply, error) {
-	request.Sidecar = sidecar.Name
-	var reply session.AdoptReply
-	client, err := link.Dial(ctx, sidecar.Address, t.dispatcher.settings.Secret)
-	if err != nil {
-		return reply, err
-	}
-	defer client.Close()
-	return reply, client.Call(ctx, session.MethodAdopt, &request, &reply, adoptTimeout)
-}
