--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -22,35 +22,52 @@
 	if !ok {
 		return
 	}
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	var stored []work.TaskKey
+	results := make(chan adopted, len(jobs))
+	asked := 0
 	for _, job := range jobs {
 		record, err := t.store.Record(ctx, job.ID)
 		if err != nil {
 			t.writeFailed(err)
 			continue
 		}
-		wait.Add(1)
-		t.takeOver(record, job, ends[job.ID], func(written bool) {
-			defer wait.Done()
-			mu.Lock()
-			defer mu.Unlock()
-			for _, one := range ends[job.ID] {
-				if written {
-					stored = append(stored, one.Task)
-				}
+		asked++
+		t.takeOver(record, job, ends[job.ID], func(written bool) { results <- adopted{job.ID, written} })
+	}
+	var stored []work.TaskKey
+	taken := 0
+	for range asked {
+		select {
+		case one := <-results:
+			if one.written {
+				taken++
+				stored = append(stored, tasksOf(ends[one.job])...)
 			}
-		})
+		case <-ctx.Done():
+			// What is written later runs as well; the sidecars keep the ends.
+			return
+		}
 	}
-	wait.Wait()
 	t.dispatcher.parts.Log.Failure(eventlog.KindRegained).Str(eventlog.FieldName, "jobs of "+owner.Name).
-		Int(eventlog.FieldCount, len(jobs)).Msg("")
+		Int(eventlog.FieldCount, taken).Msg("")
 	if len(stored) > 0 {
 		t.tellSidecars(ctx, &session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Stored: stored})
 	}
 }
 
+// adopted is the outcome of the takeover of one job.
+type adopted struct {
+	job     work.JobID
+	written bool
+}
+
+func tasksOf(ends []session.TaskEnd) []work.TaskKey {
+	tasks := make([]work.TaskKey, len(ends))
+	for i, one := range ends {
+		tasks[i] = one.Task
+	}
+	return tasks
+}
+
 // ownerBoot returns the life of the process that an owner was.
 func ownerBoot(owner jobstore.Owner) string {
 	for i := len(owner.Boot) - 1; i >= 0; i-- {
