--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -22,6 +22,8 @@
 	// list it any more.
 	sequence uint64
 	since    time.Time
+	// askedAt is when an entry was asked last to find out whether it is stored.
+	askedAt time.Time
 	// guess means that it is not known whether the job is stored.
 	guess bool
 }
@@ -38,6 +40,34 @@
 	c.orphans[task] = orphan{end: end, sequence: sequence, since: now, guess: guess}
 }
 
+const (
+	// orphanPatience is how long an end waits for an entry that claims its task
+	// before any entry is asked whether it is stored.
+	orphanPatience = 400 * time.Millisecond
+	// orphanAskAgain is the time after which another entry is asked.
+	orphanAskAgain = 2 * time.Second
+	// maxOrphansAsked bounds the ends that one entry is asked about at a time.
+	maxOrphansAsked = 50
+)
+
+// AskOrphans returns ends that nobody has claimed, for an entry that finds out
+// whether they are stored.
+func (c *Core) AskOrphans(now time.Time) []work.TaskKey {
+	var asked []work.TaskKey
+	for task, one := range c.orphans {
+		if now.Sub(one.since) < orphanPatience || now.Sub(one.askedAt) < orphanAskAgain {
+			continue
+		}
+		if len(asked) == maxOrphansAsked {
+			return asked
+		}
+		one.askedAt = now
+		c.orphans[task] = one
+		asked = append(asked, task)
+	}
+	return asked
+}
+
 // unlistOrphans takes note that the minion's lists start anew.
 func (c *Core) unlistOrphans() {
 	for task, one := range c.orphans {
--- a/decision/execution/orphan_test.go
+++ b/decision/execution/orphan_test.go
@@ -137,3 +137,22 @@
 	f.hello(0)
 	must.True(t, f.core.MayRenew(f.now))
 }
+
+// TestEntriesAreAskedAboutOrphans covers ends that nobody claims: an entry is
+// asked whether they are stored, one at a time, and they go when it says so.
+func TestEntriesAreAskedAboutOrphans(t *testing.T) {
+	f := newFixture(t)
+	task := key("a", 0)
+	f.keptDone(task)
+	f.fallSilent()
+	f.now = f.now.Add(silenceKept)
+	f.core.Tick(f.now)
+	must.Len(t, 0, f.core.AskOrphans(f.now))
+	f.now = f.now.Add(orphanPatience)
+	must.Eq(t, []work.TaskKey{task}, f.core.AskOrphans(f.now))
+	must.Len(t, 0, f.core.AskOrphans(f.now))
+	f.now = f.now.Add(orphanAskAgain)
+	must.Eq(t, []work.TaskKey{task}, f.core.AskOrphans(f.now))
+	f.core.Adopt(f.now, &session.AdoptRequest{Stored: []work.TaskKey{task}})
+	must.EqOp(t, 1, f.core.AckedUpTo())
+}
--- a/decision/heldjob/kept_test.go
+++ b/decision/heldjob/kept_test.go
@@ -274,3 +274,25 @@
 	f.tick(time.Second)
 	must.EqOp(t, "c", string(f.orders[0].Job))
 }
+
+// TestStoredTellsWhatIsWritten covers the end of a task before and after it is
+// stored.
+func TestStoredTellsWhatIsWritten(t *testing.T) {
+	f := newFixture(t, 2)
+	f.core.SetOwning(true)
+	next := keptStep(1)
+	next.After = []int{0}
+	f.keepSteps(keptStep(1), next)
+	task := work.TaskKey{Job: "j"}
+	own, stored := f.core.Stored(task)
+	must.True(t, own)
+	must.False(t, stored)
+	f.endAs(f.take(session.RefusedNone)[0], work.EndDone, 1)
+	_, stored = f.core.Stored(task)
+	must.False(t, stored)
+	f.saved(true)
+	_, stored = f.core.Stored(task)
+	must.True(t, stored)
+	own, _ = f.core.Stored(work.TaskKey{Job: "none"})
+	must.False(t, own)
+}
--- a/decision/heldjob/keptsave.go
+++ b/decision/heldjob/keptsave.go
@@ -12,6 +12,21 @@
 	}
 }
 
+// Stored reports whether a stored job is this entry's, and whether the end of a
+// task of it is stored.
+func (c *Core) Stored(key work.TaskKey) (own, stored bool) {
+	job, ok := c.jobs[key.Job]
+	if !ok || job.kept == nil {
+		return false, false
+	}
+	for _, task := range job.tasks {
+		if task.key == key {
+			return true, task.phase == ended && !job.kept.saving && !job.kept.dirty
+		}
+	}
+	return true, false
+}
+
 // changed asks for a stored job's progress to be written.
 func (c *Core) changed(job *job) {
 	if job.kept == nil {
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -120,6 +120,9 @@
 	if reply.Snapshot != nil {
 		d.parts.Holder.Offer(*reply.Snapshot)
 	}
+	if len(reply.Orphans) > 0 {
+		d.background.Go(func() { s.resolve(reply.Orphans) })
+	}
 	if len(reply.Events) > 0 {
 		s.link.after = reply.Events[len(reply.Events)-1].Number
 	}
--- /dev/null
+++ b/dispatcher/orphans.go
@@ -0,0 +1,49 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// resolveTimeout bounds the reading about ends that a sidecar keeps.
+const resolveTimeout = 2 * time.Second
+
+// resolve finds out which ends a sidecar need not keep any more: those that are
+// stored, and those of jobs that have ended. Others are left to the entry that
+// owns the job, or takes it over.
+func (s *openSession) resolve(tasks []work.TaskKey) {
+	ctx, cancel := context.WithTimeout(s.link.dispatcher.life, resolveTimeout)
+	defer cancel()
+	var stored []work.TaskKey
+	for _, task := range tasks {
+		if s.stored(ctx, task) {
+			stored = append(stored, task)
+		}
+	}
+	if len(stored) == 0 {
+		return
+	}
+	request := session.AdoptRequest{Sidecar: s.link.name, Stored: stored}
+	// A sidecar that does not answer asks again.
+	_ = s.client.Call(ctx, session.MethodAdopt, &request, &session.AdoptReply{}, adoptTimeout)
+}
+
+func (s *openSession) stored(ctx context.Context, task work.TaskKey) bool {
+	d := s.link.dispatcher
+	own, stored := false, false
+	d.loop.Do(func(time.Time) { own, stored = d.core.Stored(task) })
+	if own {
+		return stored
+	}
+	found, err := d.parts.Jobs.Find(ctx, task.Job)
+	switch {
+	case err != nil:
+		return false
+	case found.Open != nil:
+		return found.Open.Progress.Done.Has(task.Step, task.Index)
+	}
+	return true
+}
--- a/executor/service.go
+++ b/executor/service.go
@@ -215,6 +215,7 @@
 		reply.SnapshotVersion = e.parts.Holder.Newest().Version
 		reply.Snapshot = e.parts.Holder.For(request.SnapshotVersion)
 		reply.Entries = c.newEntries()
+		e.loop.Do(func(at time.Time) { reply.Orphans = e.core.AskOrphans(at) })
 		return true
 	}
 	c.wait(now, stateDue, deadline)
--- a/session/poll.go
+++ b/session/poll.go
@@ -33,6 +33,9 @@
 	SnapshotVersion int64
 	Snapshot        *manifest.Snapshot
 	Entries         []Peer
+	// Orphans are tasks whose ends the sidecar keeps and nobody has asked for.
+	// The entry finds out whether they are stored.
+	Orphans []work.TaskKey
 }
 
 // Event is the end of a run, or the proof that there never is one.
