--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -94,8 +94,17 @@
 // SetSnapshot takes a newer configuration.
 func (c *Core) SetSnapshot(snapshot manifest.Snapshot) { c.snapshot = snapshot }
 
-// Open returns the number of jobs without an answer.
-func (c *Core) Open() int { return len(c.jobs) }
+// Open returns the number of jobs without an answer, and of stored jobs of which
+// something runs or is being written.
+func (c *Core) Open() int {
+	open := len(c.storing)
+	for _, job := range c.jobs {
+		if job.kept == nil || job.underWay() {
+			open++
+		}
+	}
+	return open
+}
 
 // Targets returns the number of sidecars that take orders.
 func (c *Core) Targets() int {
--- a/decision/heldjob/kept.go
+++ b/decision/heldjob/kept.go
@@ -84,6 +84,15 @@
 	return false
 }
 
+// underWay reports whether a task of a stored job may be at work, or a write of
+// the job is under way.
+func (j *job) underWay() bool {
+	if j.kept.saving {
+		return true
+	}
+	return slices.ContainsFunc(j.tasks, func(task *task) bool { return task.phase == ordered || task.phase == lost })
+}
+
 // compareJobs orders stored jobs by priority, then by age.
 func compareJobs(one, other *job) int {
 	return cmp.Or(
--- a/decision/heldjob/kept_test.go
+++ b/decision/heldjob/kept_test.go
@@ -296,3 +296,23 @@
 	own, _ = f.core.Stored(work.TaskKey{Job: "none"})
 	must.False(t, own)
 }
+
+// TestOpenCountsWhatAnEndWouldCutOff covers a planned stop: it waits for the
+// tasks of stored jobs that run, not for those that wait for room.
+func TestOpenCountsWhatAnEndWouldCutOff(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(true)
+	f.keep("j", 1)
+	must.EqOp(t, 1, f.core.Open())
+	f.created()
+	order := f.take(session.RefusedNone)[0]
+	must.EqOp(t, 1, f.core.Open())
+	f.core.SetOwning(false)
+	f.keep("k", 1)
+	f.created()
+	must.EqOp(t, 1, f.core.Open())
+	f.endAs(order, work.EndDone, 1)
+	must.EqOp(t, 1, f.core.Open())
+	f.saved(true)
+	must.EqOp(t, 0, f.core.Open())
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -66,7 +66,9 @@
 	listener *link.Listener
 
 	leaving atomic.Bool
-	targets atomic.Int64
+	// releasing is true once nothing more of the stored jobs is started.
+	releasing atomic.Bool
+	targets   atomic.Int64
 	// sidecars is the number of sidecars that are known.
 	sidecars atomic.Int64
 	waiters  atomic.Uint64
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -206,8 +206,11 @@
 	return count
 }
 
-// Release gives the stored jobs up to other entries: the process is about to end.
-func (d *Dispatcher) Release(ctx context.Context) {
+// StopOwning starts nothing more of the stored jobs: other entries will.
+func (d *Dispatcher) StopOwning() {
+	d.releasing.Store(true)
 	d.loop.Do(func(time.Time) { d.core.SetOwning(false) })
-	d.keeper.leave(ctx)
 }
+
+// Release gives the stored jobs up to other entries: the process is about to end.
+func (d *Dispatcher) Release(ctx context.Context) { d.keeper.leave(ctx) }
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -96,7 +96,7 @@
 		if err == nil {
 			k.lease.Renewed(sentAt)
 		}
-		k.dispatcher.core.SetOwning(k.lease.Valid(now))
+		k.dispatcher.core.SetOwning(k.lease.Valid(now) && !k.dispatcher.releasing.Load())
 		if !k.lease.Valid(now) {
 			return
 		}
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -43,21 +43,7 @@
 		return err
 	}
 	defer common.close()
-	role, err := dispatcher.New(dispatcher.Settings{
-		Self:             common.self,
-		Listen:           loaded.RPCListen,
-		Secret:           loaded.Secret,
-		SidecarsPerEntry: loaded.SidecarsPerEntry,
-		PartWrites:       loaded.PartWrites,
-	}, dispatcher.Parts{
-		Holder:    common.holder,
-		Directory: common.directory,
-		Log:       common.log,
-		Scope:     common.metrics.Scope,
-		Jobs:      jobstore.New(func(partition int) store.Table { return common.table.Part(jobsTable, partitionName(partition)) }),
-		Owners:    jobstore.NewOwners(common.table.Part(ownersTable, "")),
-		StoreOut:  common.storeLost.Load,
-	})
+	role, err := newDispatcher(common, &loaded)
 	if err != nil {
 		return err
 	}
@@ -75,17 +61,7 @@
 	common.run(serving, group)
 	serve(serving, group, ready, readyHandler(role))
 	group.Go(func() error { return role.Run(serving) })
-	server := &http.Server{
-		Handler:           front.NewHandler(role),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	group.Go(func() error {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
-			return Error.Wrap(err)
-		}
-		return nil
-	})
+	server := serveCallers(group, callers, role)
 	group.Go(func() error {
 		defer stop()
 		select {
@@ -98,6 +74,41 @@
 	return group.Wait()
 }
 
+// newDispatcher assembles the role.
+func newDispatcher(common *shared, loaded *settings.DispatcherSettings) (*dispatcher.Dispatcher, error) {
+	return dispatcher.New(dispatcher.Settings{
+		Self:             common.self,
+		Listen:           loaded.RPCListen,
+		Secret:           loaded.Secret,
+		SidecarsPerEntry: loaded.SidecarsPerEntry,
+		PartWrites:       loaded.PartWrites,
+	}, dispatcher.Parts{
+		Holder:    common.holder,
+		Directory: common.directory,
+		Log:       common.log,
+		Scope:     common.metrics.Scope,
+		Jobs:      jobstore.New(func(partition int) store.Table { return common.table.Part(jobsTable, partitionName(partition)) }),
+		Owners:    jobstore.NewOwners(common.table.Part(ownersTable, "")),
+		StoreOut:  common.storeLost.Load,
+	})
+}
+
+// serveCallers serves callers until the server is closed.
+func serveCallers(group *errgroup.Group, listener net.Listener, role *dispatcher.Dispatcher) *http.Server {
+	server := &http.Server{
+		Handler:           front.NewHandler(role),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	return server
+}
+
 // readyHandler answers the balancer.
 func readyHandler(role *dispatcher.Dispatcher) http.Handler {
 	mux := http.NewServeMux()
@@ -115,6 +126,7 @@
 	ends := time.Now().Add(grace)
 	role.Leave()
 	time.Sleep(min(balancerDelay, grace/2))
+	role.StopOwning()
 	for role.Open() > 0 && time.Now().Before(ends) {
 		time.Sleep(drainPoll)
 	}
