--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -19,10 +19,11 @@
 	renewRetry = 150 * time.Millisecond
 )
 
-// renewLoop renews the entry's row once it has had a stored job.
+// renewLoop renews the entry's row once it has had a stored job, until it leaves
+// its jobs to others.
 func (k *keeper) renewLoop(ctx context.Context) {
 	var row joblease.Beat
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !k.dispatcher.releasing.Load() {
 		if !k.wanted.Load() {
 			select {
 			case <-k.renew:
@@ -34,7 +35,7 @@
 		rest := joblease.RenewEvery
 		sentAt := boottime.Now()
 		err := k.renewOnce(ctx, &row)
-		k.renewed(ctx, sentAt, err)
+		k.renewed(sentAt, err)
 		if err != nil {
 			rest = renewRetry
 		}
@@ -91,7 +92,7 @@
 // renewed takes the outcome of a renewal. A lease that had run out holds again
 // only for jobs that are still this entry's; their next write finds out, and
 // whoever took them over has revoked the row before.
-func (k *keeper) renewed(_ context.Context, sentAt time.Time, err error) {
+func (k *keeper) renewed(sentAt time.Time, err error) {
 	k.dispatcher.loop.Do(func(now time.Time) {
 		if err == nil {
 			k.lease.Renewed(sentAt)
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -62,7 +62,7 @@
 type takeover struct {
 	*keeper
 	watch *joblease.Watch
-	// owners are the lives that the last read has shown.
+	// shown are the lives of owners as of the last read, by the owners' names.
 	shown map[string]string
 	// scanUntil is until when open jobs are looked for often.
 	scanUntil, nextScan time.Time
--- a/instance/kept_test.go
+++ b/instance/kept_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/figring/figring/decision/joblease"
 	"github.com/figring/figring/platform/standin"
 )
 
@@ -172,15 +173,25 @@
 	must.EqOp(t, 2, s.starts(keptID(0)))
 }
 
+// leaveWait is how long other entries may take to notice that one has ended in
+// order: less than the time after which a row lapses.
+const leaveWait = joblease.TakeoverAfter - time.Second
+
 // TestKeptJobsAreTakenOver covers an entry that ends while its jobs run: another
 // one runs them to their end, and no task is done twice.
 func TestKeptJobsAreTakenOver(t *testing.T) {
 	s := newSystem(t, 3, 3)
-	const jobs = 30
+	const jobs = 60
 	for i := range jobs {
-		must.EqOp(t, http.StatusOK, s.submit(s.entries[0], keptID(i), keptJob(2, 2000, 300*time.Millisecond)).status)
+		must.EqOp(t, http.StatusOK, s.submit(s.entries[0], keptID(i), keptJob(2, 4000, 500*time.Millisecond)).status)
 	}
 	s.entries[0].stop(t)
+	ended := time.Now()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return strings.Contains(s.logs.String(), "jobs of "+s.entries[0].name) }),
+		wait.Timeout(leaveWait), wait.Gap(20*time.Millisecond),
+	))
+	t.Logf("taken over %s after the end", time.Since(ended))
 	for i := range jobs {
 		s.awaitState(s.entries[1+i%2], keptID(i), "completed", 30*time.Second)
 	}
