--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -26,6 +26,8 @@
 	// completed are the jobs told as completed.
 	completed map[string]bool
 	asked     int
+	// accepted are the jobs that have to be stored and were told as accepted.
+	accepted []string
 }
 
 const (
@@ -46,7 +48,13 @@
 	for number := 0; ; number++ {
 		id := fmt.Sprintf("%08x%08x", random.Uint32(), number)
 		entry, tasks, work := random.IntN(entries), 1+random.IntN(4), 20+random.IntN(200)
-		wait.Go(func() { c.caller(id, entry, tasks, work) })
+		wait.Go(func() {
+			if number%keptEvery == 0 {
+				c.keeper(id, entry, tasks, work)
+				return
+			}
+			c.caller(id, entry, tasks, work)
+		})
 		select {
 		case <-stop:
 			return
@@ -55,6 +63,35 @@
 	}
 }
 
+// keptEvery says which jobs have to be stored: one in that many.
+const keptEvery = 5
+
+// keeper submits a job that has to be stored, until it is accepted or refused.
+func (c *callers) keeper(id string, entry, tasks, work int) {
+	until := time.Now().Add(patience)
+	allRefused := true
+	for time.Now().Before(until) {
+		status, _ := c.submitKept(id, entry, tasks, work)
+		c.mu.Lock()
+		if status == http.StatusOK {
+			c.accepted = append(c.accepted, id)
+		}
+		refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+		allRefused = allRefused && refused
+		if allRefused {
+			c.refused[id] = true
+		} else {
+			delete(c.refused, id)
+		}
+		c.mu.Unlock()
+		if status == http.StatusOK || refused {
+			return
+		}
+		time.Sleep(comeAgain)
+		entry = (entry + 1) % entries
+	}
+}
+
 func (c *callers) caller(id string, entry, tasks, work int) {
 	allRefused := true
 	until := time.Now().Add(patience)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,6 +97,7 @@
 	awaitService(t, told, "after the faults")
 	close(stop)
 	<-ended
+	checkAccepted(t, w, told)
 	check(t, w, told)
 	if t.Failed() {
 		keepLogs(t, w, seed)
@@ -120,6 +121,42 @@
 	}
 }
 
+// endAfter is how long after the faults all accepted jobs have to have ended.
+const endAfter = 40 * time.Second
+
+// checkAccepted waits for the ends of the jobs that were accepted, and looks for
+// tasks of them that were done twice.
+func checkAccepted(t *testing.T, w *world, told *callers) {
+	until := time.Now().Add(endAfter)
+	kept := make(map[string]bool)
+	for _, id := range told.accepted {
+		kept[id] = true
+		state := ""
+		for state != "completed" && state != "failed" && time.Now().Before(until) {
+			state = told.state(id, 0)
+			if state != "completed" && state != "failed" {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		if state != "completed" && state != "failed" {
+			t.Errorf("%s was accepted and is %q", id, state)
+		}
+	}
+	done := make(map[string]int)
+	for _, entry := range w.ledger.Entries() {
+		id, _, _ := strings.Cut(entry.Task, ".")
+		if kept[id] && entry.How == "done" {
+			done[entry.Task]++
+		}
+	}
+	for task, count := range done {
+		if count > 1 {
+			t.Errorf("%s was done %d times", task, count)
+		}
+	}
+	t.Logf("%d jobs were accepted, %d tasks done", len(told.accepted), len(done))
+}
+
 // check compares what callers were told with what the minions ran.
 func check(t *testing.T, w *world, told *callers) {
 	for _, task := range w.ledger.Overlaps() {
