--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -33,6 +33,7 @@
 	KindSession     Kind = "session"
 	KindRoom        Kind = "room"
 	KindDisowned    Kind = "disowned"
+	KindDoubtful    Kind = "end_doubtful"
 )
 
 // The fields of lines.
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -50,6 +50,9 @@
 	newestEnd uint64
 	// orphans are ends that no entry was told of and that one may ask for.
 	orphans map[work.TaskKey]orphan
+	// doubtful are ends, by the minion's number, whose tasks may have run again
+	// since. They are taken note of once the lease has lapsed.
+	doubtful map[uint64]struct{}
 	// keptSeen is true once an entry has told that there are stored jobs.
 	keptSeen bool
 
@@ -71,6 +74,8 @@
 	end   work.End
 	// kept means that the end is not forgotten with its entry.
 	kept bool
+	// at is when the end was listed.
+	at time.Time
 }
 
 // New returns the core of a sidecar that has just started. The fence must be
@@ -82,7 +87,9 @@
 		entries: make(map[string]*entryState),
 		ends:    make(map[uint64]pendingEnd),
 		orphans: make(map[work.TaskKey]orphan),
-		health:  workerhealth.New(),
+
+		doubtful: make(map[uint64]struct{}),
+		health:   workerhealth.New(),
 	}
 }
 
@@ -98,9 +105,10 @@
 // MayRenew says whether a look that is about to be sent may renew the lease. A
 // minion that does not answer is not renewed further, so that its runs lapse
 // for certain; nor is one while no entry is heard from, so that whoever can't
-// reach the sidecar knows that the lease has lapsed.
+// reach the sidecar knows that the lease has lapsed, nor while there are doubtful
+// ends.
 func (c *Core) MayRenew(now time.Time) bool {
-	return !c.blind && (!c.listed || now.Sub(c.firstListedAt) <= SilenceLimit || c.heardOf(now))
+	return !c.blind && len(c.doubtful) == 0 && (!c.listed || now.Sub(c.firstListedAt) <= SilenceLimit || c.heardOf(now))
 }
 
 // heardOf reports whether any entry was heard from in time.
@@ -149,7 +157,7 @@
 		return session.RefusedDraining
 	case c.evacuated:
 		return session.RefusedZone
-	case !c.minionSeen || !c.listed || c.blind:
+	case !c.minionSeen || !c.listed || c.blind || len(c.doubtful) > 0:
 		return session.RefusedNoMinion
 	}
 	return session.RefusedNone
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -166,6 +166,9 @@
 	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool {
 		return end.entry == entry && end.event <= events.Noted
 	})
+	maps.DeleteFunc(c.orphans, func(_ work.TaskKey, one orphan) bool {
+		return one.event != 0 && one.entry == entry && one.event <= events.Noted
+	})
 }
 
 // EventsFor returns the events that the entry has not taken note of.
@@ -188,6 +191,9 @@
 			upTo = min(upTo, one.sequence-1)
 		}
 	}
+	for sequence := range c.doubtful {
+		upTo = min(upTo, sequence-1)
+	}
 	return upTo
 }
 
@@ -217,10 +223,30 @@
 			known.silent = true
 			c.noted(Note{Kind: NoteSilent, Entry: name})
 			c.stopAll(now, name)
+			c.orphanKept(now, name)
 		}
 	}
 }
 
+// orphanKept lets others ask for the ends of a silent entry's stored jobs. An
+// entry that comes back claims them.
+func (c *Core) orphanKept(now time.Time, entry string) {
+	kept := make(map[uint64]bool)
+	for sequence, end := range c.ends {
+		if end.entry != entry || !end.kept {
+			continue
+		}
+		kept[end.event] = true
+		delete(c.ends, sequence)
+		c.orphan(orphan{
+			task: end.task, end: end.end, sequence: sequence, endedAt: end.at, since: now,
+			entry: entry, event: end.event,
+		})
+	}
+	known := c.entries[entry]
+	known.events = slices.DeleteFunc(known.events, func(event session.Event) bool { return kept[event.Number] })
+}
+
 // forgetEnds drops the ends that wait for an entry, but for those that another
 // entry may ask for.
 func (c *Core) forgetEnds(now time.Time, entry string) {
@@ -230,7 +256,10 @@
 		}
 		delete(c.ends, sequence)
 		if end.kept {
-			c.orphan(now, end.task, end.end, sequence, false)
+			c.orphan(orphan{
+				task: end.task, end: end.end, sequence: sequence, endedAt: end.at, since: now,
+				entry: end.entry, event: end.event,
+			})
 		}
 	}
 }
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -38,6 +38,7 @@
 	c.ends = make(map[uint64]pendingEnd)
 	c.newestEnd = 0
 	c.unlistOrphans()
+	clear(c.doubtful)
 	c.leaving = false
 	c.minionSeen = false
 	c.listed = false
@@ -102,6 +103,7 @@
 // LeaseLapsed says that every lease given out has lapsed for certain. The runs
 // of a minion that does not answer are at their end then.
 func (c *Core) LeaseLapsed(now time.Time) {
+	c.settleDoubts(now)
 	if !c.blind {
 		return
 	}
@@ -126,7 +128,7 @@
 		}
 		c.newestEnd = end.Sequence
 		if _, known := c.runs[end.Task]; first && !known {
-			c.orphan(now, end.Task, end.End, end.Sequence, true)
+			c.orphan(orphan{task: end.Task, end: end.End, sequence: end.Sequence, endedAt: now, since: now, guess: true})
 			continue
 		}
 		c.takeEnd(now, end)
@@ -147,9 +149,9 @@
 	event := c.finish(run, reported, took)
 	switch {
 	case event != 0:
-		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, kept: run.kept}
+		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, kept: run.kept, at: now}
 	case run.kept || !run.needKnown:
-		c.orphan(now, run.task, reported, end.Sequence, !run.kept)
+		c.orphan(orphan{task: run.task, end: reported, sequence: end.Sequence, endedAt: now, since: now, guess: !run.kept})
 	}
 }
 
--- a/decision/execution/note.go
+++ b/decision/execution/note.go
@@ -34,6 +34,9 @@
 	NoteTrusted
 	// NoteBlind is a minion that does not answer.
 	NoteBlind
+	// NoteDoubtful is an end of a task that may have run again elsewhere: the
+	// lease has to lapse before it is taken note of.
+	NoteDoubtful
 )
 
 func (c *Core) noted(note Note) { c.notes = append(c.notes, note) }
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -15,9 +15,21 @@
 // whether its job is stored, while no entry tells of stored jobs.
 const guessKept = 1500 * time.Millisecond
 
-// orphan is an end that no entry was told of.
+// releaseSafe is the age of an end within which nobody has run its task again:
+// entries wait longer for a sidecar that they have lost.
+const releaseSafe = 2500 * time.Millisecond
+
+// orphan is an end that no entry is known to have stored.
 type orphan struct {
-	end work.End
+	task work.TaskKey
+	end  work.End
+	// endedAt is when the end was listed, since when it is an orphan.
+	endedAt time.Time
+	// entry and event are those that the end was reported as, if it was.
+	entry string
+	event uint64
+	// told means that an entry that takes the job over knows of the end.
+	told bool
 	// sequence is the minion's number of the end, 0 when the minion does not
 	// list it any more.
 	sequence uint64
@@ -33,11 +45,34 @@
 
 // orphan keeps an end for an entry that may ask for it. Only ends that decide
 // about a job matter.
-func (c *Core) orphan(now time.Time, task work.TaskKey, end work.End, sequence uint64, guess bool) {
-	if !decides(end) {
+func (c *Core) orphan(added orphan) {
+	if decides(added.end) {
+		c.orphans[added.task] = added
+	}
+}
+
+// release forgets an end that need not be kept. An old one of a task that may
+// have run again meanwhile, since its entry could not reach this sidecar, is
+// taken note of only after a lapse of the lease, which makes its run void.
+func (c *Core) release(now time.Time, task work.TaskKey) {
+	one, ok := c.orphans[task]
+	if !ok {
 		return
 	}
-	c.orphans[task] = orphan{end: end, sequence: sequence, since: now, guess: guess}
+	delete(c.orphans, task)
+	if one.sequence == 0 || one.told || one.guess || now.Sub(one.endedAt) <= releaseSafe {
+		return
+	}
+	c.doubtful[one.sequence] = struct{}{}
+	c.noted(Note{Kind: NoteDoubtful, Task: task, End: one.end})
+}
+
+// settleDoubts takes note of doubtful ends: the lease has lapsed.
+func (c *Core) settleDoubts(now time.Time) {
+	if len(c.doubtful) > 0 {
+		clear(c.doubtful)
+		c.settle(now)
+	}
 }
 
 const (
@@ -83,7 +118,7 @@
 			limit = guessKept
 		}
 		if now.Sub(one.since) > limit {
-			delete(c.orphans, task)
+			c.release(now, task)
 		}
 	}
 }
@@ -97,7 +132,7 @@
 	delete(c.orphans, task)
 	event := c.report(entry, task, one.end, 0)
 	if one.sequence != 0 {
-		c.ends[one.sequence] = pendingEnd{entry: entry, event: event, task: task, end: one.end, kept: true}
+		c.ends[one.sequence] = pendingEnd{entry: entry, event: event, task: task, end: one.end, kept: true, at: one.endedAt}
 	}
 	return true
 }
@@ -115,7 +150,7 @@
 		c.forgetEnds(now, request.Owner)
 	}
 	for _, task := range request.Stored {
-		delete(c.orphans, task)
+		c.release(now, task)
 	}
 	wanted := make(map[work.JobID]bool, len(request.Jobs))
 	for _, job := range request.Jobs {
@@ -134,6 +169,8 @@
 	for task, one := range c.orphans {
 		if wanted[task.Job] {
 			reply.Ends = append(reply.Ends, session.TaskEnd{Task: task, End: one.end})
+			one.told = true
+			c.orphans[task] = one
 		}
 	}
 	for _, one := range c.ends {
--- a/executor/notes.go
+++ b/executor/notes.go
@@ -70,6 +70,9 @@
 	case execution.NoteSilent:
 		e.closeSession(note.Entry)
 		e.parts.Log.Failure(eventlog.KindEntryLost).Str(eventlog.FieldPeer, note.Entry).Msg("")
+	case execution.NoteDoubtful:
+		e.parts.Log.Failure(eventlog.KindDoubtful).Str(eventlog.FieldJob, string(note.Task.Job)).
+			Int(eventlog.FieldTask, note.Task.Index).Str(eventlog.FieldOutcome, note.End.String()).Msg("")
 	case execution.NoteSuspect:
 		e.parts.Log.Failure(eventlog.KindSuspect).Msg("")
 	case execution.NoteTrusted:
