Only what an entry has heard is noted by its number; an entry that was cut off asks before it runs a task again

Ends that it had not heard were released by the number of a later event, and it ran tasks again 0.1 s after the cut, before it had met the sidecars that held their ends.

--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -59,6 +59,7 @@
 	known.echoed = now
 	known.silent = false
 	known.seen = 0
+	c.markHeard(entry, greeting.Events.Heard)
 	c.Noted(entry, greeting.Events)
 	c.dropUnclaimed(entry, claims)
 	c.adoptMinion(now, greeting.Minion)
@@ -80,6 +81,17 @@
 	c.settle(now)
 }
 
+// markHeard tells the ends that an entry has heard from those that were taken
+// back from it before: only the former may be noted by their numbers.
+func (c *Core) markHeard(entry string, heard uint64) {
+	for task, one := range c.orphans {
+		if one.entry == entry && one.event > heard {
+			one.event = 0
+			c.orphans[task] = one
+		}
+	}
+}
+
 // dropUnclaimed drops the events of tasks that the entry has given up. It may
 // order them anew, and would take the end of the former run for that of the new.
 func (c *Core) dropUnclaimed(entry string, claims []session.Claim) {
--- a/decision/execution/orphan_test.go
+++ b/decision/execution/orphan_test.go
@@ -202,3 +202,16 @@
 	f.noted(event)
 	must.EqOp(t, 1, f.core.AckedUpTo())
 }
+
+// TestUnheardEndIsNotNoted covers an end that an entry has not heard before it
+// fell silent: what it notes of later events says nothing of that one.
+func TestUnheardEndIsNotNoted(t *testing.T) {
+	f := newFixture(t)
+	f.keptDone(key("a", 0))
+	unheard := f.core.EventsFor(testEntry)[0].Number
+	f.fallSilent()
+	f.hello(0)
+	f.noted(unheard + 1)
+	must.EqOp(t, 0, f.core.AckedUpTo())
+	must.Eq(t, []work.TaskKey{key("a", 0)}, f.core.AskOrphans(f.now.Add(orphanPatience)))
+}
--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -53,6 +53,9 @@
 	// wait for a lost sidecar: it may hold the end of a task, and such a task
 	// must not run again.
 	keptDeadMargin = 4 * time.Second
+	// reconnectTime is how long an entry that owns its jobs again looks for
+	// sidecars that it had lost before it gives their tasks up.
+	reconnectTime = 1500 * time.Millisecond
 	// maxQueueMisses is the number of jobs without room after which the rest of
 	// the queue waits.
 	maxQueueMisses = 8
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -27,8 +27,9 @@
 	storing map[work.JobID]*storing
 	queue   []*job
 	// owning is true while no other entry may take the stored jobs over.
-	owning   bool
-	storeOut bool
+	owning      bool
+	owningSince time.Time
+	storeOut    bool
 	// nextQueueTry is when the queue is looked at again.
 	nextQueueTry time.Time
 	// warmUntil is when the sidecars that live must have been found; a job that
@@ -251,7 +252,7 @@
 			continue
 		}
 		for _, task := range known.placed {
-			if c.jobs[task.key.Job].kept != nil && now.Before(known.deadAt.Add(keptDeadMargin)) {
+			if c.jobs[task.key.Job].kept != nil && (now.Before(known.deadAt.Add(keptDeadMargin)) || !c.mayGiveUp(now)) {
 				continue
 			}
 			c.runEnded(now, name, task, work.EndLapsed)
--- a/decision/heldjob/kept.go
+++ b/decision/heldjob/kept.go
@@ -40,7 +40,19 @@
 
 // SetOwning says whether the entry's stored jobs are its own for certain. While
 // they are not, no task of them is started.
-func (c *Core) SetOwning(owning bool) { c.owning = owning }
+func (c *Core) SetOwning(now time.Time, owning bool) {
+	if owning && !c.owning {
+		c.owningSince = now
+	}
+	c.owning = owning
+}
+
+// mayGiveUp reports whether tasks of stored jobs may be given up at a sidecar
+// that has been lost for long. An entry that was cut off itself finds it again
+// before that.
+func (c *Core) mayGiveUp(now time.Time) bool {
+	return c.owning && now.Sub(c.owningSince) > reconnectTime
+}
 
 // Keep takes a stored job to run.
 func (c *Core) Keep(now time.Time, stored KeptJob) {
--- a/decision/heldjob/steps_test.go
+++ b/decision/heldjob/steps_test.go
@@ -12,7 +12,7 @@
 
 // keepSteps takes a stored job of steps to run.
 func (f *fixture) keepSteps(steps ...work.Step) {
-	f.core.SetOwning(true)
+	f.core.SetOwning(f.now, true)
 	f.core.Keep(f.now, KeptJob{
 		Job:   work.Job{ID: "j", Steps: steps},
 		Route: manifest.Route{Name: "r", Service: "desk", Attempts: 2},
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -209,7 +209,7 @@
 // StopOwning starts nothing more of the stored jobs: other entries will.
 func (d *Dispatcher) StopOwning() {
 	d.releasing.Store(true)
-	d.loop.Do(func(time.Time) { d.core.SetOwning(false) })
+	d.loop.Do(func(now time.Time) { d.core.SetOwning(now, false) })
 }
 
 // Release gives the stored jobs up to other entries: the process is about to end.
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -80,10 +80,10 @@
 // newLife makes this entry another owner. It keeps the jobs that nobody has taken
 // over by then.
 func (k *keeper) newLife() {
-	k.dispatcher.loop.Do(func(time.Time) {
+	k.dispatcher.loop.Do(func(now time.Time) {
 		k.lives++
 		k.lease = joblease.Lease{}
-		k.dispatcher.core.SetOwning(false)
+		k.dispatcher.core.SetOwning(now, false)
 		k.dispatcher.core.Reown()
 	})
 	k.dispatcher.parts.Log.Failure(eventlog.KindLost).Str(eventlog.FieldName, "ownership").Msg("")
@@ -97,7 +97,7 @@
 		if err == nil {
 			k.lease.Renewed(sentAt)
 		}
-		k.dispatcher.core.SetOwning(k.lease.Valid(now) && !k.dispatcher.releasing.Load())
+		k.dispatcher.core.SetOwning(now, k.lease.Valid(now) && !k.dispatcher.releasing.Load())
 		if !k.lease.Valid(now) {
 			return
 		}
