--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -43,7 +43,9 @@
 
 // SaveJob stores how far a job has come.
 type SaveJob struct {
-	Job      work.JobID
+	Job work.JobID
+	// Route is the name of the job's route.
+	Route    string
 	Progress Progress
 }
 
--- a/decision/heldjob/keptsave.go
+++ b/decision/heldjob/keptsave.go
@@ -50,7 +50,7 @@
 		c.ask(EndJob{Job: job.id, Outcome: stored.outcome})
 		return
 	}
-	c.ask(SaveJob{Job: job.id, Progress: job.progress()})
+	c.ask(SaveJob{Job: job.id, Route: job.route.Name, Progress: job.progress()})
 }
 
 // progress returns what has to be stored of a job.
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/heldjob"
@@ -63,7 +61,7 @@
 // begun asks the owner of a job whether a task has started. Without an answer
 // the stored progress tells.
 func (d *Dispatcher) begun(ctx context.Context, open *jobstore.Open) bool {
-	if len(open.Progress.Done) > 0 || len(open.Progress.Failures) > 0 {
+	if open.Progress.Begun() {
 		return true
 	}
 	owner, ok := d.parts.Directory.Get(open.Progress.Owner.Name)
@@ -176,36 +174,6 @@
 		Str(eventlog.FieldJob, string(open.ID)).Str(eventlog.FieldReason, "not told of the end").Msg("")
 }
 
-// Pending counts the jobs of a route of which nothing has started, at all
-// entries while there may be stored ones.
-func (d *Dispatcher) Pending(ctx context.Context, route string) int {
-	count := 0
-	d.loop.Do(func(time.Time) { count = d.core.Pending(route) })
-	if !d.keeper.seen.Load() {
-		return count
-	}
-	others := d.parts.Directory.Of(session.RoleEntry)
-	counts := make([]session.PendingReply, len(others))
-	group, ctx := errgroup.WithContext(ctx)
-	for i, other := range others {
-		if other.Name == d.settings.Self.Name {
-			continue
-		}
-		group.Go(func() error {
-			// An entry that does not answer counts as 0: its jobs are with it, or
-			// with others soon.
-			_ = d.callEntry(ctx, other, session.MethodPending, &session.PendingRequest{Route: route}, &counts[i])
-			return nil
-		})
-	}
-	// The calls return no errors.
-	_ = group.Wait()
-	for _, one := range counts {
-		count += one.Count
-	}
-	return count
-}
-
 // StopOwning starts nothing more of the stored jobs: other entries will.
 func (d *Dispatcher) StopOwning() {
 	d.releasing.Store(true)
--- a/dispatcher/keeper.go
+++ b/dispatcher/keeper.go
@@ -33,6 +33,9 @@
 	// seen is true while any entry has a row: stored jobs may exist.
 	seen  atomic.Bool
 	renew chan struct{}
+	// waiting counts the jobs of owners that are gone and that nobody has taken
+	// over yet, of which nothing has run, by route.
+	waiting atomic.Pointer[map[string]int]
 
 	// The loop alone uses the following.
 
@@ -110,7 +113,7 @@
 	k.writes++
 	id, accepted, life := action.Job.ID, time.Now(), k.lives
 	record := jobstore.Record{Job: action.Job, Route: action.Route, Accepted: accepted}
-	change := jobstore.Create(record, jobstore.Progress{Owner: k.self(), Write: k.writes}, func(result jobstore.Result) {
+	change := jobstore.Create(record, jobstore.Progress{Owner: k.self(), Write: k.writes, Route: action.Route.Name}, func(result jobstore.Result) {
 		k.dispatcher.loop.Post(func(now time.Time) {
 			delete(k.creating, id)
 			k.versions[id] = result.Version
@@ -152,7 +155,7 @@
 // save stores how far a job has come. The loop alone calls it.
 func (k *keeper) save(action heldjob.SaveJob) {
 	k.writes++
-	progress := jobstore.Progress{Owner: k.self(), Write: k.writes}
+	progress := jobstore.Progress{Owner: k.self(), Write: k.writes, Route: action.Route}
 	for _, task := range action.Progress.Done {
 		progress.Done.Add(task.Step, task.Index)
 	}
--- /dev/null
+++ b/dispatcher/pending.go
@@ -0,0 +1,71 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figring/figring/session"
+)
+
+// Pending counts the jobs of a route of which nothing has started: of this entry,
+// and once there are stored jobs, of the others and of those that are gone.
+func (d *Dispatcher) Pending(ctx context.Context, route string) int {
+	count := 0
+	d.loop.Do(func(time.Time) { count = d.core.Pending(route) })
+	if !d.keeper.seen.Load() {
+		return count
+	}
+	if waiting := d.keeper.waiting.Load(); waiting != nil {
+		count += (*waiting)[route]
+	}
+	told, silent := d.askPending(ctx, route)
+	return count + told + d.storedPending(ctx, route, silent)
+}
+
+// askPending returns what the other entries count together, and which of them
+// did not answer.
+func (d *Dispatcher) askPending(ctx context.Context, route string) (int, map[string]bool) {
+	count, silent := 0, make(map[string]bool)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, other := range d.parts.Directory.Of(session.RoleEntry) {
+		if other.Name == d.settings.Self.Name {
+			continue
+		}
+		wait.Go(func() {
+			var reply session.PendingReply
+			err := d.callEntry(ctx, other, session.MethodPending, &session.PendingRequest{Route: route}, &reply)
+			mu.Lock()
+			defer mu.Unlock()
+			count += reply.Count
+			if err != nil {
+				silent[other.Name] = true
+			}
+		})
+	}
+	wait.Wait()
+	return count, silent
+}
+
+// storedPending counts the stored jobs of entries that do not answer. Some of
+// them may have begun.
+func (d *Dispatcher) storedPending(ctx context.Context, route string, owners map[string]bool) int {
+	if len(owners) == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	open, _, err := d.parts.Jobs.ListOpen(ctx)
+	if err != nil {
+		d.keeper.writeFailed(err)
+		return 0
+	}
+	count := 0
+	for _, job := range open {
+		if owners[job.Progress.Owner.Name] && job.Progress.Route == route && !job.Progress.Begun() {
+			count++
+		}
+	}
+	return count
+}
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -164,6 +164,7 @@
 			orphans[owner] = append(orphans[owner], one)
 		}
 	}
+	t.countWaiting(orphans)
 	for owner := range t.orphanSince {
 		if len(orphans[owner]) == 0 {
 			delete(t.orphanSince, owner)
@@ -179,6 +180,19 @@
 	}
 }
 
+// countWaiting takes note of the jobs that wait for an owner.
+func (t *takeover) countWaiting(orphans map[jobstore.Owner][]jobstore.Open) {
+	counts := make(map[string]int)
+	for _, jobs := range orphans {
+		for _, job := range jobs {
+			if !job.Progress.Begun() {
+				counts[job.Progress.Route]++
+			}
+		}
+	}
+	t.waiting.Store(&counts)
+}
+
 // mine returns the jobs that fall to this entry: the living entries share them,
 // and after a while any entry takes what is left.
 func (t *takeover) mine(now time.Time, owner jobstore.Owner, jobs []jobstore.Open) []jobstore.Open {
--- a/instance/kept_test.go
+++ b/instance/kept_test.go
@@ -187,6 +187,9 @@
 	}
 	s.entries[0].stop(t)
 	ended := time.Now()
+	// Jobs that have no owner for a moment wait as well.
+	waited := s.pending(s.entries[1])
+	must.Greater(t, jobs/4, waited)
 	must.Wait(t, wait.InitialSuccess(
 		wait.BoolFunc(func() bool { return strings.Contains(s.logs.String(), "jobs of "+s.entries[0].name) }),
 		wait.Timeout(leaveWait), wait.Gap(20*time.Millisecond),
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -33,12 +33,17 @@
 // Progress is how far an open job has come.
 type Progress struct {
 	Owner Owner `json:"owner"`
+	// Route is the name of the job's route.
+	Route string `json:"route"`
 	// Write numbers the owner's writes, so that it knows its own again.
 	Write    uint64         `json:"write"`
 	Done     TaskSet        `json:"done,omitempty"`
 	Failures []TaskFailures `json:"failures,omitempty"`
 }
 
+// Begun reports whether a task has ended since the acceptance.
+func (p *Progress) Begun() bool { return len(p.Done) > 0 || len(p.Failures) > 0 }
+
 // Outcome is how a job ended.
 type Outcome string
 
