--- a/decision/execution/bounds.go
+++ b/decision/execution/bounds.go
@@ -21,6 +21,10 @@
 	// LookOverdue is the time without an answered look after which another one
 	// is sent beside those under way.
 	LookOverdue = 200 * time.Millisecond
+	// lostMinionAfter is the time, and lostLooksLimit the number of looks in a
+	// row, without an answer after which a minion is lost.
+	lostMinionAfter = 4 * time.Second
+	lostLooksLimit  = 10
 	// StopRetry is the time after which an unanswered stop is sent again.
 	StopRetry = 150 * time.Millisecond
 	// minStuck is the shortest time without progress that makes a run stuck.
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -101,7 +101,9 @@
 }
 
 // LeaseLapsed says that every lease given out has lapsed for certain. The runs
-// of a minion that does not answer are at their end then.
+// of a minion that does not answer are at their end then. Those of stored jobs
+// may have ended as done before: they wait for the minion's list, unless the
+// minion is lost.
 func (c *Core) LeaseLapsed(now time.Time) {
 	c.settleDoubts(now)
 	if !c.blind {
@@ -109,6 +111,9 @@
 	}
 	ended := false
 	for _, run := range c.runs {
+		if run.kept && !c.lostMinion(now) {
+			continue
+		}
 		if run.phase == running || run.phase == stopping {
 			c.finish(run, work.EndLapsed, 0)
 			ended = true
@@ -119,6 +124,12 @@
 	}
 }
 
+// lostMinion reports whether the minion has left looks unanswered for long. The
+// time alone tells nothing on an instance that was suspended.
+func (c *Core) lostMinion(now time.Time) bool {
+	return c.lostLooks > lostLooksLimit && now.Sub(c.answeredAt) > lostMinionAfter
+}
+
 // takeEnds takes each end that was not seen before. Those of the first listing
 // may be of runs that a former life of the sidecar has started.
 func (c *Core) takeEnds(now time.Time, finished []FinishedRun, first bool) {
--- a/decision/execution/orphan_test.go
+++ b/decision/execution/orphan_test.go
@@ -10,9 +10,8 @@
 	"github.com/figring/figring/work"
 )
 
-// keptDone runs a task of a stored job to its end, which the entry is told and
-// has not stored.
-func (f *fixture) keptDone(task work.TaskKey) {
+// keptStarted orders a task of a stored job and lets the minion start it.
+func (f *fixture) keptStarted(task work.TaskKey) {
 	f.t.Helper()
 	f.request++
 	refusals := f.core.Order(f.now, testEntry, &session.StartRequest{Echo: session.StampOf(f.now), Number: f.request, Tasks: []session.StartTask{{
@@ -20,6 +19,13 @@
 	}}})
 	must.Eq(f.t, []session.Refusal{session.RefusedNone}, refusals)
 	f.core.StartAnswered(f.now, f.starts()[0], Started)
+}
+
+// keptDone runs a task of a stored job to its end, which the entry is told and
+// has not stored.
+func (f *fixture) keptDone(task work.TaskKey) {
+	f.t.Helper()
+	f.keptStarted(task)
 	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: 1, End: work.EndDone}})
 }
 
@@ -215,3 +221,35 @@
 	must.EqOp(t, 0, f.core.AckedUpTo())
 	must.Eq(t, []work.TaskKey{key("a", 0)}, f.core.AskOrphans(f.now.Add(orphanPatience)))
 }
+
+// TestWokenSidecarAsksForTheEnd covers a sidecar that was suspended while a task
+// of a stored job was done and the lease lapsed: it reads the list before it says
+// how the run ended.
+func TestWokenSidecarAsksForTheEnd(t *testing.T) {
+	f := newFixture(t)
+	task := key("a", 0)
+	f.keptStarted(task)
+	f.now = f.now.Add(10 * time.Second)
+	f.core.LookFailed(f.now, false)
+	f.core.LeaseLapsed(f.now)
+	must.Len(t, 0, f.core.EventsFor(testEntry))
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: 1, End: work.EndDone}})
+	events := f.core.EventsFor(testEntry)
+	must.Len(t, 1, events)
+	must.EqOp(t, work.EndDone, events[0].End)
+}
+
+// TestLostMinionEndsKeptRuns covers a minion that does not answer any more.
+func TestLostMinionEndsKeptRuns(t *testing.T) {
+	f := newFixture(t)
+	task := key("a", 0)
+	f.keptStarted(task)
+	f.now = f.now.Add(2 * lostMinionAfter)
+	for range lostLooksLimit + 1 {
+		f.core.LookFailed(f.now, false)
+	}
+	f.core.LeaseLapsed(f.now)
+	events := f.core.EventsFor(testEntry)
+	must.Len(t, 1, events)
+	must.EqOp(t, work.EndLapsed, events[0].End)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{413, "a sidecar that was paused while a kept task was done told it as lapsed, and it ran again"},
+}
 
 // TestSoak plays faults with seeds and checks the promises.
 func TestSoak(t *testing.T) {
