A takeover asks every sidecar that the table knows, and counts one that has not read its minion's lists as missing

An entry that had just started took jobs over before it had met all sidecars, or from a sidecar that had not read the ended runs yet, and ran tasks again. Ruled out: a lost acknowledgement (the ends were still listed). Tests: the soak test itself, TestAdoptionWaitsForTheFirstList.

--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -146,6 +146,9 @@
 	if inTouch && !request.Force {
 		return session.AdoptReply{InTouch: true}
 	}
+	if !c.listed || c.blind {
+		return session.AdoptReply{Unread: true}
+	}
 	if ok && !inTouch {
 		c.forgetEnds(now, request.Owner)
 	}
--- a/decision/execution/orphan_test.go
+++ b/decision/execution/orphan_test.go
@@ -253,3 +253,15 @@
 	must.Len(t, 1, events)
 	must.EqOp(t, work.EndLapsed, events[0].End)
 }
+
+// TestAdoptionWaitsForTheFirstList covers a sidecar that has just started: it does
+// not know what its minion has, and says so.
+func TestAdoptionWaitsForTheFirstList(t *testing.T) {
+	f := &fixture{t: t, core: New(100), now: time.Unix(1000, 0)}
+	must.True(t, f.core.Adopt(f.now, adoption("a")).Unread)
+	task := key("a", 0)
+	f.list(nil, []FinishedRun{{Sequence: 7, Task: task, Number: 1, End: work.EndDone}})
+	reply := f.core.Adopt(f.now, adoption("a"))
+	must.False(t, reply.Unread)
+	must.Eq(t, []session.TaskEnd{{Task: task, End: work.EndDone}}, reply.Ends)
+}
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -18,6 +18,12 @@
 // adopt takes jobs of a life over once nothing of them is at work any more.
 func (t *takeover) adopt(ctx context.Context, now time.Time, owner jobstore.Owner, jobs []jobstore.Open) {
 	t.want()
+	// Every sidecar has to be asked: one that this entry has not met yet may hold
+	// ends of the jobs.
+	if err := t.dispatcher.parts.Learn(ctx); err != nil {
+		t.writeFailed(err)
+		return
+	}
 	ends, ok := t.askSidecars(ctx, owner, jobs, now.Sub(t.orphanSince[owner]) > anyoneAfter)
 	if !ok {
 		return
@@ -144,7 +150,8 @@
 // answers is what the sidecars have told together.
 type answers struct {
 	inTouch, busy bool
-	// missing counts the sidecars that did not answer.
+	// missing counts the sidecars that did not answer, or do not know what is at
+	// their minions.
 	missing int
 	ends    map[work.JobID][]session.TaskEnd
 }
@@ -159,7 +166,7 @@
 			reply, err := t.askSidecar(ctx, sidecar, *request)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
+			if err != nil || reply.Unread {
 				sum.missing++
 				return
 			}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,8 @@
 	// Jobs and Owners keep accepted jobs.
 	Jobs   *jobstore.Store
 	Owners *jobstore.Owners
+	// Learn adds all processes that the table knows to Directory.
+	Learn func(ctx context.Context) error
 	// StoreOut reports whether the platform's table is known to be away.
 	StoreOut func() bool
 }
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -89,6 +89,7 @@
 		Scope:     common.metrics.Scope,
 		Jobs:      jobstore.New(func(partition int) store.Table { return common.table.Part(jobsTable, partitionName(partition)) }),
 		Owners:    jobstore.NewOwners(common.table.Part(ownersTable, "")),
+		Learn:     common.learn,
 		StoreOut:  common.storeLost.Load,
 	})
 }
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -153,11 +153,14 @@
 func (s *shared) join(ctx context.Context) {
 	members := rows.NewMembers(s.table)
 	s.retry(ctx, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
-	s.retry(ctx, func(ctx context.Context) error {
-		peers, err := members.List(ctx)
-		s.directory.Merge(peers...)
-		return err
-	})
+	s.retry(ctx, s.learn)
+}
+
+// learn adds all processes that the table knows to the directory.
+func (s *shared) learn(ctx context.Context) error {
+	peers, err := rows.NewMembers(s.table).List(ctx)
+	s.directory.Merge(peers...)
+	return err
 }
 
 func (s *shared) retry(ctx context.Context, try func(context.Context) error) {
--- a/session/adopt.go
+++ b/session/adopt.go
@@ -24,6 +24,9 @@
 	// Busy means that runs of the jobs may still be at work. They are being
 	// stopped.
 	Busy bool
+	// Unread means that the sidecar does not know its minion's lists now, as after
+	// its start: there may be ends and runs that it does not tell.
+	Unread bool
 	// Ends are the ends of the jobs' tasks that may not be stored.
 	Ends []TaskEnd
 }
