--- a/instance/kept_test.go
+++ b/instance/kept_test.go
@@ -273,7 +273,7 @@
 func TestWritesAreShared(t *testing.T) {
 	s := newSystem(t, 4, 2)
 	const jobs, tasks = 150, 4
-	before := s.table.Transactions()
+	before := s.table.Transactions(jobsTable)
 	var wait sync.WaitGroup
 	for i := range jobs {
 		wait.Go(func() {
@@ -284,7 +284,7 @@
 	for i := range jobs {
 		s.awaitState(s.entries[0], keptID(i), "completed", 20*time.Second)
 	}
-	writes := float64(s.table.Transactions()-before) / jobs
+	writes := float64(s.table.Transactions(jobsTable)-before) / jobs
 	t.Logf("%.2f transactions a job of %d tasks", writes, tasks)
 	// An acceptance and an end alone are two.
 	must.Less(t, 2.0, writes)
