One call on a connection of its own, one way to make an orphan, less in the hot paths

From reading the whole change once more; behaviour stays as it is: - Dialing, calling once and closing stood in four places: link.CallOnce. One of them returned its reply beside the call that fills it, in an order that the language leaves open. - The end that waits for an entry became an orphan in two places: orphaned. The method orphanKept had the name of a constant: offerEnds. - The gauge of open jobs looked at every task of every stored job after each step of the loop; it counts now, and only a planned stop looks. - Each poll's reply made a second trip to the sidecar's loop to ask for orphans; it is made only when there are any.

--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -235,14 +235,14 @@
 			known.silent = true
 			c.noted(Note{Kind: NoteSilent, Entry: name})
 			c.stopAll(now, name)
-			c.orphanKept(now, name)
+			c.offerEnds(now, name)
 		}
 	}
 }
 
-// orphanKept lets others ask for the ends of a silent entry's stored jobs. An
+// offerEnds lets others ask for the ends of a silent entry's stored jobs. An
 // entry that comes back claims them.
-func (c *Core) orphanKept(now time.Time, entry string) {
+func (c *Core) offerEnds(now time.Time, entry string) {
 	kept := make(map[uint64]bool)
 	for sequence, end := range c.ends {
 		if end.entry != entry || !end.kept {
@@ -250,10 +250,7 @@
 		}
 		kept[end.event] = true
 		delete(c.ends, sequence)
-		c.orphan(orphan{
-			task: end.task, end: end.end, sequence: sequence, endedAt: end.at, since: now,
-			entry: entry, event: end.event,
-		})
+		c.orphan(end.orphaned(now, sequence))
 	}
 	known := c.entries[entry]
 	known.events = slices.DeleteFunc(known.events, func(event session.Event) bool { return kept[event.Number] })
@@ -268,10 +265,7 @@
 		}
 		delete(c.ends, sequence)
 		if end.kept {
-			c.orphan(orphan{
-				task: end.task, end: end.end, sequence: sequence, endedAt: end.at, since: now,
-				entry: end.entry, event: end.event,
-			})
+			c.orphan(end.orphaned(now, sequence))
 		}
 	}
 }
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -40,6 +40,17 @@
 	guess bool
 }
 
+// orphaned returns the end as one that no entry is known to have stored.
+func (p pendingEnd) orphaned(now time.Time, sequence uint64) orphan {
+	return orphan{
+		task: p.task, end: p.end, sequence: sequence, endedAt: p.at, since: now,
+		entry: p.entry, event: p.event,
+	}
+}
+
+// HasOrphans reports whether there are ends to ask entries about.
+func (c *Core) HasOrphans() bool { return len(c.orphans) > 0 }
+
 // decides reports whether an end tells something about the job of its task.
 func decides(end work.End) bool { return end == work.EndDone || end == work.EndFailed }
 
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -95,6 +95,9 @@
 // SetSnapshot takes a newer configuration.
 func (c *Core) SetSnapshot(snapshot manifest.Snapshot) { c.snapshot = snapshot }
 
+// Count returns the number of jobs that the entry has.
+func (c *Core) Count() int { return len(c.storing) + len(c.jobs) }
+
 // Open returns the number of jobs without an answer, and of stored jobs of which
 // something runs or is being written.
 func (c *Core) Open() int {
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -184,10 +184,6 @@
 func (t *takeover) askSidecar(ctx context.Context, sidecar session.Peer, request session.AdoptRequest) (session.AdoptReply, error) {
 	request.Sidecar = sidecar.Name
 	var reply session.AdoptReply
-	client, err := link.Dial(ctx, sidecar.Address, t.dispatcher.settings.Secret)
-	if err != nil {
-		return reply, err
-	}
-	defer client.Close()
-	return reply, client.Call(ctx, session.MethodAdopt, &request, &reply, adoptTimeout)
+	err := link.CallOnce(ctx, sidecar.Address, t.dispatcher.settings.Secret, session.MethodAdopt, &request, &reply, adoptTimeout)
+	return reply, err
 }
--- a/dispatcher/announcer.go
+++ b/dispatcher/announcer.go
@@ -41,14 +41,10 @@
 // announceTo makes one try. A failure needs no line: the other entry is no
 // dependency of this one, and sidecars tell of it too.
 func (d *Dispatcher) announceTo(ctx context.Context, entry session.Peer) bool {
-	client, err := link.Dial(ctx, entry.Address, d.settings.Secret)
-	if err != nil {
-		return false
-	}
-	defer client.Close()
 	request := session.AnnounceRequest{Peers: []session.Peer{d.settings.Self}}
 	var reply session.AnnounceReply
-	if client.Call(ctx, session.MethodAnnounce, &request, &reply, announceTimeout) != nil {
+	err := link.CallOnce(ctx, entry.Address, d.settings.Secret, session.MethodAnnounce, &request, &reply, announceTimeout)
+	if err != nil {
 		return false
 	}
 	if entry.Boot == "" {
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -76,12 +76,7 @@
 }
 
 func (d *Dispatcher) callEntry(ctx context.Context, entry session.Peer, method string, request, reply any) error {
-	client, err := link.Dial(ctx, entry.Address, d.settings.Secret)
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	return client.Call(ctx, method, request, reply, entryTimeout)
+	return link.CallOnce(ctx, entry.Address, d.settings.Secret, method, request, reply, entryTimeout)
 }
 
 // Cancel ends a job, at whatever entry it is. It returns ErrNoJob, or
--- a/dispatcher/notes.go
+++ b/dispatcher/notes.go
@@ -12,7 +12,7 @@
 	for _, decision := range d.core.Decisions() {
 		d.noteOne(decision)
 	}
-	d.meters.open.Update(float64(d.core.Open()))
+	d.meters.open.Update(float64(d.core.Count()))
 }
 
 func (d *Dispatcher) noteOne(decision heldjob.Decision) {
--- a/executor/announcer.go
+++ b/executor/announcer.go
@@ -93,14 +93,10 @@
 // announceTo tells an entry of the sidecar and the entries that it knows, and
 // learns those that the entry knows.
 func (e *Executor) announceTo(ctx context.Context, entry session.Peer) error {
-	client, err := link.Dial(ctx, entry.Address, e.settings.Secret)
-	if err != nil {
-		return err
-	}
-	defer client.Close()
 	request := session.AnnounceRequest{Peers: append(e.parts.Directory.Of(session.RoleEntry), e.settings.Self)}
 	var reply session.AnnounceReply
-	if err := client.Call(ctx, session.MethodAnnounce, &request, &reply, announceTimeout); err != nil {
+	err := link.CallOnce(ctx, entry.Address, e.settings.Secret, session.MethodAnnounce, &request, &reply, announceTimeout)
+	if err != nil {
 		return err
 	}
 	if entry.Boot == "" {
--- a/executor/service.go
+++ b/executor/service.go
@@ -198,8 +198,10 @@
 func (c *conn) answer(entry string, request *session.PollRequest, reply *session.PollReply, deadline time.Time) bool {
 	e := c.executor
 	var now time.Time
+	orphans := false
 	e.loop.Do(func(at time.Time) {
 		now = at
+		orphans = e.core.HasOrphans()
 		reply.Events = e.core.EventsFor(entry)
 		reply.State = e.stateFor(entry, at)
 	})
@@ -215,7 +217,9 @@
 		reply.SnapshotVersion = e.parts.Holder.Newest().Version
 		reply.Snapshot = e.parts.Holder.For(request.SnapshotVersion)
 		reply.Entries = c.newEntries()
-		e.loop.Do(func(at time.Time) { reply.Orphans = e.core.AskOrphans(at) })
+		if orphans {
+			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.AskOrphans(at) })
+		}
 		return true
 	}
 	c.wait(now, stateDue, deadline)
--- a/session/link/client.go
+++ b/session/link/client.go
@@ -62,3 +62,13 @@
 	_ = c.conn.SetLinger(0)
 	_ = c.rpc.Close()
 }
+
+// CallOnce makes one call on a connection of its own.
+func CallOnce(ctx context.Context, address, secret, method string, request, reply any, timeout time.Duration) error {
+	client, err := Dial(ctx, address, secret)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	return client.Call(ctx, method, request, reply, timeout)
+}
