Fake-time tests run on one processor: the race detector's timer context is not shared

Change: common/bubble.Test sets one processor around synctest.Test; all tests in fake time use it. redtest now names a test that was running when its process died, also a listed one, and prints its output: before, it printed only the name of the package.

--- a/answers/answers_test.go
+++ b/answers/answers_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
 	"github.com/figring/figring/store/fault"
@@ -64,7 +65,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				s := newStore()
 				dropped := 0
 				keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(n int) { dropped += n }})
@@ -99,7 +100,7 @@
 }
 
 func TestKeeperWritesGroupsAndTheRest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newStore()
 		keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(int) {}})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -122,7 +123,7 @@
 }
 
 func TestSweepDeletesOnlyWhatIsOlder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newStore()
 		keeper := NewKeeper(Options{Table: s.table, Objects: s.objects, Self: writer, Dropped: func(int) {}})
 		old := answerOf(keyAt(time.Now(), 1), "old")
--- a/claims/writer_test.go
+++ b/claims/writer_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
 	"github.com/figring/figring/store/fault"
@@ -113,7 +114,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				b := newBench(t, c.opts)
 				b.injector.Set(fault.Settings{BeforeMillis: 100})
 				start := time.Now()
@@ -152,7 +153,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				b := newBench(t, Options{})
 				defer b.writer.Close()
 				if c.taken {
@@ -180,7 +181,7 @@
 // TestAbsentRowIsNoProof delays a write beyond a read of its absent row: the
 // claim must not be denied and then appear.
 func TestAbsentRowIsNoProof(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBench(t, Options{})
 		b.counter.late = 5 * time.Second
 		err := b.writer.Append(t.Context(), claimOf(1))
@@ -191,7 +192,7 @@
 
 func TestAbandoned(t *testing.T) {
 	t.Run("before its write: proved not claimed", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			b := newBench(t, Options{})
 			b.injector.Set(fault.Settings{BeforeMillis: 1000})
 			go func() { _ = b.writer.Append(context.Background(), claimOf(1)) }()
@@ -204,7 +205,7 @@
 		})
 	})
 	t.Run("during its write: reported later", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			var reported []Claim
 			b := newBench(t, Options{Resolved: func(claims []Claim, err error) {
 				must.NoError(t, err)
@@ -224,7 +225,7 @@
 // TestSettleUnderLoad shows that a giver of a partition does not wait for
 // claims that others go on appending.
 func TestSettleUnderLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBench(t, Options{})
 		b.injector.Set(fault.Settings{BeforeMillis: 100})
 		stop := time.Now().Add(time.Minute)
@@ -244,7 +245,7 @@
 }
 
 func TestTooManyUnresolved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBench(t, Options{Unresolved: 1})
 		b.injector.Set(fault.Settings{WriteLoss: 1})
 		go func() { _ = b.writer.Append(context.Background(), claimOf(1)) }()
@@ -261,7 +262,7 @@
 }
 
 func TestLoadAndSweep(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBench(t, Options{Mode: RowPerClaim})
 		var middle time.Time
 		for i := range 1200 {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/figring/figring/answers"
 	"github.com/figring/figring/claims"
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/decision/routing"
 	"github.com/figring/figring/model"
@@ -56,7 +57,7 @@
 // inWorld runs a test in a bubble with an owner that serves every partition.
 func inWorld(t *testing.T, test func(w *world)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		test(w)
 	})
--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/figring/figring/claims"
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/decision/ownership"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
@@ -165,7 +166,7 @@
 }
 
 func inCluster(t *testing.T, n int, body func(t *testing.T, c *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newCluster(t, n)
 		defer c.stop()
 		c.run(6 * time.Second)
@@ -280,7 +281,7 @@
 }
 
 func TestLostReplies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3)
 		defer c.stop()
 		for _, m := range c.members {
@@ -347,7 +348,7 @@
 
 // TestCost counts the requests of entries with nothing to do.
 func TestCost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		counted := &countingTable{Table: memory.NewTable()}
 		m := New(Options{Table: counted, Self: wire.EntryInfo{Incarnation: "a.1"}})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/minion/announcer_test.go
+++ b/minion/announcer_test.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/store"
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
@@ -37,7 +37,7 @@
 }
 
 func TestAnnouncer_RepeatsAndLogsChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var logged bytes.Buffer
 		to := &sidecar{status: http.StatusNoContent}
 		announcer := newAnnouncer("http://sidecar", &log.Logger{Writer: log.IOWriter{Writer: &logged}})
--- a/minion/minion_test.go
+++ b/minion/minion_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/minion"
 	"github.com/shoenig/test/must"
 )
@@ -62,7 +63,7 @@
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				m := newMinion(t, options())
 				m.SetControl(one.control)
 				start := time.Now()
@@ -114,7 +115,7 @@
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				m := newMinion(t, options())
 				m.SetControl(minion.Control{Speed: 1, DelayMillis: 10})
 				bound := fmt.Sprint(time.Now().Add(one.bound).UnixNano())
@@ -130,7 +131,7 @@
 }
 
 func TestRun_SlotsAndStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := newMinion(t, options())
 		answers := make([]*httptest.ResponseRecorder, 2)
 		for i := range answers {
@@ -159,7 +160,7 @@
 }
 
 func TestLedger_Lines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		with := options()
 		with.LedgerFile = filepath.Join(t.TempDir(), "ledger.jsonl")
 		m := newMinion(t, with)
--- a/rollout/editor_test.go
+++ b/rollout/editor_test.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/store"
@@ -152,7 +152,7 @@
 }
 
 func TestUnknownOutcomeIsNeverCalledFailed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		editor := newTestEditor(table, nil)
 		table.commits = []fault{faultLostReply}
--- a/rollout/property_test.go
+++ b/rollout/property_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/decision/bundle"
 )
 
@@ -55,7 +55,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 10).Draw(rt, "steps")
 		var result told
-		synctest.Test(t, func(*testing.T) { result = runSteps(steps) })
+		bubble.Test(t, func(*testing.T) { result = runSteps(steps) })
 		must.NoError(rt, result.err)
 		checkTold(rt, result)
 	})
--- a/rollout/watcher_test.go
+++ b/rollout/watcher_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/model"
 )
@@ -33,7 +34,7 @@
 }
 
 func TestAbsentRowIsVersionZero(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := New(newFakeTable(), Options{})
 		must.False(t, fresh(w))
 		var seen []int64
@@ -47,7 +48,7 @@
 }
 
 func TestSlowReadsKeepTheViewFresh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		table.latency = func(int) time.Duration { return 1800 * time.Millisecond }
 		w := New(table, Options{})
@@ -63,7 +64,7 @@
 }
 
 func TestReadsInFlightAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		table.latency = func(int) time.Duration { return time.Hour }
 		w := New(table, Options{})
@@ -79,7 +80,7 @@
 }
 
 func TestOutageEndsFreshnessWithinTheBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		w := New(table, Options{})
 		stop := watch(t, w)
@@ -97,7 +98,7 @@
 }
 
 func TestOldBundleArrivingLateIsDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		scope := tally.NewTestScope("", nil)
 		w := New(table, Options{Scope: scope})
@@ -125,7 +126,7 @@
 }
 
 func TestThousandChangesAreSeenInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const changes = 1000
 		table := newFakeTable()
 		table.latency = func(n int) time.Duration { return time.Duration(n*37%1500) * time.Millisecond }
@@ -195,7 +196,7 @@
 }
 
 func TestVersionIsInForceEverywhereAfterTheBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := New(newFakeTable(), Options{})
 		must.False(t, w.InForceEverywhere(0))
 		w.accept(model.Bundle{Version: 4}, time.Now())
@@ -214,7 +215,7 @@
 }
 
 func TestDeletedRowEndsFreshnessAndNeverReverts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		_, err := newTestEditor(table, nil).Edit(t.Context(), "anna", AnyVersion, bundle.CloseZone{Zone: "garching"})
 		must.NoError(t, err)
@@ -231,7 +232,7 @@
 }
 
 func TestFreshnessCountsFromBeforeTheRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := newFakeTable()
 		table.latency = func(int) time.Duration { return 2 * time.Second }
 		w := New(table, Options{})
--- a/scripts/redtest/main.go
+++ b/scripts/redtest/main.go
@@ -42,8 +42,11 @@
 	passed, failed, skipped int
 	red                     []string
 	green                   map[string]bool
-	broken                  []string
-	output                  map[string]*strings.Builder
+	// running are the tests that have begun and not ended. Whatever is left at
+	// the end of a run died with the process of its package.
+	running map[string]bool
+	broken  []string
+	output  map[string]*strings.Builder
 }
 
 func main() {
@@ -91,7 +94,11 @@
 }
 
 func collect(stream io.Reader) *tally {
-	result := &tally{green: make(map[string]bool), output: make(map[string]*strings.Builder)}
+	result := &tally{
+		green:   make(map[string]bool),
+		running: make(map[string]bool),
+		output:  make(map[string]*strings.Builder),
+	}
 	lines := bufio.NewScanner(stream)
 	lines.Buffer(make([]byte, 0, 1<<20), 16<<20)
 	for lines.Scan() {
@@ -107,6 +114,7 @@
 
 func (r *tally) add(one event) {
 	name := one.name()
+	r.track(name, one)
 	switch one.Action {
 	case "output", "build-output":
 		builder, ok := r.output[name]
@@ -131,6 +139,16 @@
 	}
 }
 
+// track keeps the set of tests that have begun and not ended.
+func (r *tally) track(name string, one event) {
+	switch one.Action {
+	case "run":
+		r.running[name] = true
+	case "pass", "skip", "fail":
+		delete(r.running, name)
+	}
+}
+
 func (r *tally) fail(name string, one event) {
 	if one.Test == "" {
 		r.broken = append(r.broken, name)
@@ -163,7 +181,8 @@
 }
 
 // unexpected returns the failures that are not listed, and prints the listed
-// ones. A failed package is excused only when a test of it failed.
+// ones. A failed package is excused only when a test of it failed, a test that
+// did not end never: its process died.
 func (r *tally) unexpected(out io.Writer, known map[string]bool) []string {
 	sort.Strings(r.red)
 	var unexpected []string
@@ -181,7 +200,7 @@
 			unexpected = append(unexpected, name)
 		}
 	}
-	return unexpected
+	return append(unexpected, slices.Sorted(maps.Keys(r.running))...)
 }
 
 // printNowPassing prints the listed tests that passed.
--- a/scripts/redtest/main_test.go
+++ b/scripts/redtest/main_test.go
@@ -14,6 +14,7 @@
 const (
 	passA    = `{"Action":"pass","Package":"p","Test":"TestA"}`
 	passB    = `{"Action":"pass","Package":"p","Test":"TestB"}`
+	runB     = `{"Action":"run","Package":"p","Test":"TestB"}`
 	failB    = `{"Action":"fail","Package":"p","Test":"TestB"}`
 	failSub  = `{"Action":"fail","Package":"p","Test":"TestB/sub"}`
 	skipC    = `{"Action":"skip","Package":"p","Test":"TestC"}`
@@ -53,6 +54,10 @@
 			[]string{"FAIL q [q.test]", "q.go:1: undefined", "FAIL q"}, "1 passed, 0 failed, 0 skipped"},
 		{"failure outside tests", []string{passA, failP}, []string{"p TestB"}, failed, 1,
 			[]string{"FAIL p"}, "1 passed, 0 failed, 0 skipped"},
+		{"process that dies in a test", []string{passA, runB, outputB, failP}, nil, failed, 1,
+			[]string{"FAIL p TestB", "b_test.go:7: wrong"}, "1 passed, 0 failed, 0 skipped"},
+		{"process that dies in a listed test", []string{passA, runB, outputB, failP}, []string{"p TestB"}, failed, 1,
+			[]string{"FAIL p TestB"}, "1 passed, 0 failed, 0 skipped"},
 		{"unexplained error", []string{passA, passP}, nil, failed, 1,
 			[]string{"go test: exit status 1"}, "1 passed, 0 failed, 0 skipped"},
 		{"no tests", []string{passP}, nil, nil, 1, nil, "0 passed, 0 failed, 0 skipped"},
--- a/store/fault/fault_test.go
+++ b/store/fault/fault_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/figring/figring/common/bubble"
 	"github.com/figring/figring/store"
 	"github.com/figring/figring/store/contract"
 	"github.com/figring/figring/store/fault"
@@ -42,7 +42,7 @@
 }
 
 func TestTable_Latency(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := fault.NewTable(memory.NewTable(), fault.New(fault.Defaults(), 1, nil))
 		start := time.Now()
 		_, err := table.Commit(t.Context(), write("a"))
