Runs resume from checkpoints

Change: the sidecar keeps the newest checkpoint that a run's lists show and tells it with the run's end; the entry hands it to the task's next run and writes it into the job's row whenever that is written anyway; a takeover asks for the checkpoints of the runs that it stops; a restarted sidecar tells what lapsed runs had saved. The stand-in minion saves, resumes and refuses foreign checkpoints; the jobs of the soak save every 25 ms.

Found on the way: a job's row held an object for each task that had failed, so that a wide job could outgrow the 64 KiB of a row and never be written again.

Ruled out: a write for each checkpoint (a write a task and second), and checkpoints on every poll (bytes on the busiest path for a rare gain).

--- a/decision/execution/actions.go
+++ b/decision/execution/actions.go
@@ -11,6 +11,8 @@
 	Number int
 	Spec   string
 	Fence  int64
+	// Checkpoint is where the run resumes; empty for the start of the task.
+	Checkpoint work.Checkpoint
 }
 
 // Stop orders the minion to stop a run.
@@ -87,6 +89,8 @@
 	Task    work.TaskKey
 	Number  int
 	Percent int
+	// Checkpoint is the newest that the run has saved; empty for none.
+	Checkpoint work.Checkpoint
 }
 
 // FinishedRun is a run that ended and that the minion was not told to forget.
@@ -96,4 +100,6 @@
 	Task     work.TaskKey
 	Number   int
 	End      work.End
+	// Checkpoint is the newest that the run has saved; empty for none.
+	Checkpoint work.Checkpoint
 }
--- /dev/null
+++ b/decision/execution/checkpoint_test.go
@@ -0,0 +1,141 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// orderFrom orders a task that resumes from a checkpoint.
+func (f *fixture) orderFrom(task work.TaskKey, checkpoint work.Checkpoint) {
+	f.request++
+	refusals := f.core.Order(f.now, testEntry, &session.StartRequest{
+		Echo: session.StampOf(f.now), Number: f.request,
+		Tasks: []session.StartTask{{
+			Task: task, Need: work.Room{MilliCPU: 4000, MemMB: 10}, Kept: true, Checkpoint: checkpoint,
+			Estimate: time.Second, Slack: time.Second, MaxWait: time.Second, Expected: time.Second,
+		}},
+	})
+	must.EqOp(f.t, session.RefusedNone, refusals[0])
+}
+
+// run starts a task that resumes from a checkpoint.
+func (f *fixture) run(task work.TaskKey, checkpoint work.Checkpoint) Start {
+	f.orderFrom(task, checkpoint)
+	started := f.starts()
+	must.Len(f.t, 1, started)
+	f.core.StartAnswered(f.now, started[0], Started)
+	return started[0]
+}
+
+func (f *fixture) onlyEvent() session.Event {
+	events := f.core.EventsFor(testEntry)
+	must.Len(f.t, 1, events)
+	return events[0]
+}
+
+// TestStartResumes covers the checkpoint of an order, also when the order has to
+// be sent again.
+func TestStartResumes(t *testing.T) {
+	f := newFixture(t)
+	f.orderFrom(key("j", 0), "c-1")
+	first := f.starts()[0]
+	must.EqOp(t, work.Checkpoint("c-1"), first.Checkpoint)
+	f.core.StartAnswered(f.now, first, StartOld)
+	again := f.starts()[0]
+	must.EqOp(t, work.Checkpoint("c-1"), again.Checkpoint)
+	must.Greater(t, first.Number, again.Number)
+}
+
+// TestEndTellsNewestCheckpoint covers ends with a checkpoint of their own, and
+// without one after some were listed.
+func TestEndTellsNewestCheckpoint(t *testing.T) {
+	cases := []struct {
+		name   string
+		listed work.Checkpoint
+		ended  work.Checkpoint
+		want   work.Checkpoint
+	}{
+		{"nothing saved since the start", "", "", "c-1"},
+		{"listed at work", "c-2", "", "c-2"},
+		{"saved at the end", "c-2", "c-3", "c-3"},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			f := newFixture(t)
+			task := key("j", 0)
+			start := f.run(task, "c-1")
+			f.list([]RunningRun{{Task: task, Number: start.Number, Percent: 10, Checkpoint: one.listed}}, nil)
+			f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: start.Number, End: work.EndLapsed, Checkpoint: one.ended}})
+			must.EqOp(t, work.EndLapsed, f.onlyEvent().End)
+			must.EqOp(t, one.want, f.onlyEvent().Checkpoint)
+		})
+	}
+}
+
+// TestLostMinionLeavesCheckpoint covers a run that went with its minion.
+func TestLostMinionLeavesCheckpoint(t *testing.T) {
+	f := newFixture(t)
+	task := key("j", 0)
+	start := f.run(task, "")
+	f.list([]RunningRun{{Task: task, Number: start.Number, Percent: 50, Checkpoint: "c-5"}}, nil)
+	f.core.LookFailed(f.now, true)
+	must.EqOp(t, work.EndGone, f.onlyEvent().End)
+	must.EqOp(t, work.Checkpoint("c-5"), f.onlyEvent().Checkpoint)
+}
+
+// TestRestartedSidecarTellsCheckpoint covers a run that lapsed while there was
+// no sidecar: the entry that claims it hears what it has saved, and the minion
+// need not keep the end.
+func TestRestartedSidecarTellsCheckpoint(t *testing.T) {
+	f := newFixture(t)
+	f.core = New(200)
+	f.core.Heartbeat(f.now, session.Minion{ID: "i-1", Service: "desk", Born: testBorn, Capacity: work.Room{MilliCPU: 10000, MemMB: 1000}}, false)
+	task := key("j", 0)
+	f.list(nil, []FinishedRun{{Sequence: 7, Task: task, Number: 1, End: work.EndLapsed, Checkpoint: "c-9"}})
+	must.EqOp(t, 7, f.core.AckedUpTo())
+	must.Len(t, 0, f.core.AskOrphans(f.now.Add(time.Second)))
+	f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: testBoot, KeepsJobs: true, Claims: []session.Claim{{Task: task, Kept: true}}})
+	must.EqOp(t, work.EndLapsed, f.onlyEvent().End)
+	must.EqOp(t, work.Checkpoint("c-9"), f.onlyEvent().Checkpoint)
+}
+
+// TestSavedWorkDoesNotHideAnEnd covers a task that was done and of which a later
+// list shows a run that saved something: the end stands.
+func TestSavedWorkDoesNotHideAnEnd(t *testing.T) {
+	f := newFixture(t)
+	f.core = New(200)
+	task := key("j", 0)
+	f.list(nil, []FinishedRun{
+		{Sequence: 1, Task: task, Number: 1, End: work.EndDone, Checkpoint: "c-1"},
+		{Sequence: 2, Task: task, Number: 2, End: work.EndLapsed, Checkpoint: "c-2"},
+	})
+	reply := f.core.Adopt(f.now, &session.AdoptRequest{Owner: testEntry, Boot: testBoot, Jobs: []work.JobID{"j"}})
+	must.Eq(t, []session.TaskEnd{{Task: task, End: work.EndDone}}, reply.Ends)
+}
+
+// TestTakeoverHearsCheckpoints covers a run at work of an entry that is gone:
+// whoever takes its jobs over hears what the run has saved, before and after it
+// is stopped.
+func TestTakeoverHearsCheckpoints(t *testing.T) {
+	f := newFixture(t)
+	task := key("j", 0)
+	start := f.run(task, "")
+	running := RunningRun{Task: task, Number: start.Number, Percent: 10, Checkpoint: "c-1"}
+	f.list([]RunningRun{running}, nil)
+	f.now = f.now.Add(SilenceLimit + time.Second/10)
+	f.core.Tick(f.now)
+	request := &session.AdoptRequest{Owner: testEntry, Boot: testBoot, Jobs: []work.JobID{"j"}}
+	reply := f.core.Adopt(f.now, request)
+	must.True(t, reply.Busy)
+	must.Eq(t, []session.TaskCheckpoint{{Task: task, Checkpoint: "c-1"}}, reply.Checkpoints)
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: start.Number, End: work.EndStopped, Checkpoint: "c-2"}})
+	reply = f.core.Adopt(f.now, request)
+	must.False(t, reply.Busy)
+	must.Len(t, 0, reply.Ends)
+	must.Eq(t, []session.TaskCheckpoint{{Task: task, Checkpoint: "c-2"}}, reply.Checkpoints)
+}
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -72,6 +72,8 @@
 	event uint64
 	task  work.TaskKey
 	end   work.End
+	// checkpoint is the newest of the task; empty for none.
+	checkpoint work.Checkpoint
 	// kept means that the end is not forgotten with its entry.
 	kept bool
 	// at is when the end was listed.
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -135,7 +135,7 @@
 	}
 	run, ok := c.runs[claim.Task]
 	if !ok || (run.entry != entry && run.entry != "") {
-		c.report(entry, claim.Task, work.EndNotRun, 0)
+		c.report(entry, session.Event{Task: claim.Task, End: work.EndNotRun})
 		return
 	}
 	if run.entry == "" {
@@ -209,15 +209,16 @@
 	return upTo
 }
 
-// report adds an event for an entry and returns its number, 0 when the entry
-// is not known.
-func (c *Core) report(entry string, task work.TaskKey, end work.End, took time.Duration) uint64 {
+// report numbers an event, adds it to those for an entry and returns the number,
+// 0 when the entry is not known.
+func (c *Core) report(entry string, event session.Event) uint64 {
 	known, ok := c.entries[entry]
 	if !ok {
 		return 0
 	}
 	c.newestEvent++
-	known.events = append(known.events, session.Event{Number: c.newestEvent, Task: task, End: end, RunTime: took})
+	event.Number = c.newestEvent
+	known.events = append(known.events, event)
 	c.ask(Wake{Entry: entry, Event: true})
 	return c.newestEvent
 }
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -139,7 +139,7 @@
 		}
 		c.newestEnd = end.Sequence
 		if _, known := c.runs[end.Task]; first && !known {
-			c.orphan(orphan{task: end.Task, end: end.End, sequence: end.Sequence, endedAt: now, since: now, guess: true})
+			c.orphan(orphan{task: end.Task, end: end.End, checkpoint: end.Checkpoint, sequence: end.Sequence, endedAt: now, since: now, guess: true})
 			continue
 		}
 		c.takeEnd(now, end)
@@ -151,6 +151,7 @@
 	if !ok || run.phase == queued || run.number != end.Number {
 		return
 	}
+	run.checkpoint = work.NewestCheckpoint(run.checkpoint, end.Checkpoint)
 	took := now.Sub(run.startedAt)
 	reported := end.End
 	if reported == work.EndStopped && run.stopEnd != 0 {
@@ -160,9 +161,9 @@
 	event := c.finish(run, reported, took)
 	switch {
 	case event != 0:
-		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, kept: run.kept, at: now}
+		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, checkpoint: run.checkpoint, kept: run.kept, at: now}
 	case run.kept || !run.needKnown:
-		c.orphan(orphan{task: run.task, end: reported, sequence: end.Sequence, endedAt: now, since: now, guess: !run.kept})
+		c.orphan(orphan{task: run.task, end: reported, checkpoint: run.checkpoint, sequence: end.Sequence, endedAt: now, since: now, guess: !run.kept})
 	}
 }
 
@@ -186,6 +187,7 @@
 				c.stop(now, run, work.EndStopped)
 			}
 		}
+		run.checkpoint = work.NewestCheckpoint(run.checkpoint, listed.Checkpoint)
 		if listed.Percent != run.percent {
 			run.percent = listed.Percent
 			run.progressAt = now
@@ -205,6 +207,7 @@
 			phase:      running,
 			number:     listed.Number,
 			percent:    listed.Percent,
+			checkpoint: listed.Checkpoint,
 			startedAt:  now,
 			progressAt: now,
 			listedBy:   listing.Look,
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -55,18 +55,19 @@
 		return session.RefusedRoom
 	}
 	c.enqueue(&run{
-		task:      task.Task,
-		entry:     entry,
-		spec:      spec,
-		need:      task.Need,
-		needKnown: true,
-		estimate:  task.Estimate,
-		kept:      task.Kept,
-		label:     task.Label,
-		number:    1,
-		orderedAt: now,
-		startBy:   now.Add(task.Slack),
-		giveUp:    now.Add(task.MaxWait),
+		task:       task.Task,
+		entry:      entry,
+		spec:       spec,
+		need:       task.Need,
+		needKnown:  true,
+		estimate:   task.Estimate,
+		kept:       task.Kept,
+		label:      task.Label,
+		checkpoint: task.Checkpoint,
+		number:     1,
+		orderedAt:  now,
+		startBy:    now.Add(task.Slack),
+		giveUp:     now.Add(task.MaxWait),
 	})
 	return session.RefusedNone
 }
@@ -133,7 +134,7 @@
 	run.startedAt = now
 	run.progressAt = now
 	run.percent = 0
-	c.ask(Start{Task: run.task, Number: run.number, Spec: run.spec, Fence: c.fence})
+	c.ask(Start{Task: run.task, Number: run.number, Spec: run.spec, Fence: c.fence, Checkpoint: run.checkpoint})
 }
 
 // StopJob ends everything that the entry has of a job.
@@ -193,5 +194,5 @@
 		Kind: NoteEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate,
 		Waited: run.waited(), Answered: run.answered(),
 	})
-	return c.report(run.entry, run.task, end, took)
+	return c.report(run.entry, session.Event{Task: run.task, End: end, RunTime: took, Checkpoint: run.checkpoint})
 }
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -19,10 +19,13 @@
 // entries wait longer for a sidecar that they have lost.
 const releaseSafe = 2500 * time.Millisecond
 
-// orphan is an end that no entry is known to have stored.
+// orphan is an end that no entry is known to have stored, or saved work of a run
+// that an entry may go on with.
 type orphan struct {
 	task work.TaskKey
 	end  work.End
+	// checkpoint is the newest of the task; empty for none.
+	checkpoint work.Checkpoint
 	// endedAt is when the end was listed, since when it is an orphan.
 	endedAt time.Time
 	// entry and event are those that the end was reported as, if it was.
@@ -43,7 +46,7 @@
 // orphaned returns the end as one that no entry is known to have stored.
 func (p pendingEnd) orphaned(now time.Time, sequence uint64) orphan {
 	return orphan{
-		task: p.task, end: p.end, sequence: sequence, endedAt: p.at, since: now,
+		task: p.task, end: p.end, checkpoint: p.checkpoint, sequence: sequence, endedAt: p.at, since: now,
 		entry: p.entry, event: p.event,
 	}
 }
@@ -55,11 +58,18 @@
 func decides(end work.End) bool { return end == work.EndDone || end == work.EndFailed }
 
 // orphan keeps an end for an entry that may ask for it. Only ends that decide
-// about a job matter.
+// about a job, and saved work, matter. The minion may forget the latter, as it
+// is here.
 func (c *Core) orphan(added orphan) {
 	if decides(added.end) {
 		c.orphans[added.task] = added
+		return
+	}
+	if added.checkpoint == "" || decides(c.orphans[added.task].end) {
+		return
 	}
+	added.sequence = 0
+	c.orphans[added.task] = added
 }
 
 // release forgets an end that need not be kept. An old one of a task that may
@@ -101,7 +111,7 @@
 func (c *Core) AskOrphans(now time.Time) []work.TaskKey {
 	var asked []work.TaskKey
 	for task, one := range c.orphans {
-		if now.Sub(one.since) < orphanPatience || now.Sub(one.askedAt) < orphanAskAgain {
+		if !decides(one.end) || now.Sub(one.since) < orphanPatience || now.Sub(one.askedAt) < orphanAskAgain {
 			continue
 		}
 		if len(asked) == maxOrphansAsked {
@@ -141,9 +151,9 @@
 		return false
 	}
 	delete(c.orphans, task)
-	event := c.report(entry, task, one.end, 0)
+	event := c.report(entry, session.Event{Task: task, End: one.end, Checkpoint: one.checkpoint})
 	if one.sequence != 0 {
-		c.ends[one.sequence] = pendingEnd{entry: entry, event: event, task: task, end: one.end, kept: true, at: one.endedAt}
+		c.ends[one.sequence] = pendingEnd{entry: entry, event: event, task: task, end: one.end, checkpoint: one.checkpoint, kept: true, at: one.endedAt}
 	}
 	return true
 }
@@ -176,21 +186,30 @@
 			continue
 		}
 		reply.Busy = true
+		reply.AddCheckpoint(run.task, run.checkpoint)
 		if run.entry == request.Owner || run.entry == "" {
 			c.withdraw(now, run)
 		}
 	}
 	for task, one := range c.orphans {
 		if wanted[task.Job] {
-			reply.Ends = append(reply.Ends, session.TaskEnd{Task: task, End: one.end})
+			tellEnd(&reply, task, one.end, one.checkpoint)
 			one.told = true
 			c.orphans[task] = one
 		}
 	}
 	for _, one := range c.ends {
-		if wanted[one.task.Job] && one.entry == request.Owner && decides(one.end) {
-			reply.Ends = append(reply.Ends, session.TaskEnd{Task: one.task, End: one.end})
+		if wanted[one.task.Job] && one.entry == request.Owner {
+			tellEnd(&reply, one.task, one.end, one.checkpoint)
 		}
 	}
 	return reply
 }
+
+// tellEnd adds what an end tells about the job of its task.
+func tellEnd(reply *session.AdoptReply, task work.TaskKey, end work.End, checkpoint work.Checkpoint) {
+	if decides(end) {
+		reply.Ends = append(reply.Ends, session.TaskEnd{Task: task, End: end})
+	}
+	reply.AddCheckpoint(task, checkpoint)
+}
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -53,6 +53,8 @@
 	// proofFence is the fence whose list decides about an unproved run.
 	proofFence int64
 
+	// checkpoint is where the run resumed, or the newest that it has saved since.
+	checkpoint work.Checkpoint
 	percent    int
 	progressAt time.Time
 	stopSentAt time.Time
--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -59,6 +59,8 @@
 type Progress struct {
 	Done     []work.TaskKey
 	Failures map[work.TaskKey]int
+	// Checkpoints are those of the tasks that are not done, as far as known.
+	Checkpoints map[work.TaskKey]work.Checkpoint
 }
 
 func (Order) action()      {}
--- /dev/null
+++ b/decision/heldjob/checkpoint_test.go
@@ -0,0 +1,69 @@
+package heldjob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// endSaved tells the end of the first task of an order.
+func (f *fixture) endSaved(order Order, end work.End, checkpoint work.Checkpoint) {
+	f.core.Ended(f.now, order.Sidecar, session.Event{Number: 1, Task: order.Request.Tasks[0].Task, End: end, Checkpoint: checkpoint})
+	f.collect()
+}
+
+// TestNextRunResumes covers a run that ended early: the next one resumes from
+// what it has saved, or from where it resumed itself.
+func TestNextRunResumes(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("j", 1)
+	first := f.take(session.RefusedNone)[0]
+	must.EqOp(t, work.Checkpoint(""), first.Request.Tasks[0].Checkpoint)
+	f.endSaved(first, work.EndGone, "c-1")
+	second := f.take(session.RefusedNone)[0]
+	must.EqOp(t, work.Checkpoint("c-1"), second.Request.Tasks[0].Checkpoint)
+	f.core.Ended(f.now, second.Sidecar, session.Event{Number: 2, Task: second.Request.Tasks[0].Task, End: work.EndLapsed})
+	f.collect()
+	third := f.take(session.RefusedNone)[0]
+	must.EqOp(t, work.Checkpoint("c-1"), third.Request.Tasks[0].Checkpoint)
+}
+
+// TestResubmittedJobStartsOver covers a job that comes again after it was given
+// up: its tasks are new, and nothing saved belongs to them.
+func TestResubmittedJobStartsOver(t *testing.T) {
+	f := newFixture(t, 2)
+	waiter := f.submit("j", 1)
+	f.endSaved(f.take(session.RefusedNone)[0], work.EndGone, "c-1")
+	f.core.CallerGone("j", waiter)
+	f.collect()
+	f.orders = nil
+	f.submit("j", 1)
+	again := f.take(session.RefusedNone)[0]
+	must.EqOp(t, work.Checkpoint(""), again.Request.Tasks[0].Checkpoint)
+}
+
+// TestCheckpointsAreStored covers a stored job: what its tasks have saved is
+// written with its progress, and whoever takes the job over goes on from there.
+func TestCheckpointsAreStored(t *testing.T) {
+	f := newFixture(t, 1)
+	f.core.SetOwning(f.now, true)
+	f.keep("j", 1)
+	f.created()
+	f.endSaved(f.take(session.RefusedNone)[0], work.EndFailed, "c-1")
+	task := work.TaskKey{Job: "j"}
+	must.Len(t, 1, f.saves)
+	must.Eq(t, map[work.TaskKey]work.Checkpoint{task: "c-1"}, f.saves[0].Progress.Checkpoints)
+
+	other := newFixture(t, 1)
+	other.core.SetOwning(other.now, true)
+	other.core.Keep(other.now, KeptJob{
+		Job: work.Job{ID: "j", Steps: []work.Step{keptStep(1)}}, Route: other.core.snapshot.Manifest.Routes[0],
+		Accepted: time.Unix(900, 0), Failures: f.saves[0].Progress.Failures, Checkpoints: f.saves[0].Progress.Checkpoints,
+	})
+	other.collect()
+	must.EqOp(t, work.Checkpoint("c-1"), other.take(session.RefusedNone)[0].Request.Tasks[0].Checkpoint)
+}
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -29,7 +29,9 @@
 	sidecar string
 	// failures counts the runs that failed.
 	failures int
-	avoided  map[string]bool
+	// checkpoint is the newest that a run of the task is known to have saved.
+	checkpoint work.Checkpoint
+	avoided    map[string]bool
 }
 
 // job is a job whose callers wait.
--- a/decision/heldjob/kept.go
+++ b/decision/heldjob/kept.go
@@ -36,6 +36,8 @@
 	Accepted time.Time
 	Done     func(step, index int) bool
 	Failures map[work.TaskKey]int
+	// Checkpoints are saved work of tasks that are not done.
+	Checkpoints map[work.TaskKey]work.Checkpoint
 }
 
 // SetOwning says whether the entry's stored jobs are its own for certain. While
@@ -63,6 +65,7 @@
 	taken.kept = &kept{accepted: stored.Accepted, cancels: make(map[uint64]bool)}
 	for _, task := range taken.tasks {
 		task.failures = stored.Failures[task.key]
+		task.checkpoint = stored.Checkpoints[task.key]
 		if stored.Done != nil && stored.Done(task.key.Step, task.key.Index) {
 			task.phase = ended
 			taken.begun = true
--- a/decision/heldjob/keptsave.go
+++ b/decision/heldjob/keptsave.go
@@ -55,10 +55,16 @@
 
 // progress returns what has to be stored of a job.
 func (j *job) progress() Progress {
-	progress := Progress{Failures: make(map[work.TaskKey]int)}
+	progress := Progress{
+		Failures:    make(map[work.TaskKey]int),
+		Checkpoints: make(map[work.TaskKey]work.Checkpoint),
+	}
 	for _, task := range j.tasks {
-		if task.phase == ended {
+		switch {
+		case task.phase == ended:
 			progress.Done = append(progress.Done, task.key)
+		case task.checkpoint != "":
+			progress.Checkpoints[task.key] = task.checkpoint
 		}
 		if task.failures > 0 {
 			progress.Failures[task.key] = task.failures
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -145,6 +145,7 @@
 			MaxWait: job.maxWait(now, step.Estimate), Expected: max(one.choice.Wait, job.leastExpected(now)),
 		})
 		request.Tasks[len(request.Tasks)-1].Kept = job.kept != nil
+		request.Tasks[len(request.Tasks)-1].Checkpoint = one.task.checkpoint
 		one.task.phase = ordered
 		one.task.sidecar = one.sidecar.candidate.Name
 		one.sidecar.placed[one.task.key] = one.task
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -60,6 +60,7 @@
 	placed, ok := known.placed[event.Task]
 	told := known.told(event.Number, ok && c.jobs[event.Task.Job].kept != nil && decides(event.End))
 	if ok {
+		placed.checkpoint = work.NewestCheckpoint(placed.checkpoint, event.Checkpoint)
 		c.await(placed, told)
 		c.runEnded(now, name, placed, event.End)
 	}
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 		t.writeFailed(err)
 		return
 	}
-	ends, ok := t.askSidecars(ctx, owner, jobs, now.Sub(t.orphanSince[owner]) > anyoneAfter)
+	found, ok := t.askSidecars(ctx, owner, jobs, now.Sub(t.orphanSince[owner]) > anyoneAfter)
 	if !ok {
 		return
 	}
@@ -37,7 +38,7 @@
 			continue
 		}
 		asked++
-		t.takeOver(record, job, ends[job.ID], func(written bool) { results <- adopted{job.ID, written} })
+		t.takeOver(record, job, found, func(written bool) { results <- adopted{job.ID, written} })
 	}
 	var stored []work.TaskKey
 	taken := 0
@@ -46,7 +47,7 @@
 		case one := <-results:
 			if one.written {
 				taken++
-				stored = append(stored, tasksOf(ends[one.job])...)
+				stored = append(stored, tasksOf(found.ends[one.job])...)
 			}
 		case <-ctx.Done():
 			// What is written later runs as well; the sidecars keep the ends.
@@ -84,15 +85,12 @@
 	return owner.Boot
 }
 
-// takeOver writes this entry as the owner of a job, with the ends that sidecars
-// have told, and runs it.
-func (t *takeover) takeOver(record jobstore.Record, job jobstore.Open, ends []session.TaskEnd, done func(written bool)) {
+// takeOver writes this entry as the owner of a job, with the ends and the
+// checkpoints that sidecars have told, and runs it.
+func (t *takeover) takeOver(record jobstore.Record, job jobstore.Open, found answers, done func(written bool)) {
 	progress := job.Progress
-	failures := make(map[work.TaskKey]int)
-	for _, one := range progress.Failures {
-		failures[work.TaskKey{Job: job.ID, Step: one.Step, Index: one.Index}] = one.Count
-	}
-	for _, one := range ends {
+	failures := progress.Failures.Of(&record.Job)
+	for _, one := range found.ends[job.ID] {
 		if one.End == work.EndDone {
 			progress.Done.Add(one.Task.Step, one.Task.Index)
 			continue
@@ -101,8 +99,11 @@
 	}
 	progress.Failures = nil
 	for task, count := range failures {
-		progress.Failures = append(progress.Failures, jobstore.TaskFailures{Step: task.Step, Index: task.Index, Count: count})
+		progress.Failures.Set(task.Step, task.Index, count)
 	}
+	checkpoints := progress.CheckpointsOf(job.ID)
+	maps.Copy(checkpoints, found.checkpoints[job.ID])
+	progress.Checkpoints = jobstore.Checkpoints(checkpoints)
 	t.dispatcher.loop.Do(func(time.Time) {
 		t.writes++
 		progress.Owner, progress.Write = t.self(), t.writes
@@ -114,7 +115,7 @@
 				t.versions[job.ID] = result.Version
 				t.dispatcher.core.Keep(now, heldjob.KeptJob{
 					Job: record.Job, Route: record.Route, Accepted: record.Accepted,
-					Done: progress.Done.Has, Failures: failures,
+					Done: progress.Done.Has, Failures: failures, Checkpoints: checkpoints,
 				})
 			})
 		}
@@ -125,26 +126,30 @@
 }
 
 // askSidecars asks all sidecars for what they have of the jobs until nothing of
-// them is at work. It reports false when the owner turns out to live.
-func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open, force bool) (map[work.JobID][]session.TaskEnd, bool) {
+// them is at work. It reports false when the owner turns out to live. The
+// checkpoints are the newest that were told while something was at work.
+func (t *takeover) askSidecars(ctx context.Context, owner jobstore.Owner, jobs []jobstore.Open, force bool) (answers, bool) {
 	request := session.AdoptRequest{Owner: owner.Name, Boot: ownerBoot(owner), Force: force}
 	for _, job := range jobs {
 		request.Jobs = append(request.Jobs, job.ID)
 	}
 	began := boottime.Now()
+	var checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
 	for ctx.Err() == nil {
-		answers := t.tellSidecars(ctx, &request)
-		if answers.inTouch {
-			return nil, false
+		found := t.tellSidecars(ctx, &request)
+		if found.inTouch {
+			return answers{}, false
 		}
+		found.keepOlder(checkpoints)
+		checkpoints = found.checkpoints
 		patient := boottime.Now().Sub(began) < adoptPatience
-		if !answers.busy && (answers.missing == 0 || !patient) {
-			return answers.ends, true
+		if !found.busy && (found.missing == 0 || !patient) {
+			return found, true
 		}
 		// The end of ctx ends the loop.
 		_ = pause.For(ctx, adoptPause)
 	}
-	return nil, false
+	return answers{}, false
 }
 
 // answers is what the sidecars have told together.
@@ -154,11 +159,47 @@
 	// their minions.
 	missing int
 	ends    map[work.JobID][]session.TaskEnd
+	// checkpoints are those of tasks that are not known to be done.
+	checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
+}
+
+// add takes what one sidecar has told.
+func (a *answers) add(reply *session.AdoptReply) {
+	a.inTouch = a.inTouch || reply.InTouch
+	a.busy = a.busy || reply.Busy
+	for _, one := range reply.Ends {
+		a.ends[one.Task.Job] = append(a.ends[one.Task.Job], one)
+	}
+	for _, one := range reply.Checkpoints {
+		a.addCheckpoint(one.Task, one.Checkpoint)
+	}
+}
+
+// keepOlder adds checkpoints that were told before, for the tasks of which none
+// was told now.
+func (a *answers) keepOlder(older map[work.JobID]map[work.TaskKey]work.Checkpoint) {
+	for job, saved := range older {
+		for task, checkpoint := range saved {
+			if _, newer := a.checkpoints[job][task]; !newer {
+				a.addCheckpoint(task, checkpoint)
+			}
+		}
+	}
+}
+
+func (a *answers) addCheckpoint(task work.TaskKey, checkpoint work.Checkpoint) {
+	if a.checkpoints[task.Job] == nil {
+		a.checkpoints[task.Job] = make(map[work.TaskKey]work.Checkpoint)
+	}
+	a.checkpoints[task.Job][task] = checkpoint
 }
 
 // tellSidecars calls all known sidecars at once.
 func (t *takeover) tellSidecars(ctx context.Context, request *session.AdoptRequest) answers {
-	sum := answers{ends: make(map[work.JobID][]session.TaskEnd)}
+	sum := answers{
+		ends:        make(map[work.JobID][]session.TaskEnd),
+		checkpoints: make(map[work.JobID]map[work.TaskKey]work.Checkpoint),
+	}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	for _, sidecar := range t.dispatcher.parts.Directory.Of(session.RoleSidecar) {
@@ -170,11 +211,7 @@
 				sum.missing++
 				return
 			}
-			sum.inTouch = sum.inTouch || reply.InTouch
-			sum.busy = sum.busy || reply.Busy
-			for _, one := range reply.Ends {
-				sum.ends[one.Task.Job] = append(sum.ends[one.Task.Job], one)
-			}
+			sum.add(&reply)
 		})
 	}
 	wait.Wait()
--- a/dispatcher/keeper.go
+++ b/dispatcher/keeper.go
@@ -160,8 +160,9 @@
 		progress.Done.Add(task.Step, task.Index)
 	}
 	for task, count := range action.Progress.Failures {
-		progress.Failures = append(progress.Failures, jobstore.TaskFailures{Step: task.Step, Index: task.Index, Count: count})
+		progress.Failures.Set(task.Step, task.Index, count)
 	}
+	progress.Checkpoints = jobstore.Checkpoints(action.Progress.Checkpoints)
 	k.write(action.Job, jobstore.Save(action.Job, k.versions[action.Job], progress, k.saved(action.Job, false)))
 }
 
--- /dev/null
+++ b/instance/checkpoint_test.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/figring/figring/platform/standin"
+)
+
+// savingJob is a stored job of one task that saves its work often.
+func savingJob(t *testing.T, work time.Duration) map[string]any {
+	t.Helper()
+	body := keptJob(1, 4000, work)
+	spec, err := json.Marshal(standin.Spec{WorkMillis: int(work.Milliseconds()), CheckpointMillis: 50})
+	must.NoError(t, err)
+	body["spec"] = string(spec)
+	return body
+}
+
+// runsOf returns the runs of a job in the order of their starts.
+func (s *system) runsOf(id string) []standin.Entry {
+	var runs []standin.Entry
+	for _, entry := range s.ledger.Entries() {
+		if entry.Task[:len(id)] == id {
+			runs = append(runs, entry)
+		}
+	}
+	return runs
+}
+
+// TestWorkIsResumed covers a run whose lease lapses: the next run goes on from
+// what the first had saved.
+func TestWorkIsResumed(t *testing.T) {
+	const length = 1500 * time.Millisecond
+	s := newSystem(t, 1, 1)
+	must.EqOp(t, http.StatusOK, s.submit(s.entries[0], keptID(0), savingJob(t, length)).status)
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return s.atWork(keptID(0)) == 1 }), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond),
+	))
+	time.Sleep(length / 2)
+	s.minions[0].Lapse()
+	s.awaitState(s.entries[0], keptID(0), "completed", 10*time.Second)
+	runs := s.runsOf(keptID(0))
+	must.Len(t, 2, runs)
+	must.EqOp(t, "lapsed", runs[0].How)
+	must.Greater(t, length/4, runs[1].Resumed)
+	must.Less(t, length, runs[1].Resumed)
+	must.Len(t, 0, s.ledger.ForeignCheckpoints())
+	s.checkKept()
+}
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -23,22 +23,18 @@
 	Boot string `json:"boot"`
 }
 
-// TaskFailures is how often one task has failed.
-type TaskFailures struct {
-	Step  int `json:"step"`
-	Index int `json:"index"`
-	Count int `json:"count"`
-}
-
 // Progress is how far an open job has come.
 type Progress struct {
 	Owner Owner `json:"owner"`
 	// Route is the name of the job's route.
 	Route string `json:"route"`
 	// Write numbers the owner's writes, so that it knows its own again.
-	Write    uint64         `json:"write"`
-	Done     TaskSet        `json:"done,omitempty"`
-	Failures []TaskFailures `json:"failures,omitempty"`
+	Write    uint64   `json:"write"`
+	Done     TaskSet  `json:"done,omitempty"`
+	Failures Failures `json:"failed,omitempty"`
+	// Checkpoints are those of tasks that are not done, as many as there is room
+	// for.
+	Checkpoints []TaskCheckpoint `json:"checkpoints,omitempty"`
 }
 
 // Begun reports whether a task has ended since the acceptance.
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -74,7 +74,7 @@
 	progress := owner("entry-1")
 	progress.Write = 2
 	progress.Done.Add(0, 2)
-	progress.Failures = []TaskFailures{{Index: 1, Count: 1}}
+	progress.Failures.Set(0, 1, 1)
 	saved := k.put(func(done func(Result)) *Change { return Save("a", created.Version, progress, done) })
 	must.True(t, saved.Written)
 	state, err := k.store.Find(t.Context(), "a")
--- a/session/adopt.go
+++ b/session/adopt.go
@@ -29,6 +29,22 @@
 	Unread bool
 	// Ends are the ends of the jobs' tasks that may not be stored.
 	Ends []TaskEnd
+	// Checkpoints are the newest of the runs that may still be at work, and of
+	// those that have ended lately.
+	Checkpoints []TaskCheckpoint
+}
+
+// AddCheckpoint adds a task's checkpoint, if there is one.
+func (r *AdoptReply) AddCheckpoint(task work.TaskKey, checkpoint work.Checkpoint) {
+	if checkpoint != "" {
+		r.Checkpoints = append(r.Checkpoints, TaskCheckpoint{Task: task, Checkpoint: checkpoint})
+	}
+}
+
+// TaskCheckpoint is saved work of a task.
+type TaskCheckpoint struct {
+	Task       work.TaskKey
+	Checkpoint work.Checkpoint
 }
 
 // TaskEnd is how a run of a task ended.
--- a/session/poll.go
+++ b/session/poll.go
@@ -46,4 +46,6 @@
 	End    work.End
 	// RunTime is the time that the run took, as far as it is known.
 	RunTime time.Duration
+	// Checkpoint is the newest of the task that the sidecar knows; empty for none.
+	Checkpoint work.Checkpoint
 }
--- a/session/start.go
+++ b/session/start.go
@@ -26,6 +26,8 @@
 	MaxWait time.Duration
 	// Label is one that the minion must have; empty for none.
 	Label string
+	// Checkpoint is where the run resumes; empty for the start of the task.
+	Checkpoint work.Checkpoint
 	// Kept means that the job is stored: an end of the task is not forgotten
 	// before an entry has stored it.
 	Kept bool
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// checkpointMillis is the time between two checkpoints of a task.
+const checkpointMillis = 25
+
 // submit returns the status of the answer, 0 when there was none.
 func (c *callers) submit(id string, entry, tasks, work int) (int, string) {
 	return c.send(id, entry, tasks, work, true)
@@ -137,7 +140,7 @@
 	c.mu.Lock()
 	c.asked++
 	c.mu.Unlock()
-	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: c.need})
+	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: c.need, CheckpointMillis: checkpointMillis})
 	body, _ := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": bestEffort,
 		"steps": []map[string]any{{"count": tasks, "cpu": c.need, "mem_mb": 8, "est_ms": work}},
--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -62,6 +62,7 @@
 		}
 	}
 	must.Len(t, 0, w.ledger.Overlaps())
+	must.Len(t, 0, w.ledger.ForeignCheckpoints())
 	if t.Failed() {
 		keepLogs(t, w, keptNetwork)
 	}
