Jobs of the most urgent routes are admitted with less caution than others

Its jobs are wide and short: the longest of eight waits, taken 1.8 times, passes their slack, while narrow jobs with more slack are still admitted. But little passes an urgent job in the sidecars' queues, which go by the latest start, and much passes the others.

--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -37,9 +37,6 @@
 	// maxBounces is the number of refusals after which a job takes any place
 	// that is in time, and waits between tries.
 	maxBounces = 3
-	// waitCaution is how much longer than expected a wait is taken to be when a
-	// job is admitted: what is due earlier still passes the queue.
-	waitCaution = 1.8
 	// warmTime is how long an entry that has just started looks for sidecars.
 	warmTime = 2 * time.Second
 	// maxKeptJobs bounds the stored jobs of one entry.
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -71,7 +71,7 @@
 	}
 	planned.wait = max(planned.wait, choice.Wait)
 	planned.age = max(planned.age, now.Sub(choice.Candidate.StateAt))
-	if !job.begun && time.Duration(float64(choice.Wait)*waitCaution) > limit {
+	if !job.begun && time.Duration(float64(choice.Wait)*c.waitCaution(job)) > limit {
 		planned.reason = ReasonOverload
 		return false
 	}
