Stored jobs: no passing in the queue, nothing blocks it, and a full system refuses

Three faults, each with a test that failed first (keptqueue_test.go): - Jobs that no minion may run at present counted as jobs without room: eight of them at the head of the queue kept all others from being placed (TestUnsuitableJobsDontBlockTheQueue). - A new job looked for room at once, before older ones that waited (TestNewJobsDontPassOlderOnes). - Under lasting overload every stored job was accepted and nearly all were late. A new one is refused now while others wait and those that have just got room had waited for longer than its whole objective (decision/queuedelay, the delay of the last to enter service; TestFullSystemRefusesKeptJobs).

Ruled out: a bound worked out from capacity and estimates (an entry does not know the others' queues, and estimates are off by 40 %); the age of the head of the queue (a job that no minion may run would close the system).

--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -56,6 +56,9 @@
 	// maxQueueMisses is the number of jobs without room after which the rest of
 	// the queue waits.
 	maxQueueMisses = 8
+	// nowhereInterval is the time after which minions are looked for again that may
+	// run a stored job.
+	nowhereInterval = 100 * time.Millisecond
 	// replaceInterval is the least time between two tries to place tasks that
 	// found no room.
 	replaceInterval = 5 * time.Millisecond
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figring/figring/decision/placement"
+	"github.com/figring/figring/decision/queuedelay"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
@@ -26,6 +27,8 @@
 	// order in which they get room.
 	storing map[work.JobID]*storing
 	queue   []*job
+	// delay predicts the wait of a new stored job.
+	delay *queuedelay.Estimator
 	// owning is true while no other entry may take the stored jobs over.
 	owning      bool
 	owningSince time.Time
@@ -65,6 +68,7 @@
 		jobs:     make(map[work.JobID]*job),
 		recent:   newRecent(recentAnswers),
 		storing:  make(map[work.JobID]*storing),
+		delay:    queuedelay.New(),
 
 		warmUntil: now.Add(warmTime),
 	}
--- a/decision/heldjob/kept.go
+++ b/decision/heldjob/kept.go
@@ -16,6 +16,10 @@
 	// saving is true while a write is under way, dirty when there is more to
 	// store after it.
 	saving, dirty bool
+	// fit is what the job found when it looked for room last.
+	fit fit
+	// entered is true once a task of the job has been placed.
+	entered bool
 	// unsure means that another entry may have taken the job over: the entry has
 	// lost its ownership and has to write the job anew. confirming means that the
 	// write under way does that.
@@ -76,9 +80,10 @@
 		taken.begun = taken.begun || task.failures > 0
 	}
 	c.jobs[taken.id] = taken
+	othersWait := c.someWait(taken.route.Priority)
 	at, _ := slices.BinarySearchFunc(c.queue, taken, compareJobs)
 	c.queue = slices.Insert(c.queue, at, taken)
-	if !c.endIfOver(taken) {
+	if !c.endIfOver(taken) && !othersWait {
 		c.placeKept(now, taken)
 	}
 }
--- a/decision/heldjob/keptplace.go
+++ b/decision/heldjob/keptplace.go
@@ -23,10 +23,24 @@
 	c.placeQueue(now)
 }
 
+// fit says what a stored job has found that looked for room.
+type fit int
+
+const (
+	// fitAll means that every task that may run has a place.
+	fitAll fit = iota
+	// fitNoRoom means that the minions that may run the job are full.
+	fitNoRoom
+	// fitNowhere means that no minion may run some task, and that there was room
+	// for all others.
+	fitNowhere
+)
+
 // placeQueue places tasks of stored jobs, in the order of the queue, until some
-// jobs in a row have found no room.
+// jobs in a row have found no room. Jobs that no minion may run at present hold
+// up nothing.
 func (c *Core) placeQueue(now time.Time) {
-	if now.Before(c.nextQueueTry) || len(c.queue) == 0 {
+	if now.Before(c.nextQueueTry) || len(c.queue) == 0 || c.Targets() == 0 {
 		return
 	}
 	c.nextQueueTry = now.Add(replaceInterval)
@@ -35,46 +49,70 @@
 		if job.unplacedLeft == 0 {
 			continue
 		}
-		if c.placeKept(now, job) {
+		switch c.placeKept(now, job) {
+		case fitAll:
 			misses = 0
-			continue
+		case fitNoRoom:
+			misses++
 		}
-		misses++
 		if misses >= maxQueueMisses {
 			return
 		}
 	}
 }
 
-// placeKept places as many tasks of a stored job as have room now, and reports
-// whether there was room for all that may run.
-func (c *Core) placeKept(now time.Time, job *job) bool {
+// placeKept places as many tasks of a stored job as have room now.
+func (c *Core) placeKept(now time.Time, job *job) fit {
 	if !c.owning || job.kept.unsure || job.kept.outcome != 0 || job.unplacedLeft == 0 {
-		return true
+		return fitAll
 	}
 	if now.Before(job.nextTry) {
-		return false
+		return job.kept.fit
 	}
+	planned, found := c.planAllKept(now, job)
+	job.kept.fit = found
 	job.nextTry = now.Add(replaceInterval)
+	if found == fitNowhere {
+		job.nextTry = now.Add(nowhereInterval)
+	}
+	if len(planned.choices) > 0 {
+		c.enter(now, job)
+		c.send(now, job, planned)
+	}
+	return found
+}
+
+// planAllKept plans the tasks of a stored job that may run, until one finds no
+// room.
+func (c *Core) planAllKept(now time.Time, job *job) (plan, fit) {
 	slack := max(job.slack(now), 0)
-	planned := plan{complete: true, gathered: make(map[string]bool)}
+	planned := plan{gathered: make(map[string]bool)}
 	numbers := make(map[*sidecar]uint64)
+	found := fitAll
 	for _, task := range job.tasks {
 		if task.phase != unplaced || !job.eligible(task.step) {
 			continue
 		}
-		if !c.planKept(job, task, slack, &planned, numbers) {
-			planned.complete = false
-			break
+		switch c.planKept(job, task, slack, &planned, numbers) {
+		case fitNoRoom:
+			return planned, fitNoRoom
+		case fitNowhere:
+			found = fitNowhere
 		}
 	}
-	if len(planned.choices) > 0 {
-		c.send(now, job, planned)
+	return planned, found
+}
+
+// enter takes note of the wait of a job that gets its first room.
+func (c *Core) enter(now time.Time, job *job) {
+	if job.kept.entered {
+		return
 	}
-	return planned.complete
+	job.kept.entered = true
+	c.delay.Entered(now, job.route.Priority, now.Sub(job.submitted))
 }
 
-func (c *Core) planKept(job *job, task *task, slack time.Duration, planned *plan, numbers map[*sidecar]uint64) bool {
+func (c *Core) planKept(job *job, task *task, slack time.Duration, planned *plan, numbers map[*sidecar]uint64) fit {
 	step := job.steps[task.step]
 	choice, ok := c.chooser.Choose(c.candidates, placement.Task{
 		Service:      job.route.Service,
@@ -88,9 +126,12 @@
 		MaxWait:      keptWait,
 		FailedBefore: task.failures > 0,
 	}, task.avoided)
-	if !ok || choice.Wait > keptWait {
-		return false
+	if !ok {
+		return fitNowhere
+	}
+	if choice.Wait > keptWait {
+		return fitNoRoom
 	}
 	c.choose(planned, numbers, task, choice, step.Need, slack)
-	return true
+	return fitAll
 }
--- a/decision/heldjob/keptsubmit.go
+++ b/decision/heldjob/keptsubmit.go
@@ -40,10 +40,36 @@
 		c.refuse(submission, route.Name, Answer{Outcome: Refused, Reason: ReasonTooMany, RetryAfter: minRetryAfter}, 0)
 		return
 	}
+	if wait, late := c.keptTooLate(now, submission.Job, route); late {
+		c.refuse(submission, route.Name, Answer{Outcome: Refused, Reason: ReasonOverload, RetryAfter: max(minRetryAfter, wait)}, wait)
+		return
+	}
 	c.storing[id] = &storing{submission: submission, route: route, waiters: map[uint64]time.Time{submission.Waiter: until}}
 	c.ask(CreateJob{Job: submission.Job, Route: route})
 }
 
+// keptTooLate reports whether jobs that have just got room had waited for longer
+// than the whole objective of the new one, and others still wait.
+func (c *Core) keptTooLate(now time.Time, asked work.Job, route manifest.Route) (time.Duration, bool) {
+	wait := c.delay.Wait(now, route.Priority)
+	objective := plainJob(now, asked, route).goal.Sub(now)
+	return wait, wait > objective && c.someWait(route.Priority)
+}
+
+// someWait reports whether a stored job of the priority, or of a more urgent one,
+// waits for its first room. Those that no minion may run don't count.
+func (c *Core) someWait(priority int) bool {
+	for _, job := range c.queue {
+		if job.route.Priority > priority {
+			return false
+		}
+		if !job.kept.entered && job.kept.fit != fitNowhere {
+			return true
+		}
+	}
+	return false
+}
+
 // accepted answers a submission of a job that is stored.
 func (c *Core) accepted(submission *Submission) {
 	c.ask(Reply{Waiter: submission.Waiter, Answer: Answer{Outcome: Accepted}})
