What schedules of entries and sidecars together found: four ways to run a task twice or to say "not run" of one that had

The same holds for orders sent again. - A run that a new incarnation of the minion had begun before the sidecar knew of it was told as gone, and placed again while it was at work. Lists decide now. - A claim of which a sidecar had no record was answered "not run", and its job could be refused though a task of it had run. It is told as gone. Besides, a start carries a lease that counts from the decision, not from the call: a pause between the two makes it void.

Two assertions of silence_test.go read gone in place of not_run: the sidecar has forgotten the run there, so nothing proves that it did not happen.

--- a/decision/execution/actions.go
+++ b/decision/execution/actions.go
@@ -84,6 +84,25 @@
 	Partial bool
 }
 
+// mayHave reports whether the incarnation that answered may have the run: the
+// listing shows it, or was asked for before the run was known to have started.
+func (l *Listing) mayHave(run *run) bool {
+	if run.listedBy > l.Look {
+		return true
+	}
+	for _, one := range l.Running {
+		if one.Task == run.task && one.Number == run.number {
+			return true
+		}
+	}
+	for _, one := range l.Finished {
+		if one.Task == run.task && one.Number == run.number {
+			return true
+		}
+	}
+	return false
+}
+
 // RunningRun is a run at work.
 type RunningRun struct {
 	Task    work.TaskKey
--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -44,7 +44,7 @@
 
 // again sends the order once more: it is proved that nothing was done.
 func (c *Core) again(now time.Time, run *run) {
-	if run.withdrawn {
+	if run.withdrawn || c.silent(now, run.entry) {
 		c.notRun(now, run)
 		return
 	}
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -17,6 +17,8 @@
 	leaving    bool
 	// bornListed is the incarnation that the newest listing came from.
 	bornListed int64
+	// bornLook is the first look that this incarnation has answered.
+	bornLook uint64
 	// listed is true once a listing under this life's fence was read.
 	listed bool
 	// firstListedAt is when that was.
@@ -123,6 +125,12 @@
 	return false
 }
 
+// silent reports whether an entry was not heard from in time.
+func (c *Core) silent(now time.Time, entry string) bool {
+	known, ok := c.entries[entry]
+	return !ok || known.silent || now.Sub(known.echoed) > SilenceLimit
+}
+
 // Take returns the actions asked for since the last call.
 func (c *Core) Take() []Action {
 	taken := c.actions
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -139,7 +139,9 @@
 	}
 	run, ok := c.runs[claim.Task]
 	if !ok || (run.entry != entry && run.entry != "") {
-		c.report(entry, session.Event{Task: claim.Task, End: work.EndNotRun})
+		// What was ordered may have run: an end that nobody has heard is forgotten
+		// some time after its entry.
+		c.report(entry, session.Event{Task: claim.Task, End: work.EndGone})
 		return
 	}
 	if run.entry == "" {
@@ -232,16 +234,16 @@
 func (c *Core) dropSilent(now time.Time) {
 	for name, known := range c.entries {
 		since := now.Sub(known.echoed)
-		switch {
-		case since > SilenceLimit+silenceKept:
-			delete(c.entries, name)
-			c.forgetEnds(now, name)
-		case since > SilenceLimit && !known.silent:
+		if since > SilenceLimit && !known.silent {
 			known.silent = true
 			c.noted(Note{Kind: NoteSilent, Entry: name})
 			c.stopAll(now, name)
 			c.offerEnds(now, name)
 		}
+		if since > SilenceLimit+silenceKept {
+			delete(c.entries, name)
+			c.forgetEnds(now, name)
+		}
 	}
 }
 
--- a/decision/execution/listed.go
+++ b/decision/execution/listed.go
@@ -10,7 +10,9 @@
 // Heartbeat takes the minion's report about itself.
 func (c *Core) Heartbeat(now time.Time, minion session.Minion, leaving bool) {
 	if c.minionSeen && c.minion.Born != minion.Born {
-		c.newIncarnation(now)
+		// What has become of the runs, the new incarnation's lists tell.
+		c.listed = false
+		c.ask(Look{Fence: c.fence})
 	}
 	changed := !c.minionSeen || c.minion.ID != minion.ID || c.minion.Capacity != minion.Capacity || c.leaving != leaving
 	c.minion = minion
@@ -28,10 +30,11 @@
 }
 
 // newIncarnation forgets everything that was at the former incarnation: it
-// ended, and its runs with it.
-func (c *Core) newIncarnation(now time.Time) {
+// ended, and its runs with it. Orders without an answer may have reached the new
+// one, or may still do so; so may runs have that kept reports.
+func (c *Core) newIncarnation(kept func(run *run) bool) {
 	for _, run := range c.runs {
-		if run.occupies() {
+		if (run.phase == running || run.phase == stopping) && !kept(run) {
 			c.finish(run, work.EndGone, 0)
 		}
 	}
@@ -48,14 +51,20 @@
 
 // Listed takes the answer to a look.
 func (c *Core) Listed(now time.Time, listing Listing) {
+	if c.overtaken(&listing) {
+		return
+	}
 	c.answeredAt = now
 	c.lostLooks = 0
 	c.blind = false
-	if c.bornListed != 0 && listing.Born != c.bornListed {
-		c.newIncarnation(now)
+	if c.OtherIncarnation(&listing) {
+		c.newIncarnation(listing.mayHave)
 	}
 	first := !c.listed
-	c.bornListed = listing.Born
+	if c.bornListed != listing.Born {
+		c.bornListed = listing.Born
+		c.bornLook = listing.Look
+	}
 	c.listed = true
 	c.takeEnds(now, listing.Finished, first)
 	if first {
@@ -70,11 +79,23 @@
 	c.startQueued(now)
 }
 
+// overtaken reports whether a listing is one of a former incarnation, answered
+// before the present one was known and arrived after that.
+func (c *Core) overtaken(listing *Listing) bool {
+	return c.bornListed != 0 && listing.Born != c.bornListed && listing.Look < c.bornLook
+}
+
+// OtherIncarnation reports whether a listing comes from a later incarnation of
+// the minion than the ones before.
+func (c *Core) OtherIncarnation(listing *Listing) bool {
+	return c.bornListed != 0 && listing.Born != c.bornListed && !c.overtaken(listing)
+}
+
 // LookFailed takes a look without an answer. A refused connection proves that
 // the minion has ended, and all its runs with it.
 func (c *Core) LookFailed(now time.Time, refused bool) {
 	if refused {
-		c.newIncarnation(now)
+		c.newIncarnation(func(*run) bool { return false })
 		c.settle(now)
 		return
 	}
--- a/decision/execution/note.go
+++ b/decision/execution/note.go
@@ -79,12 +79,6 @@
 // NewestEnd returns the number of the newest end that the minion has listed.
 func (c *Core) NewestEnd() uint64 { return c.newestEnd }
 
-// OtherIncarnation reports whether a listing comes from another incarnation of
-// the minion than the ones before.
-func (c *Core) OtherIncarnation(born int64) bool {
-	return c.bornListed != 0 && born != c.bornListed
-}
-
 // FreshReport reports whether a report of the minion about itself is newer
 // than all that were taken, and takes note of its number.
 func (c *Core) FreshReport(born int64, sequence uint64) bool {
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -97,7 +97,8 @@
 	c.queue = slices.Insert(c.queue, at, added)
 }
 
-// startQueued starts, in the order of the queue, everything that fits.
+// startQueued starts, in the order of the queue, everything that fits, but for
+// what waits for an entry that is silent: that may run elsewhere.
 func (c *Core) startQueued(now time.Time) {
 	if c.refusal() != session.RefusedNone || len(c.queue) == 0 {
 		return
@@ -105,7 +106,7 @@
 	free := c.free()
 	kept := c.queue[:0]
 	for _, waiting := range c.queue {
-		if !free.Fits(waiting.need) || !c.minion.Suits(waiting.label) || c.heldByTrial() {
+		if !free.Fits(waiting.need) || !c.minion.Suits(waiting.label) || c.heldByTrial() || c.silent(now, waiting.entry) {
 			kept = append(kept, waiting)
 			continue
 		}
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -8,6 +8,14 @@
 	"github.com/figring/figring/decision/execution"
 )
 
+// startCall is a start with the lease that it carries. The lease counts from the
+// decision to start: after a pause of the process before the call, it is over.
+type startCall struct {
+	order execution.Start
+	// lease is its end on the minion's clock, 0 when that is not known.
+	lease int64
+}
+
 // call sends starts and stops, one at a time.
 func (e *Executor) call(ctx context.Context) {
 	for {
@@ -22,13 +30,13 @@
 	}
 }
 
-func (e *Executor) sendStart(ctx context.Context, start execution.Start) {
-	lease := e.giveLease()
-	if lease == 0 {
+func (e *Executor) sendStart(ctx context.Context, call startCall) {
+	start := call.order
+	if call.lease == 0 {
 		e.loop.Do(func(now time.Time) { e.core.StartAnswered(now, start, execution.StartRejected) })
 		return
 	}
-	outcome, clock := e.parts.Minion.Start(ctx, e.minionID(), start, lease)
+	outcome, clock := e.parts.Minion.Start(ctx, e.minionID(), start, call.lease)
 	e.observeClock(clock)
 	e.meters.start(outcome)
 	if outcome != execution.Started {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -61,7 +61,7 @@
 	core     *execution.Core
 	listener *link.Listener
 
-	starts chan execution.Start
+	starts chan startCall
 	stops  chan execution.Stop
 	urgent chan struct{}
 
@@ -88,7 +88,7 @@
 		parts:    parts,
 		meters:   newMeters(parts.Scope),
 		core:     execution.New(time.Now().UnixMilli()),
-		starts:   make(chan execution.Start, callRing),
+		starts:   make(chan startCall, callRing),
 		stops:    make(chan execution.Stop, callRing),
 		urgent:   make(chan struct{}, 1),
 		sessions: make(map[string]*conn),
@@ -187,7 +187,7 @@
 
 func (e *Executor) handOver(now time.Time, start execution.Start) {
 	select {
-	case e.starts <- start:
+	case e.starts <- startCall{start, e.giveLease()}:
 	default:
 		// The order was not sent, so nothing was done.
 		e.meters.callRingFull.Inc(1)
--- a/work/end.go
+++ b/work/end.go
@@ -14,7 +14,9 @@
 	EndLapsed
 	// EndNotRun means that the run never started and never will.
 	EndNotRun
-	// EndGone means that the minion's incarnation ended, and the run with it.
+	// EndGone means that the run is not at work any more and that nothing else is
+	// known: the minion's incarnation ended, and the run with it, or the sidecar
+	// has no record of the run.
 	EndGone
 	// EndStuck means that the run made no progress and was stopped for it.
 	EndStuck
