--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -64,7 +64,7 @@
 	c.dropUnclaimed(entry, claims)
 	c.adoptMinion(now, greeting.Minion)
 	if !c.listed {
-		known.claims = claims
+		known.claims = slices.DeleteFunc(slices.Clone(claims), func(claim session.Claim) bool { return c.hasEvent(entry, claim.Task) })
 		return
 	}
 	c.settleClaims(now, entry, claims)
@@ -222,6 +222,7 @@
 	if !ok {
 		return 0
 	}
+	known.claims = slices.DeleteFunc(known.claims, func(claim session.Claim) bool { return claim.Task == event.Task })
 	c.newestEvent++
 	event.Number = c.newestEvent
 	known.events = append(known.events, event)
--- a/decision/execution/pause_test.go
+++ b/decision/execution/pause_test.go
@@ -127,3 +127,23 @@
 	must.Len(t, 1, events)
 	must.EqOp(t, work.EndGone, events[0].End)
 }
+
+// TestClaimIsAnsweredOnce covers an entry that comes back while the minion is
+// down. It hears of a run's end at once; the first list after that must not tell
+// the same claim as gone, since the entry may have ordered the task anew.
+func TestClaimIsAnsweredOnce(t *testing.T) {
+	f := newFixture(t)
+	start := f.started(key("a", 0))
+	f.fallSilent()
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: start.Task, Number: 1, End: work.EndStopped}})
+	f.core.LookFailed(f.now, true)
+	f.hello(0, claimOf(start.Task), claimOf(key("b", 0)))
+	events := f.core.EventsFor(testEntry)
+	must.Len(t, 1, events)
+	must.EqOp(t, work.EndStopped, events[0].End)
+	f.noted(events[0].Number)
+	f.list(nil, nil)
+	events = f.core.EventsFor(testEntry)
+	must.Len(t, 1, events)
+	must.EqOp(t, key("b", 0), events[0].Task)
+}
--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -297,3 +297,28 @@
 	must.EqOp(t, ReasonTooLate, f.replies[waiter].Reason)
 	must.Len(t, 0, f.orders)
 }
+
+// TestOvertakenOrderIsStopped covers an order that arrives after the stop of its
+// job, because its caller has left: what the sidecar has taken is stopped again.
+func TestOvertakenOrderIsStopped(t *testing.T) {
+	f := newFixture(t, 1)
+	waiter := f.submit("a", 1)
+	f.core.CallerGone("a", waiter)
+	f.collect()
+	must.Len(t, 1, f.stops)
+	f.take(session.RefusedNone)
+	must.Len(t, 2, f.stops)
+	must.EqOp(t, work.JobID("a"), f.stops[1].Job)
+}
+
+// TestTakenOrderOfAnEndedTaskStopsNothing covers an answer to an order that comes
+// after the end of the task: the job's other tasks go on.
+func TestTakenOrderOfAnEndedTaskStopsNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("a", 2)
+	order := f.orders[0]
+	f.core.Ended(f.now, order.Sidecar, session.Event{Number: 1, Task: order.Request.Tasks[0].Task, End: work.EndDone})
+	f.collect()
+	f.take(session.RefusedNone)
+	must.Len(t, 0, f.stops)
+}
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -1,6 +1,7 @@
 package heldjob
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figring/figring/session"
@@ -36,6 +37,9 @@
 	if refusal == session.RefusedNone {
 		if ok {
 			c.jobs[key.Job].begun = true
+		} else if !c.wants(name, key) {
+			// The order was overtaken by the stop of its job.
+			c.ask(StopJob{Sidecar: name, Job: key.Job})
 		}
 		return nil
 	}
@@ -51,6 +55,18 @@
 	return job
 }
 
+// wants reports whether a task of an open job may be at the sidecar, or has been
+// there and has ended.
+func (c *Core) wants(name string, key work.TaskKey) bool {
+	job, ok := c.jobs[key.Job]
+	if !ok {
+		return false
+	}
+	return !slices.ContainsFunc(job.tasks, func(task *task) bool {
+		return task.key == key && task.phase != ended && task.sidecar != name
+	})
+}
+
 // Ended takes the end of a run.
 func (c *Core) Ended(now time.Time, name string, event session.Event) {
 	known, ok := c.sidecars[name]
