Ends of a former life of an entry are kept for whoever takes its jobs over

Logs of all processes: entry-1 was killed and back after 140 ms; its next life opened sessions while the tasks were at work, and they ended before the stops came. Their ends went to the life that had just begun, which knew of no such task and took note of them; the takeover of the former life's jobs, one second later, found nothing and ran the tasks again.

Change: when an entry opens a session with a new life, the runs of the former one belong to nobody: their ends are kept as orphans.

--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -53,6 +53,7 @@
 	if !ok || known.boot != boot {
 		c.stopAll(now, entry)
 		c.forgetEnds(now, entry)
+		c.disown(entry)
 		known = &entryState{boot: boot}
 		c.entries[entry] = known
 	}
@@ -70,6 +71,16 @@
 	c.settleClaims(now, entry, claims)
 }
 
+// disown takes the runs of an entry's former life from it. The present life knows
+// nothing of them, and their ends are kept for whoever takes their jobs over.
+func (c *Core) disown(entry string) {
+	for _, run := range c.runs {
+		if run.entry == entry {
+			run.entry = ""
+		}
+	}
+}
+
 // adoptMinion takes an entry's knowledge of the minion when the listing shows
 // that it is of the same incarnation. It saves the wait for a heartbeat.
 func (c *Core) adoptMinion(now time.Time, minion session.Minion) {
--- a/decision/execution/pause_test.go
+++ b/decision/execution/pause_test.go
@@ -147,3 +147,19 @@
 	must.Len(t, 1, events)
 	must.EqOp(t, key("b", 0), events[0].Task)
 }
+
+// TestEndOfAFormerLifeIsKept covers a run of a stored job that ends while the next
+// life of its entry opens a session: the end is not for that life, and whoever
+// takes the job over hears of it.
+func TestEndOfAFormerLifeIsKept(t *testing.T) {
+	f := newFixture(t)
+	task := key("j", 0)
+	start := f.run(task, "")
+	f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: "boot-2", KeepsJobs: true})
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: start.Number, End: work.EndDone}})
+	must.Len(t, 0, f.core.EventsFor(testEntry))
+	f.noted(100)
+	must.EqOp(t, 0, f.core.AckedUpTo())
+	reply := f.core.Adopt(f.now, &session.AdoptRequest{Owner: testEntry, Boot: testBoot, Jobs: []work.JobID{"j"}})
+	must.Eq(t, []session.TaskEnd{{Task: task, End: work.EndDone}}, reply.Ends)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,7 @@
 	seed  uint64
 	cause string
 }{
+	{747, "a kept task was done while its entry's next life opened a session, and that life was told of an end it knew nothing of"},
 	{413, "a sidecar that was paused while a kept task was done told it as lapsed, and it ran again"},
 }
 
