An answer to an order stops only jobs that are gone

Found by reading the change: where a task had failed and been placed elsewhere before the answer to its order came, the stop that an overtaken order gets went to all tasks of the open job at that sidecar.

--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -312,13 +312,16 @@
 }
 
 // TestTakenOrderOfAnEndedTaskStopsNothing covers an answer to an order that comes
-// after the end of the task: the job's other tasks go on.
+// after the end of the task, which may have been placed elsewhere by then: the
+// job's other tasks go on.
 func TestTakenOrderOfAnEndedTaskStopsNothing(t *testing.T) {
-	f := newFixture(t, 1)
-	f.submit("a", 2)
-	order := f.orders[0]
-	f.core.Ended(f.now, order.Sidecar, session.Event{Number: 1, Task: order.Request.Tasks[0].Task, End: work.EndDone})
-	f.collect()
-	f.take(session.RefusedNone)
-	must.Len(t, 0, f.stops)
+	for _, end := range []work.End{work.EndDone, work.EndFailed} {
+		f := newFixture(t, 2)
+		f.submit("a", 2)
+		order := f.orders[0]
+		f.core.Ended(f.now, order.Sidecar, session.Event{Number: 1, Task: order.Request.Tasks[0].Task, End: end})
+		f.collect()
+		f.take(session.RefusedNone)
+		must.Len(t, 0, f.stops)
+	}
 }
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -1,7 +1,6 @@
 package heldjob
 
 import (
-	"slices"
 	"time"
 
 	"github.com/figring/figring/session"
@@ -35,12 +34,7 @@
 func (c *Core) orderedOne(name string, known *sidecar, key work.TaskKey, refusal session.Refusal) *job {
 	placed, ok := known.placed[key]
 	if refusal == session.RefusedNone {
-		if ok {
-			c.jobs[key.Job].begun = true
-		} else if !c.wants(name, key) {
-			// The order was overtaken by the stop of its job.
-			c.ask(StopJob{Sidecar: name, Job: key.Job})
-		}
+		c.orderTaken(name, key, ok)
 		return nil
 	}
 	if !ok || placed.sidecar != name {
@@ -55,16 +49,16 @@
 	return job
 }
 
-// wants reports whether a task of an open job may be at the sidecar, or has been
-// there and has ended.
-func (c *Core) wants(name string, key work.TaskKey) bool {
-	job, ok := c.jobs[key.Job]
-	if !ok {
-		return false
+// orderTaken takes note that a sidecar has taken an order. One of a job that has
+// ended since was overtaken by the stop of the job, which is sent again.
+func (c *Core) orderTaken(name string, key work.TaskKey, placed bool) {
+	job, open := c.jobs[key.Job]
+	switch {
+	case !open:
+		c.ask(StopJob{Sidecar: name, Job: key.Job})
+	case placed:
+		job.begun = true
 	}
-	return !slices.ContainsFunc(job.tasks, func(task *task) bool {
-		return task.key == key && task.phase != ended && task.sidecar != name
-	})
 }
 
 // Ended takes the end of a run.
