A restarted sidecar keeps ends until an entry knows that no job is stored

Change: an end of which it is not known whether its job is stored is let go early only after an entry has said that there are none; an entry says so only once it has read the table.

--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -55,8 +55,9 @@
 	// doubtful are ends, by the minion's number, whose tasks may have run again
 	// since. They are taken note of once the lease has lapsed.
 	doubtful map[uint64]struct{}
-	// keptSeen is true once an entry has told that there are stored jobs.
-	keptSeen bool
+	// keptSeen is true once an entry has told that there may be stored jobs,
+	// noneSeen once one has told that there are none.
+	keptSeen, noneSeen bool
 
 	// reportBorn and reportSequence are those of the newest report of the
 	// minion about itself.
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -40,7 +40,7 @@
 	Claims      []session.Claim
 	// Minion is what the entry last knew of the sidecar's minion.
 	Minion session.Minion
-	// KeepsJobs means that there are stored jobs in the system.
+	// KeepsJobs means that there may be stored jobs in the system.
 	KeepsJobs bool
 }
 
@@ -49,6 +49,7 @@
 func (c *Core) Hello(now time.Time, greeting Greeting) {
 	entry, boot, claims := greeting.Entry, greeting.Boot, greeting.Claims
 	c.keptSeen = c.keptSeen || greeting.KeepsJobs
+	c.noneSeen = c.noneSeen || !greeting.KeepsJobs
 	known, ok := c.entries[entry]
 	if !ok || known.boot != boot {
 		c.stopAll(now, entry)
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -12,7 +12,7 @@
 const orphanKept = 12 * time.Second
 
 // guessKept is how long the end of a task is kept of which it is not known
-// whether its job is stored, while no entry tells of stored jobs.
+// whether its job is stored, where entries tell that there are no stored jobs.
 const guessKept = 1500 * time.Millisecond
 
 // releaseSafe is the age of an end within which nobody has run its task again:
@@ -135,7 +135,7 @@
 func (c *Core) dropOldOrphans(now time.Time) {
 	for task, one := range c.orphans {
 		limit := orphanKept
-		if one.guess && !c.keptSeen {
+		if one.guess && c.noneSeen && !c.keptSeen {
 			limit = guessKept
 		}
 		if now.Sub(one.since) > limit {
--- a/decision/execution/pause_test.go
+++ b/decision/execution/pause_test.go
@@ -163,3 +163,25 @@
 	reply := f.core.Adopt(f.now, &session.AdoptRequest{Owner: testEntry, Boot: testBoot, Jobs: []work.JobID{"j"}})
 	must.Eq(t, []session.TaskEnd{{Task: task, End: work.EndDone}}, reply.Ends)
 }
+
+// TestEndWaitsForWhoKnows covers a sidecar that was restarted after a task was
+// done, and that no entry reaches for a while, or only one that has not been able
+// to read the table: the end is kept, as its job may be stored.
+func TestEndWaitsForWhoKnows(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		f := newFixture(t)
+		f.core = New(200)
+		task := key("j", 0)
+		f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: 1, End: work.EndDone}})
+		if reached {
+			f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: "boot-2", KeepsJobs: true})
+		}
+		f.now = f.now.Add(2 * guessKept)
+		f.core.Tick(f.now)
+		must.EqOp(t, 0, f.core.AckedUpTo())
+		f.core.Hello(f.now, Greeting{Entry: testEntry, Boot: testBoot, KeepsJobs: true, Claims: []session.Claim{{Task: task, Kept: true}}})
+		events := f.core.EventsFor(testEntry)
+		must.Len(t, 1, events)
+		must.EqOp(t, work.EndDone, events[0].End)
+	}
+}
--- a/dispatcher/keeper.go
+++ b/dispatcher/keeper.go
@@ -31,8 +31,10 @@
 	// row then.
 	wanted atomic.Bool
 	// seen is true while any entry has a row: stored jobs may exist.
-	seen  atomic.Bool
-	renew chan struct{}
+	seen atomic.Bool
+	// noneSeen is true while the entry knows that no entry has a row.
+	noneSeen atomic.Bool
+	renew    chan struct{}
 	// waiting counts the jobs of owners that are gone and that nobody has taken
 	// over yet, of which nothing has run, by route.
 	waiting atomic.Pointer[map[string]int]
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -79,6 +79,7 @@
 	}
 	t.watch.Observe(now, beats)
 	t.seen.Store(t.watch.Any())
+	t.noneSeen.Store(!t.watch.Any())
 	t.replaceFormer(beats)
 	t.revoke(ctx)
 	t.noteChanges(now, beats)
--- a/session/hello.go
+++ b/session/hello.go
@@ -30,7 +30,8 @@
 	Noted uint64
 	// Boot is the life of the sidecar that After and Noted belong to.
 	Boot string
-	// KeepsJobs means that there are stored jobs in the system.
+	// KeepsJobs means that there may be stored jobs in the system: there are, or
+	// the entry has not been able to find out yet.
 	KeepsJobs bool
 	// Minion is what the entry last knew about the sidecar's minion.
 	Minion Minion
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,8 @@
 	seed  uint64
 	cause string
 }{
+	{816, "no entry reached a restarted sidecar for two seconds, and it let go of the end of a kept task"},
+	{818, "an entry that could not read the table told a restarted sidecar that there were no kept jobs"},
 	{747, "a kept task was done while its entry's next life opened a session, and that life was told of an end it knew nothing of"},
 	{413, "a sidecar that was paused while a kept task was done told it as lapsed, and it ran again"},
 }
