The tests of the whole path wait until entries have met their sidecars

Its log, in a copy run 16 at a time: the entry knew one sidecar of six, so that the refusal was true; awaitReady ignored the number of minions it was given.

Change: awaitReady waits for a session with each minion (or as many as an entry has at least), as it said.

--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -218,21 +219,41 @@
 	p.done = nil
 }
 
-// awaitReady waits until the entry sees the minions.
-func (s *system) awaitReady(entry *process, _ int) {
+// awaitReady waits until the entry is ready and has sessions with the minions, or
+// with as many as each entry has at least.
+func (s *system) awaitReady(entry *process, minions int) {
+	s.t.Helper()
+	want := min(minions, s.sidecarsPerEntry)
 	must.Wait(s.t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool {
-			response, err := http.Get(fmt.Sprintf("http://%s:%d/-/ready", entry.ip, s.port+3))
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		}),
+		wait.BoolFunc(func() bool { return s.ready(entry) && s.reached(entry) >= want }),
 		wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond),
 	))
 }
 
+func (s *system) ready(entry *process) bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/-/ready", entry.ip, s.port+3))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// reached returns the number of sidecars that the entry has opened sessions with,
+// by its log.
+func (s *system) reached(entry *process) int {
+	opened := make(map[string]bool)
+	for line := range strings.Lines(s.logs.String()) {
+		var told struct{ Process, Event, Dependency string }
+		// Lines that are cut off by now are read the next time.
+		_ = json.Unmarshal([]byte(line), &told)
+		if told.Process == entry.name && told.Event == "dependency_regained" && strings.HasPrefix(told.Dependency, "side-") {
+			opened[told.Dependency] = true
+		}
+	}
+	return len(opened)
+}
+
 // job is a job's body.
 func job(tasks, cpu int, work time.Duration) map[string]any {
 	spec, _ := json.Marshal(standin.Spec{WorkMillis: int(work.Milliseconds())})
