A job's caution is worked out once, not for each of its tasks

Found by reading the change: planTask went through all routes of the manifest for each task. Behaviour as before; tests of decision/heldjob pass.

--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -17,6 +17,8 @@
 	// age is that of the oldest state that was used.
 	age     time.Duration
 	choices []plannedTask
+	// caution is that of the job.
+	caution float64
 	// gathered are the names of the sidecars chosen so far.
 	gathered map[string]bool
 }
@@ -31,7 +33,7 @@
 // plan chooses a place for each unplaced task. The choices count as sent, so
 // that the tasks of a job see each other.
 func (c *Core) plan(now time.Time, job *job) plan {
-	planned := plan{complete: true, gathered: make(map[string]bool)}
+	planned := plan{complete: true, gathered: make(map[string]bool), caution: c.waitCaution(job)}
 	limit := max(job.slack(now), 0)
 	if job.begun {
 		limit = max(limit, job.useless.Sub(now)-job.chain())
@@ -71,7 +73,7 @@
 	}
 	planned.wait = max(planned.wait, choice.Wait)
 	planned.age = max(planned.age, now.Sub(choice.Candidate.StateAt))
-	if !job.begun && time.Duration(float64(choice.Wait)*c.waitCaution(job)) > limit {
+	if !job.begun && time.Duration(float64(choice.Wait)*planned.caution) > limit {
 		planned.reason = ReasonOverload
 		return false
 	}
