Log and count where a manifest came from

Lines manifest now have a source, and counters manifests_sent and manifests_received tell how many bodies are exchanged and how many were of use. No decision changes.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -52,6 +52,7 @@
 	FieldStateAge       = "state_age"
 	FieldTargets        = "targets"
 	FieldCount          = "count"
+	FieldSource         = "source"
 	FieldVersion        = "version"
 	FieldManifest       = "manifest"
 	FieldEvacuatedZones = "evacuated"
--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -46,6 +46,11 @@
 	StoreReads = "store_reads"
 	// ManifestVersion is a gauge of the version of the manifest in force.
 	ManifestVersion = "manifest_version"
+	// ManifestsSent counts manifests sent to peers.
+	ManifestsSent = "manifests_sent"
+	// ManifestsReceived counts manifests received from peers, by outcome: "adopted", or
+	// "not_newer" for one that the process had already.
+	ManifestsReceived = "manifests_received"
 	// ManifestAge is a gauge of the seconds since the snapshot in force was adopted.
 	ManifestAge = "manifest_age_seconds"
 	// ExecutorEntryAge is a gauge of the seconds since the last contact with an entry.
--- a/dispatcher/meters.go
+++ b/dispatcher/meters.go
@@ -13,6 +13,7 @@
 // meters are the metrics of a dispatcher.
 type meters struct {
 	scope     tally.Scope
+	manifests metrics.ManifestCounters
 	open      tally.Gauge
 	targets   tally.Gauge
 	manifest  tally.Gauge
@@ -39,6 +40,7 @@
 func newMeters(scope tally.Scope) *meters {
 	return &meters{
 		scope:     scope,
+		manifests: metrics.NewManifestCounters(scope),
 		open:      scope.Gauge(metrics.DispatcherOpen),
 		targets:   scope.Gauge(metrics.DispatcherTargets),
 		manifest:  scope.Gauge(metrics.ManifestVersion),
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -110,7 +110,12 @@
 }
 
 func (s *openSession) snapshotFor(known int64) *manifest.Snapshot {
-	return s.link.dispatcher.deps.Holder.UpdateFor(known)
+	d := s.link.dispatcher
+	update := d.deps.Holder.UpdateFor(known)
+	if update != nil {
+		d.meters.manifests.CountSent()
+	}
+	return update
 }
 
 // applyReply passes the contents of a reply to the core, and returns the number
@@ -120,7 +125,8 @@
 	s.recordStamp(reply.Stamp)
 	d.deps.Directory.Merge(reply.Entries...)
 	if reply.Snapshot != nil {
-		d.deps.Holder.Offer(*reply.Snapshot)
+		adopted := d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
+		d.meters.manifests.CountReceived(adopted)
 	}
 	if len(reply.Orphans) > 0 {
 		d.background.Go(func() { s.releaseStored(reply.Orphans) })
--- a/executor/meters.go
+++ b/executor/meters.go
@@ -14,6 +14,7 @@
 // meters are the metrics of an executor.
 type meters struct {
 	scope          tally.Scope
+	manifests      metrics.ManifestCounters
 	orderQueueFull tally.Counter
 	listsFailed    tally.Counter
 	announceFailed tally.Counter
@@ -27,6 +28,7 @@
 func newMeters(scope tally.Scope) *meters {
 	return &meters{
 		scope:          scope,
+		manifests:      metrics.NewManifestCounters(scope),
 		orderQueueFull: scope.Counter(metrics.ExecutorOrderQueueFull),
 		listsFailed:    scope.Counter(metrics.ExecutorListsFailed),
 		announceFailed: scope.Counter(metrics.ExecutorAnnounceFailed),
--- a/executor/service.go
+++ b/executor/service.go
@@ -79,6 +79,13 @@
 	return c.entry, nil
 }
 
+// entryName returns the name of the entry; empty before Hello.
+func (c *conn) entryName() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entry
+}
+
 // Hello opens the session. It ends an older session of the same entry, whose
 // requests are rejected from then on.
 func (c *conn) Hello(request *session.HelloRequest, reply *session.HelloReply) error {
@@ -194,7 +201,8 @@
 func (c *conn) applyRequest(request *session.PollRequest) {
 	c.sidecars.Store(int64(request.Sidecars))
 	if request.Snapshot != nil {
-		c.executor.deps.Holder.Offer(*request.Snapshot)
+		adopted := c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
+		c.executor.meters.manifests.CountReceived(adopted)
 	}
 }
 
@@ -221,6 +229,9 @@
 		reply.Stamp = session.StampOf(now)
 		reply.SnapshotVersion = e.deps.Holder.Newest().Version
 		reply.Snapshot = e.deps.Holder.UpdateFor(request.SnapshotVersion)
+		if reply.Snapshot != nil {
+			e.meters.manifests.CountSent()
+		}
 		reply.Entries = c.changedEntries()
 		if orphans {
 			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.OrphansToQuery(at) })
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -69,6 +69,7 @@
 	if loaded.Log == settings.LogFailures {
 		created.log.FailuresOnly()
 	}
+	created.holder.OnAdopt = created.logSnapshot
 	created.addSeeds(loaded)
 	created.log.Failure(eventlog.KindStart).Str("boot", created.self.Boot).Str("address", created.self.Address).Msg("")
 	return created, nil
@@ -95,11 +96,13 @@
 }
 
 func (s *shared) takeSnapshot(snapshot manifest.Snapshot) {
-	if !s.holder.Offer(snapshot) {
-		return
-	}
+	s.holder.Offer(manifest.SourceTable, snapshot)
+}
+
+// logSnapshot logs that the process has adopted a snapshot.
+func (s *shared) logSnapshot(source string, snapshot manifest.Snapshot) {
 	s.snapshotAt.Store(time.Now().UnixNano())
-	line := s.log.Failure(eventlog.KindManifest).Int64(eventlog.FieldVersion, snapshot.Version)
+	line := s.log.Failure(eventlog.KindManifest).Str(eventlog.FieldSource, source).Int64(eventlog.FieldVersion, snapshot.Version)
 	if snapshot.Manifest != nil {
 		line = line.Int64(eventlog.FieldManifest, snapshot.Manifest.Version)
 	}
--- a/manifest/holder.go
+++ b/manifest/holder.go
@@ -9,6 +9,10 @@
 // the platform's table or a peer.
 // It is safe for concurrent use.
 type Holder struct {
+	// OnAdopt, if set, is called after each change of the newest snapshot, with the
+	// source from which the snapshot came. It must be set before the first Offer.
+	OnAdopt func(source string, newest Snapshot)
+
 	mu       sync.Mutex
 	newest   Snapshot
 	newestAt time.Time
@@ -22,11 +26,25 @@
 	return h.newest
 }
 
+// SourceTable is the source of the snapshots that were read from the platform's
+// table. The source of any other snapshot is the name of a peer.
+const SourceTable = "table"
+
 // Offer stores the snapshot if it is newer than the stored one, sends it to the
 // watchers, and reports whether it did so. It rejects a manifest whose version is
 // lower than that of the stored manifest, even if the snapshot's table version is
 // higher.
-func (h *Holder) Offer(offered Snapshot) bool {
+func (h *Holder) Offer(source string, offered Snapshot) bool {
+	if !h.adopt(offered) {
+		return false
+	}
+	if h.OnAdopt != nil {
+		h.OnAdopt(source, offered)
+	}
+	return true
+}
+
+func (h *Holder) adopt(offered Snapshot) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if offered.Version <= h.newest.Version {
