--- /dev/null
+++ b/instance/manifest_test.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// manyPrefixes returns the prefixes of as many routes as a large manifest has.
+func manyPrefixes() []string {
+	const count = 1400
+	prefixes := make([]string, count)
+	for i := range prefixes {
+		prefixes[i] = fmt.Sprintf("/queue-%04d/", i)
+	}
+	return prefixes
+}
+
+// counter returns the sum of a counter over its tags at one process.
+func counter(p *process, name string) int {
+	sum := 0
+	lines := bufio.NewScanner(strings.NewReader(scrape(p.status)))
+	for lines.Scan() {
+		series, value, _ := strings.Cut(lines.Text(), " ")
+		if strings.HasPrefix(series, "#") || !strings.Contains(series, name) {
+			continue
+		}
+		count := 0
+		_, _ = fmt.Sscanf(value, "%d", &count)
+		sum += count
+	}
+	return sum
+}
+
+// manifestsSent returns how many manifests all processes have sent to peers.
+func (s *system) manifestsSent() int {
+	sent := 0
+	for _, p := range append(s.sidecars, s.entries...) {
+		sent += counter(p, "manifests_sent")
+	}
+	return sent
+}
+
+// routes reports whether the entry has a route for the path.
+func (s *system) routes(entry *process, path string) bool {
+	return s.call(entry, http.MethodGet, path, nil).status == http.StatusOK
+}
+
+func (s *system) awaitRoute(entry *process, path string) {
+	s.t.Helper()
+	must.Wait(s.t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.routes(entry, path) }),
+		wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+// settle is longer than the time in which processes exchange what differs: the delay
+// of an update, and two polls.
+const settle = 1500 * time.Millisecond
+
+func TestJoiningSidecarResendsManifestToAll(t *testing.T) {
+	s := newSystem(t, 4, 3)
+	prefixes := manyPrefixes()
+	s.putManifest(2, prefixes...)
+	for _, entry := range s.entries {
+		s.awaitRoute(entry, prefixes[0])
+	}
+	time.Sleep(settle)
+	before := s.manifestsSent()
+	must.NoError(t, s.table.Put("status", "another-table", "changed"))
+	for i := 4; i < 6; i++ {
+		s.startMinion(i)
+		s.sidecars = append(s.sidecars, s.startSidecar(i))
+	}
+	for _, entry := range s.entries {
+		s.awaitReady(entry, 6)
+	}
+	time.Sleep(settle)
+	must.EqOp(t, before, s.manifestsSent())
+}
+
+// gatedTable serves the system's table until it is closed, and then refuses every call.
+func (s *system) gatedTable() (address string, closed *atomic.Bool) {
+	closed = &atomic.Bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if closed.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.table.Handler().ServeHTTP(w, r)
+	}))
+	s.t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), closed
+}
+
+func TestEntryBehindReceivesManifestFromEveryPeer(t *testing.T) {
+	const sidecars = 8
+	s := newSystem(t, sidecars, 1)
+	table, closed := s.gatedTable()
+	behind := s.startEntryWithTable(1, table)
+	s.awaitReady(behind, sidecars)
+	closed.Store(true)
+	time.Sleep(settle)
+	prefixes := manyPrefixes()
+	s.putManifest(2, prefixes...)
+	s.awaitRoute(behind, prefixes[0])
+	time.Sleep(settle)
+	must.EqOp(t, 1, counter(behind, "manifests_received"))
+}
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -53,6 +53,7 @@
 type process struct {
 	name   string
 	ip     string
+	status string
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -178,21 +179,30 @@
 		ReportsListen:    s.address(sidecarHost+i, s.port+1),
 		Minion:           s.address(minionHost+i, s.port),
 	}
-	return s.start(loaded.Name, func(ctx context.Context) error {
+	started := s.start(loaded.Name, func(ctx context.Context) error {
 		return RunExecutor(ctx, Options{Out: s.logs, Reload: noReload}, loaded)
 	})
+	started.status = loaded.StatusListen
+	return started
 }
 
 func (s *system) startEntry(i int) *process {
+	return s.startEntryWithTable(i, s.store.Listener.Addr().String())
+}
+
+// startEntryWithTable starts an entry that reaches the table at the given address.
+func (s *system) startEntryWithTable(i int, table string) *process {
 	loaded := settings.DispatcherSettings{
 		InstanceSettings:         s.shared(fmt.Sprintf("entry-%d", i), s.zones[i%len(s.zones)], entryHost+i),
 		CallersListen:            s.address(entryHost+i, s.port+2),
 		ReadyListen:              s.address(entryHost+i, s.port+3),
 		PartitionWritesPerSecond: 1000,
 	}
+	loaded.Table = table
 	started := s.start(loaded.Name, func(ctx context.Context) error {
 		return RunDispatcher(ctx, Options{Out: s.logs, Reload: noReload}, loaded)
 	})
+	started.status = loaded.StatusListen
 	started.ip = fmt.Sprintf("127.0.%d.%d", s.network, entryHost+i)
 	return started
 }
