Compare manifests by their own version between processes

Every process that starts writes a row of its own, so a sidecar that starts reads the same manifest at a higher version than all others, sends all of it to each entry, and each entry to each of its sidecars: with 9 entries, 60 sidecars and 1,400 routes some 100 MB for each sidecar that joins. In the incident slow entries received nothing else for seconds, lost their sessions and could not read the table.

Change: the holder compares the manifest by its own version and only the evacuated zones, a few bytes, by the table's.

--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -86,22 +86,26 @@
 
 func (s *openSession) poll(ctx context.Context) error {
 	d := s.link.dispatcher
-	known := d.deps.Holder.Newest().Version
+	newest := d.deps.Holder.Newest()
+	known := newest.Versions()
 	for ctx.Err() == nil {
+		newest := d.deps.Holder.Newest()
+		versions := newest.Versions()
 		request := session.PollRequest{
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
 			AckedUpTo:       s.link.ackedUpTo,
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
-			SnapshotVersion: d.deps.Holder.Newest().Version,
+			SnapshotVersion: versions.Table,
+			ManifestVersion: versions.Manifest,
 			Snapshot:        s.snapshotFor(known),
 		}
 		var reply session.PollReply
 		if err := s.client.Call(ctx, session.MethodPoll, &request, &reply, pollWait+pollGrace); err != nil {
 			return err
 		}
-		known = reply.SnapshotVersion
+		known = reply.Versions()
 		if placed := s.applyReply(&reply); placed == 0 && reply.State.Reason == session.RefusedTooManyEntries {
 			return errDismissed
 		}
@@ -109,10 +113,10 @@
 	return ctx.Err()
 }
 
-func (s *openSession) snapshotFor(known int64) *manifest.Snapshot {
+func (s *openSession) snapshotFor(known manifest.Versions) *manifest.Snapshot {
 	d := s.link.dispatcher
 	update := d.deps.Holder.UpdateFor(known)
-	if update != nil {
+	if update != nil && update.Manifest != nil {
 		d.meters.manifests.CountSent()
 	}
 	return update
@@ -126,7 +130,9 @@
 	d.deps.Directory.Merge(reply.Entries...)
 	if reply.Snapshot != nil {
 		adopted := d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
-		d.meters.manifests.CountReceived(adopted)
+		if reply.Snapshot.Manifest != nil {
+			d.meters.manifests.CountReceived(adopted)
+		}
 	}
 	if len(reply.Orphans) > 0 {
 		d.background.Go(func() { s.releaseStored(reply.Orphans) })
--- a/executor/service.go
+++ b/executor/service.go
@@ -202,7 +202,9 @@
 	c.sidecars.Store(int64(request.Sidecars))
 	if request.Snapshot != nil {
 		adopted := c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
-		c.executor.meters.manifests.CountReceived(adopted)
+		if request.Snapshot.Manifest != nil {
+			c.executor.meters.manifests.CountReceived(adopted)
+		}
 	}
 }
 
@@ -227,9 +229,11 @@
 		c.lastReply = now
 		c.lastState = reply.State
 		reply.Stamp = session.StampOf(now)
-		reply.SnapshotVersion = e.deps.Holder.Newest().Version
-		reply.Snapshot = e.deps.Holder.UpdateFor(request.SnapshotVersion)
-		if reply.Snapshot != nil {
+		newest := e.deps.Holder.Newest()
+		versions := newest.Versions()
+		reply.SnapshotVersion, reply.ManifestVersion = versions.Table, versions.Manifest
+		reply.Snapshot = e.deps.Holder.UpdateFor(request.Versions())
+		if reply.Snapshot != nil && reply.Snapshot.Manifest != nil {
 			e.meters.manifests.CountSent()
 		}
 		reply.Entries = c.changedEntries()
--- a/manifest/holder.go
+++ b/manifest/holder.go
@@ -1,22 +1,26 @@
 package manifest
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// Holder stores the newest snapshot that the process has received from any source:
-// the platform's table or a peer.
+// Holder stores the newest manifest and the newest list of evacuated zones that the
+// process has received from any source: the platform's table or a peer. The two are
+// compared separately, because the version of the table also changes with writes that
+// concern neither of them.
 // It is safe for concurrent use.
 type Holder struct {
 	// OnAdopt, if set, is called after each change of the newest snapshot, with the
-	// source from which the snapshot came. It must be set before the first Offer.
+	// source from which the change came. It must be set before the first Offer.
 	OnAdopt func(source string, newest Snapshot)
 
-	mu       sync.Mutex
-	newest   Snapshot
-	newestAt time.Time
-	watchers []chan Snapshot
+	mu     sync.Mutex
+	newest Snapshot
+	// manifestAt is when the newest manifest was adopted.
+	manifestAt time.Time
+	watchers   []chan Snapshot
 }
 
 // Newest returns the newest snapshot, or the zero value if there was none yet.
@@ -30,44 +34,39 @@
 // table. The source of any other snapshot is the name of a peer.
 const SourceTable = "table"
 
-// Offer stores the snapshot if it is newer than the stored one, sends it to the
-// watchers, and reports whether it did so. It rejects a manifest whose version is
-// lower than that of the stored manifest, even if the snapshot's table version is
-// higher.
+// Offer adopts the parts of the snapshot that are newer than the stored ones. If this
+// changes the manifest or the evacuated zones, it sends the result to the watchers and
+// returns true.
 func (h *Holder) Offer(source string, offered Snapshot) bool {
-	if !h.adopt(offered) {
-		return false
+	newest, changed := h.merge(offered)
+	if changed && h.OnAdopt != nil {
+		h.OnAdopt(source, newest)
 	}
-	if h.OnAdopt != nil {
-		h.OnAdopt(source, offered)
-	}
-	return true
+	return changed
 }
 
-func (h *Holder) adopt(offered Snapshot) bool {
+// merge returns the newest snapshot after the offer, and whether its contents have
+// changed.
+func (h *Holder) merge(offered Snapshot) (Snapshot, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if offered.Version <= h.newest.Version {
-		return false
+	changed := false
+	if offered.replacesManifest(h.newest) {
+		h.newest.Manifest = offered.Manifest
+		h.manifestAt = time.Now()
+		changed = true
 	}
-	if h.regresses(offered) {
-		return false
+	if offered.Version > h.newest.Version {
+		changed = changed || !slices.Equal(offered.EvacuatedZones, h.newest.EvacuatedZones)
+		h.newest.Version = offered.Version
+		h.newest.EvacuatedZones = offered.EvacuatedZones
 	}
-	h.newest = offered
-	h.newestAt = time.Now()
-	for _, watcher := range h.watchers {
-		replaceBuffered(watcher, offered)
+	if changed {
+		for _, watcher := range h.watchers {
+			replaceBuffered(watcher, h.newest)
+		}
 	}
-	return true
-}
-
-// regresses reports whether the offered snapshot would remove the stored manifest
-// or replace it by an older one. The caller holds the lock.
-func (h *Holder) regresses(offered Snapshot) bool {
-	if h.newest.Manifest == nil {
-		return false
-	}
-	return offered.Manifest == nil || offered.Manifest.Version < h.newest.Manifest.Version
+	return h.newest, changed
 }
 
 // Watch returns a channel that buffers the newest snapshot not yet received. Older
@@ -94,19 +93,23 @@
 	watcher <- newest
 }
 
-// peerUpdateDelay is the minimum age of a snapshot before it is sent to peers that
+// peerUpdateDelay is the minimum age of a manifest before it is sent to peers that
 // lack it. By then most peers have read it from the table themselves.
 const peerUpdateDelay = 250 * time.Millisecond
 
-// UpdateFor returns the newest snapshot for a peer whose snapshot has the known
-// version. It returns nil if the peer is up to date, or if the snapshot is younger
-// than peerUpdateDelay, because the peer is then likely to read it from the table.
-func (h *Holder) UpdateFor(known int64) *Snapshot {
+// UpdateFor returns what a peer lacks that has the known versions, or nil if it lacks
+// nothing. Manifest is nil in an update for a peer that has it, or for which it is
+// younger than peerUpdateDelay.
+func (h *Holder) UpdateFor(known Versions) *Snapshot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.newest.Version <= known || time.Since(h.newestAt) < peerUpdateDelay {
+	update := h.newest
+	newest := update.Versions()
+	if newest.Manifest <= known.Manifest || time.Since(h.manifestAt) < peerUpdateDelay {
+		update.Manifest = nil
+	}
+	if update.Manifest == nil && newest.Table <= known.Table {
 		return nil
 	}
-	newest := h.newest
-	return &newest
+	return &update
 }
