Fetch a manifest from one sidecar instead of having all push it

Nothing bounded the copies: an entry with 25 Mbit/s and 40 sessions got 40 of them at once, needed seconds for them, and lost the sessions, because the replies were also its heartbeats and are awaited for 0.45 s. Entries pushed the manifest to sidecars likewise, which make no use of it.

Change: polls carry only the evacuated zones and, from the sidecar, the version of its manifest. An entry that lacks that version gives its own read of the table half a second and then fetches one copy, over a connection of its own, from one sidecar drawn among those that have it; after a failure from another one. Sidecars read the table and serve what they have.

Beside processes of an older build: they still push what they have, which is accepted; an older entry that is cut off from the table gets no manifest from newer sidecars until it is replaced.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,6 +88,7 @@
 	background  sync.WaitGroup
 
 	links      *links
+	manifests  *manifestFetcher
 	storedJobs *storedJobs
 }
 
@@ -109,6 +110,7 @@
 	}
 	d.listener = listener
 	d.tasksCtx, d.cancelTasks = context.WithCancel(context.Background())
+	d.manifests = newManifestFetcher(d)
 	d.storedJobs = newStoredJobs(d, deps.Jobs, deps.Owners)
 	return d, nil
 }
@@ -120,6 +122,7 @@
 	group.Go(func() error { d.loop.Run(working); return nil })
 	group.Go(d.listener.Serve)
 	group.Go(func() error { d.watchManifest(working); return nil })
+	group.Go(func() error { d.manifests.run(working); return nil })
 	group.Go(func() error { d.maintainLinks(working); return nil })
 	group.Go(func() error { d.announce(working); return nil })
 	group.Go(func() error { d.storedJobs.run(working); return nil })
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -14,6 +14,9 @@
 	ErrUnavailable = Error.New("the job store is unavailable")
 )
 
+// errNoManifest means that a sidecar did not have the manifest that it had reported.
+var errNoManifest = Error.New("the sidecar has no newer manifest")
+
 // errDismissed ends a session with a sidecar that has sessions with enough other
 // entries.
 var errDismissed = Error.New("the sidecar has enough entries")
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -7,7 +7,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
 )
@@ -86,26 +85,22 @@
 
 func (s *openSession) poll(ctx context.Context) error {
 	d := s.link.dispatcher
-	newest := d.deps.Holder.Newest()
-	known := newest.Versions()
+	known := d.deps.Holder.Newest().Version
 	for ctx.Err() == nil {
-		newest := d.deps.Holder.Newest()
-		versions := newest.Versions()
 		request := session.PollRequest{
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
 			AckedUpTo:       s.link.ackedUpTo,
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
-			SnapshotVersion: versions.Table,
-			ManifestVersion: versions.Manifest,
-			Snapshot:        s.snapshotFor(known),
+			SnapshotVersion: d.deps.Holder.Newest().Version,
+			Snapshot:        d.deps.Holder.ZonesFor(known),
 		}
 		var reply session.PollReply
 		if err := s.client.Call(ctx, session.MethodPoll, &request, &reply, pollWait+pollGrace); err != nil {
 			return err
 		}
-		known = reply.Versions()
+		known = reply.SnapshotVersion
 		if placed := s.applyReply(&reply); placed == 0 && reply.State.Reason == session.RefusedTooManyEntries {
 			return errDismissed
 		}
@@ -113,15 +108,6 @@
 	return ctx.Err()
 }
 
-func (s *openSession) snapshotFor(known manifest.Versions) *manifest.Snapshot {
-	d := s.link.dispatcher
-	update := d.deps.Holder.UpdateFor(known)
-	if update != nil && update.Manifest != nil {
-		d.meters.manifests.CountSent()
-	}
-	return update
-}
-
 // applyReply passes the contents of a reply to the core, and returns the number
 // of tasks that are still placed on the sidecar.
 func (s *openSession) applyReply(reply *session.PollReply) int {
@@ -129,11 +115,9 @@
 	s.recordStamp(reply.Stamp)
 	d.deps.Directory.Merge(reply.Entries...)
 	if reply.Snapshot != nil {
-		adopted := d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
-		if reply.Snapshot.Manifest != nil {
-			d.meters.manifests.CountReceived(adopted)
-		}
+		d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
 	}
+	d.manifests.reported(s.link.name, reply.ManifestVersion)
 	if len(reply.Orphans) > 0 {
 		d.background.Go(func() { s.releaseStored(reply.Orphans) })
 	}
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -108,6 +108,7 @@
 	d.deps.Log.Failure(eventlog.KindDependencyRegained).Str(eventlog.FieldDependency, l.name).Msg("")
 	err = opened.serve(ctx)
 	l.setOpen(nil)
+	d.manifests.forget(l.name)
 	d.loop.Do(func(time.Time) { d.core.Disconnected(l.name, opened.lastEchoReceived()) })
 	d.deps.Log.Failure(eventlog.KindDependencyLost).Str(eventlog.FieldDependency, l.name).Err(err).Msg("")
 	return true, err
--- a/executor/service.go
+++ b/executor/service.go
@@ -198,13 +198,21 @@
 	}
 }
 
+// Manifest returns the sidecar's manifest if the entry's is older. It needs no session.
+func (c *conn) Manifest(request *session.ManifestRequest, reply *session.ManifestReply) error {
+	newest := c.executor.deps.Holder.Newest()
+	if newest.Versions().Manifest <= request.Known {
+		return nil
+	}
+	reply.Manifest = newest.Manifest
+	c.executor.meters.manifests.CountSent()
+	return nil
+}
+
 func (c *conn) applyRequest(request *session.PollRequest) {
 	c.sidecars.Store(int64(request.Sidecars))
 	if request.Snapshot != nil {
-		adopted := c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
-		if request.Snapshot.Manifest != nil {
-			c.executor.meters.manifests.CountReceived(adopted)
-		}
+		c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
 	}
 }
 
@@ -232,10 +240,7 @@
 		newest := e.deps.Holder.Newest()
 		versions := newest.Versions()
 		reply.SnapshotVersion, reply.ManifestVersion = versions.Table, versions.Manifest
-		reply.Snapshot = e.deps.Holder.UpdateFor(request.Versions())
-		if reply.Snapshot != nil && reply.Snapshot.Manifest != nil {
-			e.meters.manifests.CountSent()
-		}
+		reply.Snapshot = e.deps.Holder.ZonesFor(request.SnapshotVersion)
 		reply.Entries = c.changedEntries()
 		if orphans {
 			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.OrphansToQuery(at) })
--- a/manifest/holder.go
+++ b/manifest/holder.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 )
 
 // Holder stores the newest manifest and the newest list of evacuated zones that the
@@ -16,11 +15,9 @@
 	// source from which the change came. It must be set before the first Offer.
 	OnAdopt func(source string, newest Snapshot)
 
-	mu     sync.Mutex
-	newest Snapshot
-	// manifestAt is when the newest manifest was adopted.
-	manifestAt time.Time
-	watchers   []chan Snapshot
+	mu       sync.Mutex
+	newest   Snapshot
+	watchers []chan Snapshot
 }
 
 // Newest returns the newest snapshot, or the zero value if there was none yet.
@@ -53,7 +50,6 @@
 	changed := false
 	if offered.replacesManifest(h.newest) {
 		h.newest.Manifest = offered.Manifest
-		h.manifestAt = time.Now()
 		changed = true
 	}
 	if offered.Version > h.newest.Version {
@@ -93,23 +89,12 @@
 	watcher <- newest
 }
 
-// peerUpdateDelay is the minimum age of a manifest before it is sent to peers that
-// lack it. By then most peers have read it from the table themselves.
-const peerUpdateDelay = 250 * time.Millisecond
-
-// UpdateFor returns what a peer lacks that has the known versions, or nil if it lacks
-// nothing. Manifest is nil in an update for a peer that has it, or for which it is
-// younger than peerUpdateDelay.
-func (h *Holder) UpdateFor(known Versions) *Snapshot {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	update := h.newest
-	newest := update.Versions()
-	if newest.Manifest <= known.Manifest || time.Since(h.manifestAt) < peerUpdateDelay {
-		update.Manifest = nil
-	}
-	if update.Manifest == nil && newest.Table <= known.Table {
+// ZonesFor returns the newest snapshot without its manifest, for a peer whose snapshot
+// has the known version. It returns nil if the peer is up to date.
+func (h *Holder) ZonesFor(known int64) *Snapshot {
+	newest := h.Newest()
+	if newest.Version <= known {
 		return nil
 	}
-	return &update
+	return &Snapshot{Version: newest.Version, EvacuatedZones: newest.EvacuatedZones}
 }
--- a/session/poll.go
+++ b/session/poll.go
@@ -20,17 +20,10 @@
 	Wait time.Duration
 	// Sidecars is the number of sidecars that the entry knows.
 	Sidecars int
-	// SnapshotVersion is the table version of the entry's newest snapshot. Snapshot is
-	// set to what the sidecar lacks, according to the versions it last reported.
+	// SnapshotVersion is the version of the entry's newest snapshot. Snapshot is set,
+	// without the manifest, when the sidecar last reported an older version.
 	SnapshotVersion int64
 	Snapshot        *manifest.Snapshot
-	// ManifestVersion is the version of the entry's manifest.
-	ManifestVersion int64
-}
-
-// Versions returns the versions of the entry's newest snapshot.
-func (r *PollRequest) Versions() manifest.Versions {
-	return manifest.Versions{Table: r.SnapshotVersion, Manifest: r.ManifestVersion}
 }
 
 // PollReply carries the events after PollRequest.After in ascending order.
@@ -38,23 +31,19 @@
 	Stamp  Stamp
 	Events []Event
 	State  State
-	// SnapshotVersion is the table version of the sidecar's newest snapshot. Snapshot
-	// is set to what the entry lacks, according to the request.
+	// SnapshotVersion is the version of the sidecar's newest snapshot. Snapshot is
+	// set, without the manifest, when the entry's is older.
 	SnapshotVersion int64
 	Snapshot        *manifest.Snapshot
 	Entries         []Peer
 	// Orphans are tasks whose ends the sidecar keeps although no entry has asked
 	// for them. The entry finds out whether these ends are in the job store.
 	Orphans []work.TaskKey
-	// ManifestVersion is the version of the sidecar's manifest.
+	// ManifestVersion is the version of the sidecar's manifest, 0 for none. An entry
+	// that lacks it may send a ManifestRequest.
 	ManifestVersion int64
 }
 
-// Versions returns the versions of the sidecar's newest snapshot.
-func (r *PollReply) Versions() manifest.Versions {
-	return manifest.Versions{Table: r.SnapshotVersion, Manifest: r.ManifestVersion}
-}
-
 // Event reports the end of a run, or that there is and will be no such run.
 type Event struct {
 	// Number increases over all events of one incarnation of the sidecar.
--- a/session/service.go
+++ b/session/service.go
@@ -10,6 +10,7 @@
 	MethodStart    = SidecarService + ".Start"
 	MethodStop     = SidecarService + ".Stop"
 	MethodAdopt    = SidecarService + ".Adopt"
+	MethodManifest = SidecarService + ".Manifest"
 	MethodAnnounce = EntryService + ".Announce"
 	MethodJob      = EntryService + ".Job"
 	MethodEnded    = EntryService + ".Ended"
