--- a/instance/shared.go
+++ b/instance/shared.go
@@ -148,8 +148,11 @@
 }
 
 const (
-	// joinTimeout bounds one attempt of a call to the table.
-	joinTimeout = 1500 * time.Millisecond
+	// announceTimeout bounds one attempt to write the process's own row.
+	announceTimeout = 1500 * time.Millisecond
+	// discoverTimeout bounds one attempt to read all rows, which ends sooner when the
+	// table is silent.
+	discoverTimeout = 15 * time.Second
 	// joinPause is the pause between attempts.
 	joinPause = 250 * time.Millisecond
 )
@@ -158,8 +161,8 @@
 // both until they succeed or ctx ends.
 func (s *shared) join(ctx context.Context) {
 	members := rows.NewMembers(s.table)
-	s.retry(ctx, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
-	s.retry(ctx, s.discoverPeers)
+	s.retry(ctx, announceTimeout, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
+	s.retry(ctx, discoverTimeout, s.discoverPeers)
 }
 
 // discoverPeers adds all processes that have announced themselves in the table to the
@@ -170,10 +173,10 @@
 	return err
 }
 
-// retry calls try until it succeeds or ctx ends.
-func (s *shared) retry(ctx context.Context, try func(context.Context) error) {
+// retry calls try, each time with the timeout, until it succeeds or ctx ends.
+func (s *shared) retry(ctx context.Context, timeout time.Duration, try func(context.Context) error) {
 	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, joinTimeout)
+		limited, cancel := context.WithTimeout(ctx, timeout)
 		err := try(limited)
 		cancel()
 		if err == nil {
