Send an announcing sidecar the entries only

At 1,800 sidecars that are 186 KB, and with 6 announcements a sidecar, as after a loss of all power, an entry sends 33 MB, 11 s on a link of 25 Mbit/s, to calls that wait 0.5 s (worked out, not measured).

The sidecar learns how many sidecars there are from the entries' polls and from the table, as before.

--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -33,15 +33,23 @@
 	return nil
 }
 
-// Announce adds the sent peers to the directory and returns all peers that this
-// entry knows. A sidecar that is among the sent peers asks for a session.
+// Announce adds the sent peers to the directory and returns those that this entry
+// knows. A sidecar that is among the sent peers asks for a session. It is sent only the
+// entries, because it uses no other sidecars and there may be many.
 func (s *service) Announce(request *session.AnnounceRequest, reply *session.AnnounceReply) error {
-	s.dispatcher.deps.Directory.Merge(request.Peers...)
+	directory := s.dispatcher.deps.Directory
+	directory.Merge(request.Peers...)
+	fromSidecar := false
 	for _, peer := range request.Peers {
 		if peer.Role == session.RoleSidecar {
+			fromSidecar = true
 			s.dispatcher.links.invite(peer.Name)
 		}
 	}
-	reply.Peers = s.dispatcher.deps.Directory.All()
+	if fromSidecar {
+		reply.Peers = directory.WithRole(session.RoleEntry)
+		return nil
+	}
+	reply.Peers = directory.All()
 	return nil
 }
--- a/session/start.go
+++ b/session/start.go
@@ -97,7 +97,7 @@
 	Peers []Peer
 }
 
-// AnnounceReply returns the peers that the entry knows.
+// AnnounceReply returns the peers that the entry knows; to a sidecar, only the entries.
 type AnnounceReply struct {
 	Peers []Peer
 }
