--- a/decision/admission/main_test.go
+++ b/decision/admission/main_test.go
@@ -1,17 +1,10 @@
 package admission
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/figring/figring/common/proptest"
 )
 
-// TestMain sets the seed of the property tests to 1 unless -rapid.seed is given, so
-// that runs are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(proptest.Run(m, proptest.Defaults{Seed: 1})) }
--- a/decision/ejection/main_test.go
+++ b/decision/ejection/main_test.go
@@ -1,16 +1,10 @@
 package ejection
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/figring/figring/common/proptest"
 )
 
-// TestMain sets a fixed seed for the property tests unless -rapid.seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(proptest.Run(m, proptest.Defaults{Seed: 1})) }
--- a/schedules/main_test.go
+++ b/schedules/main_test.go
@@ -1,17 +1,12 @@
 package schedules
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/figring/figring/common/proptest"
 )
 
-// TestMain fixes the seed, so that every run draws the same schedules unless
-// another seed is given.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261203")
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(proptest.Run(m, proptest.Defaults{Seed: 20261203, Checks: 1000}))
 }
