Send evacuated zones in a field of their own

A process of an older build that had no manifest yet would adopt it as the newest

it would serve nothing until the next change (found by reading).

--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -94,7 +94,7 @@
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
 			SnapshotVersion: d.deps.Holder.Newest().Version,
-			Snapshot:        d.deps.Holder.ZonesFor(known),
+			Zones:           d.deps.Holder.ZonesFor(known),
 		}
 		var reply session.PollReply
 		if err := s.client.Call(ctx, session.MethodPoll, &request, &reply, pollWait+pollGrace); err != nil {
@@ -114,10 +114,7 @@
 	d := s.link.dispatcher
 	s.recordStamp(reply.Stamp)
 	d.deps.Directory.Merge(reply.Entries...)
-	if reply.Snapshot != nil {
-		d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
-	}
-	d.manifests.reported(s.link.name, reply.ManifestVersion)
+	s.applyConfiguration(reply)
 	if len(reply.Orphans) > 0 {
 		d.background.Go(func() { s.releaseStored(reply.Orphans) })
 	}
@@ -136,6 +133,19 @@
 	return placed
 }
 
+// applyConfiguration adopts the parts of the sidecar's configuration that are newer, or
+// has them fetched.
+func (s *openSession) applyConfiguration(reply *session.PollReply) {
+	d := s.link.dispatcher
+	if reply.Snapshot != nil {
+		d.deps.Holder.Offer(s.link.name, *reply.Snapshot)
+	}
+	if reply.Zones != nil {
+		d.deps.Holder.OfferZones(s.link.name, *reply.Zones)
+	}
+	d.manifests.reported(s.link.name, reply.ManifestVersion)
+}
+
 // send sends starts and stops, one at a time.
 func (s *openSession) send(ctx context.Context) error {
 	for {
--- a/executor/service.go
+++ b/executor/service.go
@@ -214,6 +214,9 @@
 	if request.Snapshot != nil {
 		c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
 	}
+	if request.Zones != nil {
+		c.executor.deps.Holder.OfferZones(c.entryName(), *request.Zones)
+	}
 }
 
 // tryReply fills the reply and returns true if it is to be sent now. Otherwise it
@@ -240,7 +243,7 @@
 		newest := e.deps.Holder.Newest()
 		versions := newest.Versions()
 		reply.SnapshotVersion, reply.ManifestVersion = versions.Table, versions.Manifest
-		reply.Snapshot = e.deps.Holder.ZonesFor(request.SnapshotVersion)
+		reply.Zones = e.deps.Holder.ZonesFor(request.SnapshotVersion)
 		reply.Entries = c.changedEntries()
 		if orphans {
 			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.OrphansToQuery(at) })
--- a/instance/manifest_test.go
+++ b/instance/manifest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,9 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+
+	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/manifest"
 )
 
 // manyPrefixes returns the prefixes of as many routes as a large manifest has.
@@ -113,3 +117,41 @@
 	time.Sleep(settle)
 	must.EqOp(t, 1, counter(behind, "manifests_received"))
 }
+
+// TestEvacuationReachesProcessesWithoutTable evacuates a zone while the table refuses one
+// entry and one sidecar. Both learn of it from their peers.
+func TestEvacuationReachesProcessesWithoutTable(t *testing.T) {
+	const sidecars = 3
+	s := newSystem(t, sidecars, 1)
+	table, closed := s.gatedTable()
+	s.startMinion(sidecars)
+	refused := []*process{s.startSidecarWithTable(sidecars, table), s.startEntryWithTable(1, table)}
+	for _, entry := range append(s.entries, refused[1]) {
+		s.awaitReady(entry, sidecars+1)
+	}
+	closed.Store(true)
+	time.Sleep(settle)
+	must.NoError(t, s.table.Put("op", "evacuate/a", map[string]any{}))
+	for _, p := range refused {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.evacuationSource(p) != "" }),
+			wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+		must.NotEq(t, manifest.SourceTable, s.evacuationSource(p))
+	}
+}
+
+// evacuationSource returns from where the process learned of an evacuated zone, according
+// to its log; empty if it has not.
+func (s *system) evacuationSource(p *process) string {
+	for line := range strings.Lines(s.logs.String()) {
+		var told struct {
+			Process, Event, Source string
+			Evacuated              []string
+		}
+		// A line that is not yet written in full is parsed by the next call.
+		_ = json.Unmarshal([]byte(line), &told)
+		if told.Process == p.name && told.Event == string(eventlog.KindManifest) && len(told.Evacuated) > 0 {
+			return told.Source
+		}
+	}
+	return ""
+}
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -174,11 +174,17 @@
 }
 
 func (s *system) startSidecar(i int) *process {
+	return s.startSidecarWithTable(i, s.store.Listener.Addr().String())
+}
+
+// startSidecarWithTable starts a sidecar that reaches the table at the given address.
+func (s *system) startSidecarWithTable(i int, table string) *process {
 	loaded := settings.ExecutorSettings{
 		InstanceSettings: s.shared(fmt.Sprintf("side-%d", i), s.zones[i%len(s.zones)], sidecarHost+i),
 		ReportsListen:    s.address(sidecarHost+i, s.port+1),
 		Minion:           s.address(minionHost+i, s.port),
 	}
+	loaded.Table = table
 	started := s.start(loaded.Name, func(ctx context.Context) error {
 		return RunExecutor(ctx, Options{Out: s.logs, Reload: noReload}, loaded)
 	})
--- a/manifest/holder.go
+++ b/manifest/holder.go
@@ -89,12 +89,17 @@
 	watcher <- newest
 }
 
-// ZonesFor returns the newest snapshot without its manifest, for a peer whose snapshot
-// has the known version. It returns nil if the peer is up to date.
-func (h *Holder) ZonesFor(known int64) *Snapshot {
+// OfferZones is Offer for a snapshot without a manifest.
+func (h *Holder) OfferZones(source string, offered Zones) bool {
+	return h.Offer(source, Snapshot{Version: offered.Version, EvacuatedZones: offered.Evacuated})
+}
+
+// ZonesFor returns the newest zones for a peer whose snapshot has the known version, or
+// nil if the peer is up to date.
+func (h *Holder) ZonesFor(known int64) *Zones {
 	newest := h.Newest()
 	if newest.Version <= known {
 		return nil
 	}
-	return &Snapshot{Version: newest.Version, EvacuatedZones: newest.EvacuatedZones}
+	return &Zones{Version: newest.Version, Evacuated: newest.EvacuatedZones}
 }
--- a/manifest/snapshot.go
+++ b/manifest/snapshot.go
@@ -8,8 +8,7 @@
 	// read. It increases with each write to any table, so two snapshots of the same
 	// contents may have different versions.
 	Version int64
-	// Manifest is nil if none was ever set, and in a message to a process that needs
-	// only the evacuated zones. Of two manifests, the one with the higher
+	// Manifest is nil if none is known. Of two manifests, the one with the higher
 	// Manifest.Version is newer.
 	Manifest *Manifest
 	// EvacuatedZones lists the availability zones that get no new work, sorted.
--- a/session/poll.go
+++ b/session/poll.go
@@ -20,10 +20,12 @@
 	Wait time.Duration
 	// Sidecars is the number of sidecars that the entry knows.
 	Sidecars int
-	// SnapshotVersion is the version of the entry's newest snapshot. Snapshot is set,
-	// without the manifest, when the sidecar last reported an older version.
+	// SnapshotVersion is the version of the entry's newest snapshot.
 	SnapshotVersion int64
-	Snapshot        *manifest.Snapshot
+	// Snapshot is set only by builds without Zones.
+	Snapshot *manifest.Snapshot
+	// Zones is set when the sidecar last reported an older snapshot.
+	Zones *manifest.Zones
 }
 
 // PollReply carries the events after PollRequest.After in ascending order.
@@ -31,17 +33,19 @@
 	Stamp  Stamp
 	Events []Event
 	State  State
-	// SnapshotVersion is the version of the sidecar's newest snapshot. Snapshot is
-	// set, without the manifest, when the entry's is older.
+	// SnapshotVersion is the version of the sidecar's newest snapshot.
 	SnapshotVersion int64
-	Snapshot        *manifest.Snapshot
-	Entries         []Peer
+	// Snapshot is set only by builds without Zones.
+	Snapshot *manifest.Snapshot
+	Entries  []Peer
 	// Orphans are tasks whose ends the sidecar keeps although no entry has asked
 	// for them. The entry finds out whether these ends are in the job store.
 	Orphans []work.TaskKey
 	// ManifestVersion is the version of the sidecar's manifest, 0 for none. An entry
 	// that lacks it may send a ManifestRequest.
 	ManifestVersion int64
+	// Zones is set when the entry's snapshot is older.
+	Zones *manifest.Zones
 }
 
 // Event reports the end of a run, or that there is and will be no such run.
