Announce to an entry in one place

The dispatcher and the executor had the same steps: call, take a seed out of the directory, merge the reply. link.Announce does them for both.

--- a/decision/manifestsource/planner_test.go
+++ b/decision/manifestsource/planner_test.go
@@ -22,7 +22,14 @@
 	planner := newPlanner(7)
 	planner.Reported(start, "s1", 7)
 	planner.Reported(start, "s2", 6)
-	fetch, wait := planner.Next(start)
+	requireNoFetch(t, planner, start)
+}
+
+// requireNoFetch checks that there is nothing to fetch until a sidecar reports a newer
+// version.
+func requireNoFetch(t *testing.T, planner *Planner, now time.Time) {
+	t.Helper()
+	fetch, wait := planner.Next(now)
 	must.Eq(t, Fetch{}, fetch)
 	must.EqOp(t, 0, wait)
 }
@@ -36,9 +43,7 @@
 	_, wait = planner.Next(start.Add(readDelay / 2))
 	must.EqOp(t, readDelay/2, wait)
 	planner.Adopted(start.Add(readDelay-1), 8)
-	fetch, wait := planner.Next(start.Add(readDelay))
-	must.Eq(t, Fetch{}, fetch)
-	must.EqOp(t, 0, wait)
+	requireNoFetch(t, planner, start.Add(readDelay))
 }
 
 func TestEntryWithoutManifestFetchesAtOnce(t *testing.T) {
--- a/dispatcher/announcer.go
+++ b/dispatcher/announcer.go
@@ -13,7 +13,6 @@
 	// announceInterval is the interval at which an entry announces itself to the
 	// entries that have not received an announcement yet.
 	announceInterval = 500 * time.Millisecond
-	announceTimeout  = 500 * time.Millisecond
 	// maxAnnounceTries bounds the announcements to one incarnation of an entry.
 	// Other entries also discover this one through the table or through sidecars.
 	maxAnnounceTries = 8
@@ -42,16 +41,6 @@
 // is not logged: the other entry is no dependency of this one, and the sidecars
 // announce this one to it as well.
 func (d *Dispatcher) announceTo(ctx context.Context, entry session.Peer) bool {
-	request := session.AnnounceRequest{Peers: []session.Peer{d.settings.Self}}
-	var reply session.AnnounceReply
-	err := link.CallOnce(ctx, entry.Address, d.settings.Secret, session.MethodAnnounce, &request, &reply, announceTimeout)
-	if err != nil {
-		return false
-	}
-	if entry.Boot == "" {
-		// The reply has the entry that the seed stands for under its own name.
-		d.deps.Directory.Remove(entry)
-	}
-	d.deps.Directory.Merge(reply.Peers...)
-	return true
+	self := []session.Peer{d.settings.Self}
+	return link.Announce(ctx, entry, d.settings.Secret, self, d.deps.Directory) == nil
 }
--- a/executor/announcer.go
+++ b/executor/announcer.go
@@ -14,8 +14,6 @@
 	// announceInterval is the interval at which the sidecar checks whether it has
 	// sessions with enough entries.
 	announceInterval = 300 * time.Millisecond
-	// announceTimeout bounds one announcement.
-	announceTimeout = 500 * time.Millisecond
 	// maxAnnounceBackoff bounds the delay between announcements to one entry.
 	maxAnnounceBackoff = 5 * time.Second
 	// dismissalDelay is the time after the start during which no session is
@@ -95,16 +93,6 @@
 // announceTo sends an entry the sidecar's own address and the entries that the
 // sidecar knows, and merges the peers that the entry knows into the directory.
 func (e *Executor) announceTo(ctx context.Context, entry session.Peer) error {
-	request := session.AnnounceRequest{Peers: append(e.deps.Directory.WithRole(session.RoleEntry), e.settings.Self)}
-	var reply session.AnnounceReply
-	err := link.CallOnce(ctx, entry.Address, e.settings.Secret, session.MethodAnnounce, &request, &reply, announceTimeout)
-	if err != nil {
-		return err
-	}
-	if entry.Boot == "" {
-		// The reply has the entry that the seed stands for under its own name.
-		e.deps.Directory.Remove(entry)
-	}
-	e.deps.Directory.Merge(reply.Peers...)
-	return nil
+	peers := append(e.deps.Directory.WithRole(session.RoleEntry), e.settings.Self)
+	return link.Announce(ctx, entry, e.settings.Secret, peers, e.deps.Directory)
 }
