Adopt a manifest that was written again under its version

The holder now remembers the version of the table at which it read the manifest. A watcher that starts after a fetched manifest, before any read of the table, is given it too.

Filling a poll's reply and the name of a fetch's attempt are tidied.

--- a/dispatcher/manifestfetcher.go
+++ b/dispatcher/manifestfetcher.go
@@ -55,17 +55,18 @@
 // run fetches manifests, one at a time, until ctx ends.
 func (f *manifestFetcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		next, wait := f.next()
-		if next.Sidecar == "" {
+		attempt, wait := f.next()
+		if attempt.Sidecar == "" {
 			f.wait(ctx, wait)
 			continue
 		}
-		if err := f.fetch(ctx, next); err != nil {
-			f.failed(next, err)
+		if err := f.fetch(ctx, attempt); err != nil {
+			f.failed(attempt, err)
 		}
 	}
 }
 
+// next returns the next attempt, or else how long to wait for one.
 func (f *manifestFetcher) next() (manifestsource.Fetch, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -77,7 +78,7 @@
 // version returns the version of the entry's manifest, 0 for none.
 func (f *manifestFetcher) version() int64 {
 	newest := f.dispatcher.deps.Holder.Newest()
-	return newest.Versions().Manifest
+	return newest.ManifestVersion()
 }
 
 // wait waits for the given time, or until a report if that is 0.
@@ -98,26 +99,27 @@
 }
 
 // fetch asks one sidecar for its manifest.
-func (f *manifestFetcher) fetch(ctx context.Context, next manifestsource.Fetch) error {
+func (f *manifestFetcher) fetch(ctx context.Context, attempt manifestsource.Fetch) error {
 	d := f.dispatcher
-	peer, ok := d.deps.Directory.Get(next.Sidecar)
+	peer, ok := d.deps.Directory.Get(attempt.Sidecar)
 	if !ok {
 		return errNoManifest
 	}
 	request := session.ManifestRequest{Known: f.version()}
 	var reply session.ManifestReply
-	err := link.CallOnce(ctx, peer.Address, d.settings.Secret, session.MethodManifest, &request, &reply, next.Timeout)
+	err := link.CallOnce(ctx, peer.Address, d.settings.Secret, session.MethodManifest, &request, &reply, attempt.Timeout)
 	if err != nil {
 		return err
 	}
 	if reply.Manifest == nil || reply.Manifest.Version <= request.Known {
 		return errNoManifest
 	}
-	adopted := d.deps.Holder.Offer(next.Sidecar, manifest.Snapshot{Manifest: reply.Manifest})
+	adopted := d.deps.Holder.Offer(attempt.Sidecar, manifest.Snapshot{Manifest: reply.Manifest})
 	d.meters.manifests.CountReceived(adopted)
 	return nil
 }
 
+// failed records and logs a failed attempt.
 func (f *manifestFetcher) failed(attempt manifestsource.Fetch, err error) {
 	f.mu.Lock()
 	f.planner.Failed(time.Now(), attempt.Sidecar, errors.Is(err, link.ErrTimeout))
--- a/executor/service.go
+++ b/executor/service.go
@@ -201,7 +201,7 @@
 // Manifest returns the sidecar's manifest if the entry's is older. It needs no session.
 func (c *conn) Manifest(request *session.ManifestRequest, reply *session.ManifestReply) error {
 	newest := c.executor.deps.Holder.Newest()
-	if newest.Versions().Manifest <= request.Known {
+	if newest.ManifestVersion() <= request.Known {
 		return nil
 	}
 	reply.Manifest = newest.Manifest
@@ -240,10 +240,7 @@
 		c.lastReply = now
 		c.lastState = reply.State
 		reply.Stamp = session.StampOf(now)
-		newest := e.deps.Holder.Newest()
-		versions := newest.Versions()
-		reply.SnapshotVersion, reply.ManifestVersion = versions.Table, versions.Manifest
-		reply.Zones = e.deps.Holder.ZonesFor(request.SnapshotVersion)
+		e.fillConfiguration(request, reply)
 		reply.Entries = c.changedEntries()
 		if orphans {
 			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.OrphansToQuery(at) })
@@ -254,6 +251,15 @@
 	return false
 }
 
+// fillConfiguration sets the versions of the sidecar's configuration in the reply, and
+// what the entry lacks of it.
+func (e *Executor) fillConfiguration(request *session.PollRequest, reply *session.PollReply) {
+	newest := e.deps.Holder.Newest()
+	reply.SnapshotVersion = newest.Version
+	reply.ManifestVersion = newest.ManifestVersion()
+	reply.Zones = e.deps.Holder.ZonesFor(request.SnapshotVersion)
+}
+
 // changedEntries returns all known entries if the directory has changed since the
 // last reply, and nil otherwise.
 func (c *conn) changedEntries() []session.Peer {
--- a/manifest/holder.go
+++ b/manifest/holder.go
@@ -15,9 +15,12 @@
 	// source from which the change came. It must be set before the first Offer.
 	OnAdopt func(source string, newest Snapshot)
 
-	mu       sync.Mutex
-	newest   Snapshot
-	watchers []chan Snapshot
+	mu     sync.Mutex
+	newest Snapshot
+	// manifestReadAt is the version of the table at which the newest manifest was read,
+	// or 0 if a peer sent it.
+	manifestReadAt int64
+	watchers       []chan Snapshot
 }
 
 // Newest returns the newest snapshot, or the zero value if there was none yet.
@@ -48,8 +51,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed := false
-	if offered.replacesManifest(h.newest) {
+	if h.replacesManifest(offered) {
 		h.newest.Manifest = offered.Manifest
+		h.manifestReadAt = offered.Version
 		changed = true
 	}
 	if offered.Version > h.newest.Version {
@@ -65,6 +69,22 @@
 	return h.newest, changed
 }
 
+// replacesManifest reports whether the offered manifest replaces the stored one. One that
+// was written again under its version replaces what was read earlier. The caller holds
+// the lock.
+func (h *Holder) replacesManifest(offered Snapshot) bool {
+	if offered.Manifest == nil || offered.Manifest == h.newest.Manifest {
+		return false
+	}
+	if h.newest.Manifest == nil {
+		return true
+	}
+	if offered.Manifest.Version == h.newest.Manifest.Version {
+		return offered.Version > h.manifestReadAt
+	}
+	return offered.Manifest.Version > h.newest.Manifest.Version
+}
+
 // Watch returns a channel that buffers the newest snapshot not yet received. Older
 // snapshots that were not received are dropped.
 func (h *Holder) Watch() <-chan Snapshot {
@@ -72,7 +92,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.watchers = append(h.watchers, watcher)
-	if h.newest.Version > 0 {
+	if h.newest.Version > 0 || h.newest.Manifest != nil {
 		watcher <- h.newest
 	}
 	return watcher
--- a/manifest/holder_test.go
+++ b/manifest/holder_test.go
@@ -37,12 +37,38 @@
 			holder.Offer(SourceTable, tc.known)
 			must.EqOp(t, tc.changed, holder.Offer("peer", tc.offered))
 			newest := holder.Newest()
-			must.Eq(t, Versions{Table: tc.table, Manifest: tc.manifest}, newest.Versions())
+			must.EqOp(t, tc.table, newest.Version)
+			must.EqOp(t, tc.manifest, newest.ManifestVersion())
 			must.SliceEqFunc(t, tc.zones, newest.EvacuatedZones, func(a, b string) bool { return a == b })
 		})
 	}
 }
 
+// TestRewrittenManifestIsAdopted checks that a manifest that was written again under its
+// version replaces the one read before, although a peer's zones are newer than both.
+func TestRewrittenManifestIsAdopted(t *testing.T) {
+	holder := &Holder{}
+	holder.Offer(SourceTable, configured(3, 7))
+	holder.OfferZones("peer", Zones{Version: 9})
+	rewritten := configured(5, 7)
+	must.True(t, holder.Offer(SourceTable, rewritten))
+	must.True(t, holder.Newest().Manifest == rewritten.Manifest)
+	must.False(t, holder.Offer("peer", Snapshot{Manifest: &Manifest{Version: 7}}))
+}
+
+// TestWatchDeliversFetchedManifest checks that a watcher that starts after a peer sent a
+// manifest, but before any read of the table, receives it.
+func TestWatchDeliversFetchedManifest(t *testing.T) {
+	holder := &Holder{}
+	holder.Offer("peer", Snapshot{Manifest: &Manifest{Version: 7}})
+	select {
+	case got := <-holder.Watch():
+		must.EqOp(t, 7, got.ManifestVersion())
+	default:
+		t.Fatal("nothing was delivered")
+	}
+}
+
 // TestZonesFor checks that a peer is sent the zones only if its snapshot is older.
 func TestZonesFor(t *testing.T) {
 	holder := &Holder{}
@@ -74,8 +100,8 @@
 			before := receiver.Newest()
 			exchange(sender, receiver)
 			after := receiver.Newest()
-			if after.Versions().Manifest < before.Versions().Manifest || after.Version < before.Version {
-				t.Fatalf("went back from %v to %v", before.Versions(), after.Versions())
+			if after.ManifestVersion() < before.ManifestVersion() || after.Version < before.Version {
+				t.Fatalf("went back from %v to %v", before, after)
 			}
 		}
 		for _, a := range holders {
@@ -91,7 +117,8 @@
 		want := holders[0].Newest()
 		for _, holder := range holders[1:] {
 			got := holder.Newest()
-			must.Eq(t, want.Versions(), got.Versions())
+			must.EqOp(t, want.Version, got.Version)
+			must.EqOp(t, want.ManifestVersion(), got.ManifestVersion())
 			must.SliceEqFunc(t, want.EvacuatedZones, got.EvacuatedZones, func(a, b string) bool { return a == b })
 		}
 	})
--- a/manifest/snapshot.go
+++ b/manifest/snapshot.go
@@ -15,30 +15,12 @@
 	EvacuatedZones []string
 }
 
-// Versions are the versions of the parts of a snapshot; 0 means that there is none.
-type Versions struct{ Table, Manifest int64 }
-
-// Versions returns the versions of the snapshot's parts.
-func (s *Snapshot) Versions() Versions {
-	versions := Versions{Table: s.Version}
-	if s.Manifest != nil {
-		versions.Manifest = s.Manifest.Version
-	}
-	return versions
-}
-
-// replacesManifest reports whether the snapshot's manifest replaces that of the current
-// snapshot. A manifest that was written again under its version replaces the one that
-// was read from the table before.
-func (s *Snapshot) replacesManifest(current Snapshot) bool {
-	if s.Manifest == nil || s.Manifest == current.Manifest {
-		return false
-	}
-	offered, known := s.Versions(), current.Versions()
-	if offered.Manifest == known.Manifest {
-		return offered.Table > known.Table
+// ManifestVersion returns the version of the manifest, or 0 if none is known.
+func (s *Snapshot) ManifestVersion() int64 {
+	if s.Manifest == nil {
+		return 0
 	}
-	return current.Manifest == nil || offered.Manifest > known.Manifest
+	return s.Manifest.Version
 }
 
 // Evacuated reports whether the availability zone gets no new work.
