Fail the manifest tests when a counter can't be read

A process that does not serve its metrics counted as 0 manifests, so that before and after would have agreed.

--- a/instance/manifest_test.go
+++ b/instance/manifest_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/manifest"
 )
 
@@ -28,19 +30,23 @@
 	return prefixes
 }
 
-// counter returns the sum of a counter over its tags at one process.
-func counter(p *process, name string) int {
-	sum := 0
+// counter returns the sum of a counter over its tags at one process. It fails the test if
+// the process does not serve the counter.
+func (s *system) counter(p *process, name string) int {
+	s.t.Helper()
+	sum, found := 0, false
 	lines := bufio.NewScanner(strings.NewReader(scrape(p.status)))
 	for lines.Scan() {
 		series, value, _ := strings.Cut(lines.Text(), " ")
 		if strings.HasPrefix(series, "#") || !strings.Contains(series, name) {
 			continue
 		}
-		count := 0
-		_, _ = fmt.Sscanf(value, "%d", &count)
+		count, err := strconv.Atoi(value)
+		must.NoError(s.t, err)
 		sum += count
+		found = true
 	}
+	must.True(s.t, found, must.Sprintf("%s does not serve %s", p.name, name))
 	return sum
 }
 
@@ -48,7 +54,7 @@
 func (s *system) manifestsSent() int {
 	sent := 0
 	for _, p := range append(s.sidecars, s.entries...) {
-		sent += counter(p, "manifests_sent")
+		sent += s.counter(p, metrics.ManifestsSent)
 	}
 	return sent
 }
@@ -115,7 +121,7 @@
 	s.putManifest(2, prefixes...)
 	s.awaitRoute(behind, prefixes[0])
 	time.Sleep(settle)
-	must.EqOp(t, 1, counter(behind, "manifests_received"))
+	must.EqOp(t, 1, s.counter(behind, metrics.ManifestsReceived))
 }
 
 // TestEvacuationReachesProcessesWithoutTable evacuates a zone while the table refuses one
