Serve all HTTP with net/http, without iris

Cause: after a power loss every process starts at once on 0.12 to 0.24 of a core, and callers wait for it. Of the 24 ms of processor time before main, 18 were the initialization of packages that iris imports (pongo2, bluemonday, goreferrer, its router), in every role of the one binary though only the two APIs of `entry` use it (GODEBUG=inittrace=1).

Change: callerapi and operator use http.ServeMux; common/httproute answers requests without a route in the form of each interface, as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,16 +109,14 @@
 }
 
 func (e *Entry) listenHTTP() error {
-	callers, err := callerapi.New(callerapi.Options{
+	callers := callerapi.New(callerapi.Options{
 		Jobs:         e.forwarder,
 		Authenticate: e.authenticate,
 		Draining:     e.draining.Load,
 		Observe:      e.observe,
 		MaxBodyBytes: e.options.MaxBodyBytes,
 	})
-	if err != nil {
-		return errListen.Wrap(err)
-	}
+	var err error
 	if e.callersServer, err = newHTTPServer(e.options.CallersListen, callers, e.options.CallersTLS); err != nil {
 		return err
 	}
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -1,7 +1,7 @@
 package operator
 
 import (
-	"github.com/kataras/iris/v12"
+	"net/http"
 
 	"github.com/figring/figring/decision/bundle"
 	"github.com/figring/figring/rollout"
@@ -28,12 +28,12 @@
 
 // edit returns an endpoint that applies an emergency edit without sign-off.
 func (a *api) edit(actions editsByAction) endpoint {
-	return func(ctx iris.Context) (response, error) {
-		newEdit, found := actions[ctx.Params().Get("action")]
+	return func(r *http.Request) (response, error) {
+		newEdit, found := actions[r.PathValue("action")]
 		if !found {
 			return response{}, rollout.ErrNotFound
 		}
-		raw, err := readBody(ctx.Request())
+		raw, err := readBody(r)
 		if err != nil {
 			return response{}, err
 		}
@@ -45,8 +45,8 @@
 		if body.Base != nil {
 			base = *body.Base
 		}
-		emergencyEdit := newEdit(ctx.Params().Get("name"))
-		accepted, err := a.options.Editor.Edit(ctx.Request().Context(), operatorOf(ctx.Request()), base, emergencyEdit)
+		emergencyEdit := newEdit(r.PathValue("name"))
+		accepted, err := a.options.Editor.Edit(r.Context(), operatorOf(r), base, emergencyEdit)
 		return ok(accepted), err
 	}
 }
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-
-	"github.com/kataras/iris/v12"
 )
 
 // response is the result of an endpoint that succeeds.
@@ -21,18 +19,18 @@
 
 // endpoint handles a request of one route. Its response counts only when the
 // error is nil.
-type endpoint func(ctx iris.Context) (response, error)
+type endpoint func(r *http.Request) (response, error)
 
 // handle returns a handler that writes the response of an endpoint, or its error
 // as a problem.
-func (a *api) handle(serve endpoint) iris.Handler {
-	return func(ctx iris.Context) {
-		result, err := serve(ctx)
+func handle(serve endpoint) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		result, err := serve(r)
 		if err != nil {
-			problemDetails(err).Write(ctx.ResponseWriter())
+			problemDetails(err).Write(w)
 			return
 		}
-		result.write(ctx.ResponseWriter())
+		result.write(w)
 	}
 }
 
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -4,8 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/kataras/iris/v12"
-
+	"github.com/figring/figring/common/httproute"
 	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/common/problem"
 	"github.com/figring/figring/model"
@@ -24,45 +23,43 @@
 		return nil, err
 	}
 	a := &api{options: options}
-	app := iris.New()
-	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutInterruptHandler, iris.WithoutPathCorrection, iris.WithFireMethodNotAllowed)
-	a.registerRoutes(app)
-	if err := app.Build(); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return a.withAuthAndLimits(app), nil
+	return a.withAuthAndLimits(httproute.Handler(a.routes(), writeUnmatchedRoute)), nil
 }
 
-func (a *api) registerRoutes(app *iris.Application) {
-	app.OnAnyErrorCode(writeUnmatchedRoute)
-	v1 := app.Party("/v1")
-	v1.Get("/status", a.handle(a.status))
-	v1.Get("/bundle", a.handle(a.currentBundle))
-	v1.Get("/bundle/in-force", a.handle(a.inForce))
-	v1.Get("/bundles/history", a.handle(a.history))
-	v1.Get("/bundles", a.handle(a.listProposals))
-	v1.Post("/bundles", a.handle(a.propose))
-	v1.Get("/bundles/{id}", a.handle(a.proposal))
-	v1.Post("/bundles/{id}/sign-off", a.handle(a.signOff))
-	v1.Post("/bundles/{id}/reject", a.handle(a.reject))
-	v1.Post("/bundles/{id}/roll-out", a.handle(a.rollOut))
-	v1.Post("/zones/{name}/{action}", a.handle(a.edit(zoneEdits)))
-	v1.Post("/targets/{name}/{action}", a.handle(a.edit(targetEdits)))
-	v1.Post("/entries/{name}/{action}", a.handle(a.edit(entryEdits)))
-	v1.Put("/callers/{name}", a.handle(a.setCaller))
+// routes returns the endpoints by method and path.
+func (a *api) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	for pattern, serve := range map[string]endpoint{
+		"GET /v1/status":                   a.status,
+		"GET /v1/bundle":                   a.currentBundle,
+		"GET /v1/bundle/in-force":          a.inForce,
+		"GET /v1/bundles/history":          a.history,
+		"GET /v1/bundles":                  a.listProposals,
+		"POST /v1/bundles":                 a.propose,
+		"GET /v1/bundles/{id}":             a.proposal,
+		"POST /v1/bundles/{id}/sign-off":   a.signOff,
+		"POST /v1/bundles/{id}/reject":     a.reject,
+		"POST /v1/bundles/{id}/roll-out":   a.rollOut,
+		"POST /v1/zones/{name}/{action}":   a.edit(zoneEdits),
+		"POST /v1/targets/{name}/{action}": a.edit(targetEdits),
+		"POST /v1/entries/{name}/{action}": a.edit(entryEdits),
+		"PUT /v1/callers/{name}":           a.setCaller,
+	} {
+		mux.Handle(pattern, handle(serve))
+	}
+	return mux
 }
 
 // writeUnmatchedRoute writes a problem for a request that matches no route, or a
 // route only with another method.
-func writeUnmatchedRoute(ctx iris.Context) {
+func writeUnmatchedRoute(w http.ResponseWriter, r *http.Request, status int) {
 	code := model.CodeNotFound
-	if ctx.GetStatusCode() == http.StatusMethodNotAllowed {
+	if status == http.StatusMethodNotAllowed {
 		code = model.CodeInvalid
 	}
-	details := problem.From(model.NewRefusal(code, 0, "%s %s isn't part of this interface", ctx.Method(), ctx.Path()))
-	details.Status = ctx.GetStatusCode()
-	details.Write(ctx.ResponseWriter())
+	details := problem.From(model.NewRefusal(code, 0, "%s %s isn't part of this interface", r.Method, r.URL.Path))
+	details.Status = status
+	details.Write(w)
 }
 
 // withAuthAndLimits rejects requests without the token of an operator and limits
--- a/operator/read.go
+++ b/operator/read.go
@@ -1,10 +1,9 @@
 package operator
 
 import (
+	"net/http"
 	"strconv"
 
-	"github.com/kataras/iris/v12"
-
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/rollout"
 )
@@ -25,14 +24,14 @@
 	InForce bool  `json:"inForce"`
 }
 
-func (a *api) status(ctx iris.Context) (response, error) {
-	return ok(a.options.Status(ctx.Request().Context())), nil
+func (a *api) status(r *http.Request) (response, error) {
+	return ok(a.options.Status(r.Context())), nil
 }
 
-func (a *api) currentBundle(ctx iris.Context) (response, error) {
+func (a *api) currentBundle(r *http.Request) (response, error) {
 	view := a.options.Watcher.View()
 	freshFor := view.FreshUntil.Sub(a.options.Now())
-	inForce, err := a.options.InForce(ctx.Request().Context(), view.Bundle.Version)
+	inForce, err := a.options.InForce(r.Context(), view.Bundle.Version)
 	if err != nil {
 		return response{}, err
 	}
@@ -44,50 +43,50 @@
 	}), nil
 }
 
-func (a *api) inForce(ctx iris.Context) (response, error) {
-	version, err := intQueryParam(ctx, "version", -1)
+func (a *api) inForce(r *http.Request) (response, error) {
+	version, err := intQueryParam(r, "version", -1)
 	if err != nil {
 		return response{}, err
 	}
 	if version < 0 {
 		return response{}, invalidRequest("version: want a number of at least 0")
 	}
-	inForce, err := a.options.InForce(ctx.Request().Context(), version)
+	inForce, err := a.options.InForce(r.Context(), version)
 	return ok(inForceResponse{Version: version, InForce: inForce}), err
 }
 
-func (a *api) history(ctx iris.Context) (response, error) {
-	from, err := intQueryParam(ctx, "from", 0)
+func (a *api) history(r *http.Request) (response, error) {
+	from, err := intQueryParam(r, "from", 0)
 	if err != nil {
 		return response{}, err
 	}
-	limit, err := intQueryParam(ctx, "limit", rollout.MaxPageSize)
+	limit, err := intQueryParam(r, "limit", rollout.MaxPageSize)
 	if err != nil {
 		return response{}, err
 	}
-	entries, err := a.options.Editor.History(ctx.Request().Context(), from, clampLimit(limit))
+	entries, err := a.options.Editor.History(r.Context(), from, clampLimit(limit))
 	return ok(entries), err
 }
 
-func (a *api) listProposals(ctx iris.Context) (response, error) {
-	limit, err := intQueryParam(ctx, "limit", rollout.MaxPageSize)
+func (a *api) listProposals(r *http.Request) (response, error) {
+	limit, err := intQueryParam(r, "limit", rollout.MaxPageSize)
 	if err != nil {
 		return response{}, err
 	}
-	from := ctx.Request().URL.Query().Get("from")
-	proposals, err := a.options.Editor.ListProposals(ctx.Request().Context(), from, clampLimit(limit))
+	from := r.URL.Query().Get("from")
+	proposals, err := a.options.Editor.ListProposals(r.Context(), from, clampLimit(limit))
 	return ok(proposals), err
 }
 
-func (a *api) proposal(ctx iris.Context) (response, error) {
-	found, err := a.options.Editor.Proposal(ctx.Request().Context(), ctx.Params().Get("id"))
+func (a *api) proposal(r *http.Request) (response, error) {
+	found, err := a.options.Editor.Proposal(r.Context(), r.PathValue("id"))
 	return ok(found), err
 }
 
 // intQueryParam returns a query parameter as a non-negative integer, or fallback
 // if the parameter is missing.
-func intQueryParam(ctx iris.Context, name string, fallback int64) (int64, error) {
-	text := ctx.Request().URL.Query().Get(name)
+func intQueryParam(r *http.Request, name string, fallback int64) (int64, error) {
+	text := r.URL.Query().Get(name)
 	if text == "" {
 		return fallback, nil
 	}
