Rank an entry for a sidecar without sorting all entries

Cause: an entry asks for every known sidecar whether it is in its subset, each time the directory changes. InSubset sorted all entries and hashed two of them for each comparison.

--- a/decision/subset/rank.go
+++ b/decision/subset/rank.go
@@ -54,15 +54,39 @@
 
 // sortByHash sorts the entries by their rendezvous hash for the sidecar.
 func sortByHash(sidecar string, entries []session.Peer) {
-	slices.SortFunc(entries, func(a, b session.Peer) int {
-		return rendezvous.Compare(sidecar, a.Name, b.Name)
-	})
+	rendezvous.Sort(sidecar, entries, func(entry session.Peer) string { return entry.Name })
 }
 
 // InSubset reports whether the entry is among the Fleet.EntriesPerSidecar entries that
-// the sidecar ranks highest.
+// the sidecar ranks highest. It does not sort, because an entry asks it for every
+// sidecar of a fleet whenever the fleet changes.
 func InSubset(entry string, sidecar session.Peer, fleet Fleet) bool {
-	ranked := Rank(sidecar, fleet.Entries)
-	ranked = ranked[:min(len(ranked), fleet.EntriesPerSidecar())]
-	return slices.ContainsFunc(ranked, func(peer session.Peer) bool { return peer.Name == entry })
+	asked := slices.IndexFunc(fleet.Entries, func(peer session.Peer) bool { return peer.Name == entry })
+	if asked < 0 {
+		return false
+	}
+	sameZone := fleet.Entries[asked].Zone == sidecar.Zone
+	rank := rendezvous.RankOf(sidecar.Name, entry)
+	// before counts the entries of the same group, own zone or other zones, that rank
+	// higher, and others the entries of the other group.
+	before, others := 0, 0
+	for _, peer := range fleet.Entries {
+		switch {
+		case (peer.Zone == sidecar.Zone) != sameZone:
+			others++
+		case rendezvous.RankOf(sidecar.Name, peer.Name).Compare(rank) < 0:
+			before++
+		}
+	}
+	return positionInRank(sameZone, before, others) < fleet.EntriesPerSidecar()
+}
+
+// positionInRank returns the index in Rank of an entry that follows before entries of
+// its own group, while the other group has others entries. The groups alternate, the own
+// zone first.
+func positionInRank(sameZone bool, before, others int) int {
+	if sameZone {
+		return before + min(before, others)
+	}
+	return before + min(before+1, others)
 }
--- a/decision/subset/subset_test.go
+++ b/decision/subset/subset_test.go
@@ -123,3 +123,33 @@
 		must.Len(t, 20, PlanSessions(sidecar, newFleet(entries, 4), never, never).Invite)
 	}
 }
+
+// TestInSubsetMatchesRank checks InSubset against the prefix of Rank in drawn fleets.
+func TestInSubsetMatchesRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := newPeers("entry", rapid.IntRange(0, 30).Draw(t, "entries"))
+		sidecar := session.Peer{Name: "side", Zone: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")}
+		fleet := newFleet(entries, rapid.IntRange(0, 300).Draw(t, "sidecars"))
+		ranked := Rank(sidecar, entries)
+		for i, entry := range ranked {
+			if got, want := InSubset(entry.Name, sidecar, fleet), i < fleet.EntriesPerSidecar(); got != want {
+				t.Fatalf("InSubset(%s) is %t at position %d", entry.Name, got, i)
+			}
+		}
+		if InSubset("unknown", sidecar, fleet) {
+			t.Fatal("an unknown entry is in the subset")
+		}
+	})
+}
+
+// BenchmarkInSubset asks for every sidecar of a fleet of 295 processes whether it is one
+// of an entry's.
+func BenchmarkInSubset(b *testing.B) {
+	entries, sidecars := newPeers("entry", 55), newPeers("side", 240)
+	fleet := newFleet(entries, len(sidecars))
+	for b.Loop() {
+		for _, sidecar := range sidecars {
+			InSubset(entries[0].Name, sidecar, fleet)
+		}
+	}
+}
