Let an entry meet its sidecars before it refuses or queues

Cause: an entry that had just started called itself ready with its first sidecar. Jobs that came then found that sidecar full and were refused as overload, or were all queued there, while the other sidecars were connecting and idle.

Change: decision/heldjob knows how many sidecars the entry should have, and that it is settling until they accept tasks, until no new one has for 250 ms, or for 2 s. Meanwhile a job without room waits as long as its slack allows, the most urgent first, and then queues; and the entry is not ready. Passes over all sidecars are at least 10 ms apart, so that changes share one.

--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -43,6 +43,12 @@
 	// warmupTime is how long after its start an entry may still be discovering its
 	// sidecars.
 	warmupTime = 2 * time.Second
+	// settleQuiet is the time without a new session after which the sidecars that are
+	// still missing are taken to be gone.
+	settleQuiet = 250 * time.Millisecond
+	// settleReserve is the part of its slack that a job does not spend on waiting for
+	// sidecars that are still connecting, but keeps for waiting at one that is.
+	settleReserve = 30 * time.Millisecond
 	// maxStoredJobs bounds the stored jobs of one entry that are queued or being
 	// created.
 	maxStoredJobs = 20_000
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -38,6 +38,10 @@
 	// warmupUntil is when all live sidecars should have been discovered. A job for
 	// which there is no sidecar before that time waits.
 	warmupUntil time.Time
+	// expectedSidecars is the number of sidecars that the entry should have sessions
+	// with, and targetAddedAt when a sidecar last began to accept tasks.
+	expectedSidecars int
+	targetAddedAt    time.Time
 
 	actions   []Action
 	decisions []Decision
@@ -237,6 +241,9 @@
 	if !ok || !sidecar.connected {
 		return
 	}
+	if state.Accepting && !sidecar.candidate.State.Accepting {
+		c.targetAddedAt = now
+	}
 	sidecar.candidate.Update(state, now)
 }
 
@@ -246,13 +253,11 @@
 	c.freeLostTasks(now)
 	c.tickStored(now)
 	for _, job := range c.jobs {
-		if job.stored != nil {
-			continue
-		}
-		if now.After(job.answerDeadline) {
+		if job.stored == nil && now.After(job.answerDeadline) {
 			c.giveUp(job, ReasonDeadline)
-			continue
 		}
+	}
+	for _, job := range c.unplacedJobs() {
 		c.place(now, job)
 	}
 }
--- a/decision/heldjob/overload_test.go
+++ b/decision/heldjob/overload_test.go
@@ -63,9 +63,12 @@
 	late      map[string]int
 	due       map[uint64]time.Time
 	waiter    uint64
+	// onStep, if set, is called before each step.
+	onStep func()
 }
 
-func newLoadFleet(classes []loadClass) *loadFleet {
+// newLoadFleet returns a fleet with the given number of minions.
+func newLoadFleet(classes []loadClass, minions int) *loadFleet {
 	f := &loadFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), minions: make(map[string]*loadMinion),
 		lengths: make(map[work.JobID]time.Duration), class: make(map[uint64]string), due: make(map[uint64]time.Time),
@@ -80,7 +83,7 @@
 		})
 	}
 	f.core.SetSnapshot(manifest.Snapshot{Version: 1, Manifest: rules})
-	for i := range loadMinions {
+	for i := range minions {
 		f.addMinion(fmt.Sprintf("s%d", i))
 	}
 	return f
@@ -120,6 +123,9 @@
 // step advances the time by loadStep and handles the ends of runs, new starts and
 // answers.
 func (f *loadFleet) step() {
+	if f.onStep != nil {
+		f.onStep()
+	}
 	f.now = f.now.Add(loadStep)
 	for _, name := range f.names {
 		minion := f.minions[name]
@@ -204,9 +210,9 @@
 	}
 }
 
-// run submits jobs of the classes as Poisson processes for loadLength.
-func (f *loadFleet) run(classes []loadClass) {
-	end := f.now.Add(loadLength)
+// run submits jobs of the classes as Poisson processes for the given time.
+func (f *loadFleet) run(classes []loadClass, length time.Duration) {
+	end := f.now.Add(length)
 	next := make([]time.Time, len(classes))
 	for f.now.Before(end) {
 		for i, class := range classes {
@@ -223,6 +229,13 @@
 	}
 }
 
+// drain lets time pass without new jobs.
+func (f *loadFleet) drain(length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); {
+		f.step()
+	}
+}
+
 // share returns the fraction of the submitted jobs of a class that completed in time.
 func (f *loadFleet) share(class string) float64 {
 	return float64(f.served[class]) / float64(f.submitted[class])
@@ -237,8 +250,8 @@
 		{prefix: "/urgent/", priority: 0, width: 8, length: 60 * time.Millisecond, everyMillis: 45},
 		{prefix: "/other/", priority: 1, width: 2, length: 200 * time.Millisecond, everyMillis: 9},
 	}
-	f := newLoadFleet(classes)
-	f.run(classes)
+	f := newLoadFleet(classes, loadMinions)
+	f.run(classes, loadLength)
 	for _, class := range classes {
 		t.Logf("%s %.3f of %d served, %d late", class.prefix, f.share(class.prefix), f.submitted[class.prefix], f.late[class.prefix])
 		must.GreaterEq(t, 0.9, f.share(class.prefix))
@@ -251,8 +264,8 @@
 // at least 70 % of the jobs complete in time, and fewer than 2 % complete late.
 func TestOverloadWithOnePriority(t *testing.T) {
 	classes := []loadClass{{prefix: "/even/", width: 4, length: 150 * time.Millisecond, everyMillis: 8}}
-	f := newLoadFleet(classes)
-	f.run(classes)
+	f := newLoadFleet(classes, loadMinions)
+	f.run(classes, loadLength)
 	t.Logf("%.3f of %d served, %d late", f.share("/even/"), f.submitted["/even/"], f.late["/even/"])
 	must.GreaterEq(t, 0.7, f.share("/even/"))
 	must.Less(t, f.submitted["/even/"]/50, f.late["/even/"])
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -39,10 +39,7 @@
 // plan is undone.
 func (c *Core) plan(now time.Time, job *job) plan {
 	planned := plan{complete: true, chosenSidecars: make(map[string]bool), waitFactor: c.waitFactor(job)}
-	limit := max(job.slack(now), 0)
-	if job.mayHaveRun {
-		limit = max(limit, job.answerDeadline.Sub(now)-job.estimatedRun())
-	}
+	limit := c.planLimit(now, job)
 	numbers := make(map[*sidecar]uint64)
 	for _, task := range job.tasks {
 		if task.phase != phaseUnplaced {
@@ -215,7 +212,7 @@
 		c.undoChoices(planned)
 		planned.reason = ReasonOverload
 	}
-	if !job.mayHaveRun && c.nothingPlaced(job) && !c.mayWaitForSidecars(now, job, planned) {
+	if !job.mayHaveRun && c.nothingPlaced(job) && !c.waitsForSettling(now, job) {
 		c.end(job, Answer{Outcome: Refused, Reason: planned.reason, RetryAfter: max(minRetryAfter, planned.wait)})
 	}
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -141,7 +141,7 @@
 		return
 	}
 	plan := c.plan(now, job)
-	if !plan.complete && !c.mayWaitForSidecars(now, job, plan) {
+	if !plan.complete && !c.waitsForSettling(now, job) {
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
 		c.refuse(submission, job.route.Name, answer, plan.wait)
 		return
@@ -153,13 +153,6 @@
 	}
 }
 
-// mayWaitForSidecars reports whether a job for which there is no sidecar may still
-// find one in time, because the entry has just started and has not discovered its
-// sidecars yet.
-func (c *Core) mayWaitForSidecars(now time.Time, job *job, plan plan) bool {
-	return plan.reason == ReasonNoTargets && c.Targets() == 0 && now.Before(c.warmupUntil) && job.slack(now) > 0
-}
-
 func (c *Core) refuse(submission *Submission, route string, answer Answer, wait time.Duration) {
 	c.emit(Reply{Waiter: submission.Waiter, Answer: answer, Route: route})
 	c.recordDecision(Decision{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -55,6 +56,9 @@
 	// DiscoverPeers adds all processes that are registered in the table to
 	// Directory.
 	DiscoverPeers func(ctx context.Context) error
+	// PeersDiscovered reports whether the processes that are registered in the table
+	// have been read. It becomes true before they are added to Directory.
+	PeersDiscovered func() bool
 	// StoreUnavailable reports whether the platform's table is known to be
 	// unavailable.
 	StoreUnavailable func() bool
@@ -73,6 +77,11 @@
 	// releasing is true once the entry starts no more tasks of stored jobs.
 	releasing atomic.Bool
 	targets   atomic.Int64
+	// settled is true once the entry has met its sidecars after its start.
+	settled atomic.Bool
+	// expectedSidecars is the number of sidecars that the entry should have sessions
+	// with, or math.MaxInt64 until it has discovered its peers.
+	expectedSidecars atomic.Int64
 	// sidecars is the number of sidecars that are known.
 	sidecars   atomic.Int64
 	lastWaiter atomic.Uint64
@@ -103,6 +112,7 @@
 		answers:  make(map[uint64]chan heldjob.Reply),
 		links:    newLinks(),
 	}
+	d.expectedSidecars.Store(math.MaxInt64)
 	d.loop = serial.New(loopQueueSize, tickInterval, d.core.Tick, d.applyActions)
 	listener, err := link.Listen(settings.Listen, settings.Secret, session.EntryService, d.accept)
 	if err != nil {
@@ -140,9 +150,11 @@
 	d.deps.Log.Failure(eventlog.KindStop).Str(eventlog.FieldReason, "drain").Msg("")
 }
 
-// Ready reports whether the load balancer should send callers to this entry.
+// Ready reports whether the load balancer should send callers to this entry. An entry
+// that has just started is not ready until it has met its sidecars: before that, it would
+// refuse or delay jobs for which other entries know of capacity.
 func (d *Dispatcher) Ready() bool {
-	return !d.leaving.Load() && d.deps.Holder.Newest().Manifest != nil && d.targets.Load() > 0
+	return !d.leaving.Load() && d.deps.Holder.Newest().Manifest != nil && d.targets.Load() > 0 && d.settled.Load()
 }
 
 // Open returns the number of jobs without an answer, plus the number of stored
@@ -187,12 +199,22 @@
 		}
 	}
 	d.core.SetStoreUnavailable(d.deps.StoreUnavailable())
+	d.updateSettled(now)
 	targets := d.core.Targets()
 	d.targets.Store(int64(targets))
 	d.meters.targets.Update(float64(targets))
 	d.logDecisions()
 }
 
+// updateSettled sets settled once the core has settled. It must be called from the loop.
+func (d *Dispatcher) updateSettled(now time.Time) {
+	if d.settled.Load() {
+		return
+	}
+	d.core.SetExpectedSidecars(int(d.expectedSidecars.Load()))
+	d.settled.Store(!d.core.Settling(now))
+}
+
 func (d *Dispatcher) applyAction(now time.Time, action heldjob.Action) {
 	switch action := action.(type) {
 	case heldjob.Reply:
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/subset"
 	"github.com/figring/figring/session"
 )
@@ -23,6 +24,8 @@
 	// forgetAfter is how long a sidecar may be unreachable before it is removed
 	// from the directory; a sidecar that is alive announces itself again.
 	forgetAfter = time.Minute
+	// linkPassInterval is the least time between two passes over all sidecars.
+	linkPassInterval = 10 * time.Millisecond
 	// dismissedFor is how long the entry opens no session with a sidecar that has
 	// enough other entries, unless the sidecar asks for one.
 	dismissedFor = time.Minute
@@ -89,6 +92,13 @@
 	return l.open[sidecar]
 }
 
+// count returns the number of sidecars with which the entry should have sessions.
+func (l *links) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 func (l *links) remove(sidecar string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -101,18 +111,25 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for {
+		discovered := d.deps.PeersDiscovered()
 		sidecars := d.deps.Directory.WithRole(session.RoleSidecar)
 		d.sidecars.Store(int64(len(sidecars)))
 		fleet := subset.Fleet{Entries: d.entries(), Sidecars: len(sidecars), SidecarsPerEntry: d.settings.SidecarsPerEntry}
 		for _, peer := range sidecars {
 			d.ensureLink(ctx, peer, fleet, &wait)
 		}
+		if discovered {
+			d.expectedSidecars.Store(int64(d.links.count()))
+		}
 		select {
 		case <-d.deps.Directory.Changed():
 		case <-d.links.invitations:
 		case <-ctx.Done():
 			return
 		}
+		// The changes of a fleet that starts as a whole share a pass. The loop's select
+		// handles the end of ctx.
+		_ = pause.For(ctx, linkPassInterval)
 	}
 }
 
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -91,6 +91,7 @@
 		Jobs:             jobstore.New(func(partition int) store.Table { return common.table.Part(jobsTable, partitionName(partition)) }),
 		Owners:           jobstore.NewOwnerTable(common.table.Part(ownersTable, "")),
 		DiscoverPeers:    common.discoverPeers,
+		PeersDiscovered:  common.peersDiscovered.Load,
 		StoreUnavailable: common.storeUnavailable.Load,
 	})
 }
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -32,6 +32,8 @@
 	table            *rows.Client
 	status           net.Listener
 	storeUnavailable atomic.Bool
+	// peersDiscovered is true once the process has read which processes are registered.
+	peersDiscovered atomic.Bool
 	// storeReadAt is when the table was last read, and snapshotAt when the current
 	// manifest snapshot was applied, both in Unix nanoseconds. 0 means never.
 	storeReadAt, snapshotAt atomic.Int64
@@ -169,8 +171,13 @@
 // directory.
 func (s *shared) discoverPeers(ctx context.Context) error {
 	peers, err := rows.NewMembers(s.table).List(ctx)
+	if err != nil {
+		return err
+	}
+	// Whoever is woken by the change of the directory then finds that it is complete.
+	s.peersDiscovered.Store(true)
 	s.directory.Merge(peers...)
-	return err
+	return nil
 }
 
 // retry calls try, each time with the timeout, until it succeeds or ctx ends.
