Tell peers only what they lack when a fleet starts

Cause: at the start of 295 processes the bytes and calls about who is there grew with the square of the fleet. Each sidecar asked the three seeds for a session, so that these opened 240; each entry announced itself to the 54 others at once and was sent all 295 peers by each; each change of a sidecar's directory sent all entries to each of its entries.

Change: seeds are asked only until the table has been read, and for no session; a process that has read the table is sent no peers; an entry announces itself to one other each 100 ms; a reply to a poll has the entries that changed since the last reply. Older builds see a request as before: the two new fields mean "send all" and "open a session" when they are missing.

--- a/dispatcher/announcer.go
+++ b/dispatcher/announcer.go
@@ -10,37 +10,67 @@
 )
 
 const (
-	// announceInterval is the interval at which an entry announces itself to the
-	// entries that have not received an announcement yet.
-	announceInterval = 500 * time.Millisecond
+	// announceInterval is the interval between two announcements of an entry. In a large
+	// fleet that starts as a whole, announcements at once would keep each entry busy with
+	// those of all others.
+	announceInterval = 100 * time.Millisecond
+	// announceRetry is the time after which a failed announcement is repeated.
+	announceRetry = 500 * time.Millisecond
 	// maxAnnounceTries bounds the announcements to one incarnation of an entry.
 	// Other entries also discover this one through the table or through sidecars.
 	maxAnnounceTries = 8
 )
 
-// announce announces this entry to each other entry once, and merges the peers
-// that the other entry knows into the directory.
+// announcer announces the entry to each other entry once.
+type announcer struct {
+	dispatcher *Dispatcher
+	// tries has the number of announcements, and nextTry when the next one is due, by
+	// name and incarnation of the other entry.
+	tries   map[string]int
+	nextTry map[string]time.Time
+}
+
+// announce announces this entry to the others, one at a time, until ctx ends.
 func (d *Dispatcher) announce(ctx context.Context) {
-	tries := make(map[string]int)
+	a := &announcer{dispatcher: d, tries: make(map[string]int), nextTry: make(map[string]time.Time)}
 	for ctx.Err() == nil {
-		for _, entry := range append(d.deps.Directory.WithRole(session.RoleEntry), d.deps.Directory.Seeds()...) {
-			key := entry.Name + entry.Boot
-			if entry.Name == d.settings.Self.Name || tries[key] >= maxAnnounceTries {
-				continue
-			}
-			tries[key]++
-			if d.announceTo(ctx, entry) {
-				tries[key] = maxAnnounceTries
-			}
+		if entry, ok := a.next(time.Now()); ok {
+			a.announceTo(ctx, entry)
 		}
+		// For fails only when ctx ends, which the loop condition checks.
 		_ = pause.For(ctx, announceInterval)
 	}
 }
 
-// announceTo sends one announcement and reports whether it succeeded. A failure
-// is not logged: the other entry is no dependency of this one, and the sidecars
-// announce this one to it as well.
-func (d *Dispatcher) announceTo(ctx context.Context, entry session.Peer) bool {
-	self := []session.Peer{d.settings.Self}
-	return link.Announce(ctx, entry, d.settings.Secret, self, d.deps.Directory) == nil
+// next returns an entry to which an announcement is due. Seeds are asked for the peers
+// that they know as long as the entry has not read them from the table.
+func (a *announcer) next(now time.Time) (session.Peer, bool) {
+	d := a.dispatcher
+	targets := d.deps.Directory.WithRole(session.RoleEntry)
+	if !d.deps.PeersDiscovered() {
+		targets = append(d.deps.Directory.Seeds(), targets...)
+	}
+	for _, entry := range targets {
+		key := entry.Name + entry.Boot
+		if entry.Name != d.settings.Self.Name && a.tries[key] < maxAnnounceTries && !now.Before(a.nextTry[key]) {
+			return entry, true
+		}
+	}
+	return session.Peer{}, false
+}
+
+// announceTo sends one announcement. A failure is not logged: the other entry is no
+// dependency of this one, and the sidecars announce this one to it as well.
+func (a *announcer) announceTo(ctx context.Context, entry session.Peer) {
+	d := a.dispatcher
+	key := entry.Name + entry.Boot
+	a.tries[key]++
+	a.nextTry[key] = time.Now().Add(announceRetry)
+	request := session.AnnounceRequest{
+		Peers:      []session.Peer{d.settings.Self},
+		Discovered: d.deps.PeersDiscovered(),
+	}
+	if link.Announce(ctx, entry, d.settings.Secret, &request, d.deps.Directory) == nil {
+		a.tries[key] = maxAnnounceTries
+	}
 }
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -34,22 +34,28 @@
 }
 
 // Announce adds the sent peers to the directory and returns those that this entry
-// knows. A sidecar that is among the sent peers asks for a session. It is sent only the
-// entries, because it uses no other sidecars and there may be many.
+// knows, unless the sender has discovered them. A sidecar that is among the sent peers
+// asks for a session. It is sent only the entries, because it uses no other sidecars and
+// there may be many.
 func (s *service) Announce(request *session.AnnounceRequest, reply *session.AnnounceReply) error {
 	directory := s.dispatcher.deps.Directory
 	directory.Merge(request.Peers...)
 	fromSidecar := false
 	for _, peer := range request.Peers {
-		if peer.Role == session.RoleSidecar {
-			fromSidecar = true
+		if peer.Role != session.RoleSidecar {
+			continue
+		}
+		fromSidecar = true
+		if !request.NoSession {
 			s.dispatcher.links.invite(peer.Name)
 		}
 	}
-	if fromSidecar {
+	switch {
+	case request.Discovered:
+	case fromSidecar:
 		reply.Peers = directory.WithRole(session.RoleEntry)
-		return nil
+	default:
+		reply.Peers = directory.All()
 	}
-	reply.Peers = directory.All()
 	return nil
 }
--- a/executor/announcer.go
+++ b/executor/announcer.go
@@ -55,14 +55,12 @@
 		SidecarsPerEntry: e.settings.SidecarsPerEntry,
 	}
 	plan := subset.PlanSessions(e.settings.Self, fleet, a.connected, a.backingOff)
-	for _, seed := range e.deps.Directory.Seeds() {
-		if !a.backingOff(seed.Name) {
-			plan.Invite = append(plan.Invite, seed)
-		}
-	}
 	for _, entry := range plan.Invite {
 		a.invite(ctx, entry)
 	}
+	if !e.deps.PeersDiscovered() {
+		a.askSeeds(ctx)
+	}
 	if time.Now().After(a.dismissFrom) {
 		e.setDismissed(plan.Dismiss)
 	}
@@ -79,20 +77,34 @@
 
 func (a *announcer) backingOff(entry string) bool { return time.Now().Before(a.nextAttempt[entry]) }
 
-// invite sends one announcement, on which the entry opens a session. A failure
-// is counted but not logged: the log line of the session shows the success.
+// invite asks an entry to open a session. As long as the sidecar has not read the table,
+// it also exchanges the entries that both know.
 func (a *announcer) invite(ctx context.Context, entry session.Peer) {
+	e := a.executor
+	request := &session.AnnounceRequest{Peers: []session.Peer{e.settings.Self}, Discovered: e.deps.PeersDiscovered()}
+	if !request.Discovered {
+		request.Peers = append(request.Peers, e.deps.Directory.WithRole(session.RoleEntry)...)
+	}
+	a.send(ctx, entry, request)
+}
+
+// askSeeds asks the seeds which entries there are. It asks for no session: all sidecars
+// know the same few seeds.
+func (a *announcer) askSeeds(ctx context.Context) {
+	for _, seed := range a.executor.deps.Directory.Seeds() {
+		if !a.backingOff(seed.Name) {
+			a.send(ctx, seed, &session.AnnounceRequest{Peers: []session.Peer{a.executor.settings.Self}, NoSession: true})
+		}
+	}
+}
+
+// send sends one announcement. A failure is counted but not logged: the log line of the
+// session shows the success.
+func (a *announcer) send(ctx context.Context, entry session.Peer, request *session.AnnounceRequest) {
 	a.backoffs[entry.Name] = min(max(a.backoffs[entry.Name]*2, announceInterval), maxAnnounceBackoff)
 	a.nextAttempt[entry.Name] = time.Now().Add(a.backoffs[entry.Name])
 	e := a.executor
-	if err := e.announceTo(ctx, entry); err != nil {
+	if err := link.Announce(ctx, entry, e.settings.Secret, request, e.deps.Directory); err != nil {
 		e.meters.announceFailed.Inc(1)
 	}
 }
-
-// announceTo sends an entry the sidecar's own address and the entries that the
-// sidecar knows, and merges the peers that the entry knows into the directory.
-func (e *Executor) announceTo(ctx context.Context, entry session.Peer) error {
-	peers := append(e.deps.Directory.WithRole(session.RoleEntry), e.settings.Self)
-	return link.Announce(ctx, entry, e.settings.Secret, peers, e.deps.Directory)
-}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -51,6 +51,9 @@
 	Directory *directory.Directory
 	Log       *eventlog.Log
 	Scope     tally.Scope
+	// PeersDiscovered reports whether the processes that are registered in the table
+	// have been read.
+	PeersDiscovered func() bool
 }
 
 // Executor runs the sidecar role of one process.
--- a/executor/service.go
+++ b/executor/service.go
@@ -260,16 +260,12 @@
 	reply.Zones = e.deps.Holder.ZonesFor(request.SnapshotVersion)
 }
 
-// changedEntries returns all known entries if the directory has changed since the
-// last reply, and nil otherwise.
+// changedEntries returns the entries that the sidecar has met, or met in a newer
+// incarnation, since the last reply.
 func (c *conn) changedEntries() []session.Peer {
-	directory := c.executor.deps.Directory
-	version := directory.Version()
-	if version == c.sentVersion {
-		return nil
-	}
+	changed, version := c.executor.deps.Directory.ChangedSince(c.sentVersion, session.RoleEntry)
 	c.sentVersion = version
-	return directory.WithRole(session.RoleEntry)
+	return changed
 }
 
 // stateChanged reports whether the state differs from the last one sent in a
--- a/instance/executor.go
+++ b/instance/executor.go
@@ -36,6 +36,8 @@
 		Directory: common.directory,
 		Log:       common.log,
 		Scope:     common.metrics.Scope,
+
+		PeersDiscovered: common.peersDiscovered.Load,
 	})
 	if err != nil {
 		return err
--- a/session/directory/directory.go
+++ b/session/directory/directory.go
@@ -13,15 +13,23 @@
 
 // Directory is a set of peers by name. It is safe for concurrent use.
 type Directory struct {
-	mu      sync.Mutex
-	peers   map[string]session.Peer
-	version uint64
-	changed chan struct{}
+	mu    sync.Mutex
+	peers map[string]session.Peer
+	// sorted are the peers by name, or nil after a change until it is needed again.
+	sorted []session.Peer
+	// changedAt has the version with which each peer was added or replaced.
+	changedAt map[string]uint64
+	version   uint64
+	changed   chan struct{}
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{peers: make(map[string]session.Peer), changed: make(chan struct{}, 1)}
+	return &Directory{
+		peers:     make(map[string]session.Peer),
+		changedAt: make(map[string]uint64),
+		changed:   make(chan struct{}, 1),
+	}
 }
 
 // AddSeed adds an address at which an entry may be reached. The seed stays until
@@ -29,13 +37,12 @@
 func (d *Directory) AddSeed(name, address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers[name] = session.Peer{Name: name, Role: session.RoleEntry, Address: address}
-	d.notify()
+	d.set(session.Peer{Name: name, Role: session.RoleEntry, Address: address})
 }
 
 // Seeds returns the seeds that were added and not removed.
 func (d *Directory) Seeds() []session.Peer {
-	return d.where(func(peer session.Peer) bool { return peer.Boot == "" })
+	return d.lockedWhere(func(peer session.Peer) bool { return peer.Boot == "" })
 }
 
 // Merge adds the peers that are unknown, and replaces those that are known with
@@ -48,17 +55,24 @@
 		if peer.Name == "" || peer.Address == "" || peer.Boot == "" || (ok && known.Boot >= peer.Boot) {
 			continue
 		}
-		d.peers[peer.Name] = peer
-		d.notify()
+		d.set(peer)
 	}
 }
 
+// set adds or replaces a peer. The caller holds the lock.
+func (d *Directory) set(peer session.Peer) {
+	d.peers[peer.Name] = peer
+	d.notify()
+	d.changedAt[peer.Name] = d.version
+}
+
 // Remove removes a peer, unless another incarnation of it is known by now.
 func (d *Directory) Remove(peer session.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.peers[peer.Name].Boot == peer.Boot {
 		delete(d.peers, peer.Name)
+		delete(d.changedAt, peer.Name)
 		d.notify()
 	}
 }
@@ -66,17 +80,25 @@
 // notify increases the version and signals Changed. The caller holds the lock.
 func (d *Directory) notify() {
 	d.version++
+	d.sorted = nil
 	select {
 	case d.changed <- struct{}{}:
 	default:
 	}
 }
 
-// Version returns a number that increases with each change.
-func (d *Directory) Version() uint64 {
+// ChangedSince returns the peers with the role that were added or replaced after the
+// version, and the current version. Version 0 is before the first change.
+func (d *Directory) ChangedSince(version uint64, role session.Role) ([]session.Peer, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.version
+	if version == d.version {
+		return nil, version
+	}
+	changed := d.where(func(peer session.Peer) bool {
+		return peer.Boot != "" && peer.Role == role && d.changedAt[peer.Name] > version
+	})
+	return changed, d.version
 }
 
 // Changed returns a channel that receives a value after a change. Changes that
@@ -85,22 +107,32 @@
 
 // All returns all peers except the seeds, ordered by name.
 func (d *Directory) All() []session.Peer {
-	return d.where(func(peer session.Peer) bool { return peer.Boot != "" })
+	return d.lockedWhere(func(peer session.Peer) bool { return peer.Boot != "" })
 }
 
 // WithRole returns the peers of All that have the role.
 func (d *Directory) WithRole(role session.Role) []session.Peer {
-	return d.where(func(peer session.Peer) bool { return peer.Boot != "" && peer.Role == role })
+	return d.lockedWhere(func(peer session.Peer) bool { return peer.Boot != "" && peer.Role == role })
 }
 
-// where returns the peers for which wanted returns true, ordered by name.
-func (d *Directory) where(wanted func(session.Peer) bool) []session.Peer {
+func (d *Directory) lockedWhere(wanted func(session.Peer) bool) []session.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.where(wanted)
+}
+
+// where returns the peers for which wanted returns true, ordered by name. The caller
+// holds the lock.
+func (d *Directory) where(wanted func(session.Peer) bool) []session.Peer {
+	if d.sorted == nil {
+		for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+			d.sorted = append(d.sorted, d.peers[name])
+		}
+	}
 	var found []session.Peer
-	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
-		if wanted(d.peers[name]) {
-			found = append(found, d.peers[name])
+	for _, peer := range d.sorted {
+		if wanted(peer) {
+			found = append(found, peer)
 		}
 	}
 	return found
--- a/session/directory/directory_test.go
+++ b/session/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -38,15 +39,35 @@
 	must.Len(t, 0, d.Seeds())
 }
 
-// TestVersionIncreasesOnChange guards against sending the directory again when
-// nothing changed, and against missing a change: the version decides.
+// TestVersionIncreasesOnChange guards against sending peers again when nothing changed,
+// and against missing a change: the version decides.
 func TestVersionIncreasesOnChange(t *testing.T) {
 	d := New()
 	d.Merge(entry("a", "1"))
-	version := d.Version()
+	_, version := d.ChangedSince(0, session.RoleEntry)
 	d.Merge(entry("a", "1"))
-	must.EqOp(t, version, d.Version())
+	changed, same := d.ChangedSince(version, session.RoleEntry)
+	must.EqOp(t, version, same)
+	must.Len(t, 0, changed)
 	d.Merge(entry("a", "2"))
-	must.Greater(t, version, d.Version())
+	_, newer := d.ChangedSince(version, session.RoleEntry)
+	must.Greater(t, version, newer)
 	<-d.Changed()
 }
+
+// TestOnlyChangedPeersAreSent checks that ChangedSince returns a joining or restarted
+// peer alone, so that what is sent about joins does not grow with the fleet.
+func TestOnlyChangedPeersAreSent(t *testing.T) {
+	d := New()
+	for i := range 55 {
+		d.Merge(entry(fmt.Sprintf("e%d", i), "1"))
+	}
+	all, version := d.ChangedSince(0, session.RoleEntry)
+	must.Len(t, 55, all)
+	d.Merge(entry("new", "1"), entry("e7", "2"))
+	changed, version := d.ChangedSince(version, session.RoleEntry)
+	must.Eq(t, []session.Peer{entry("e7", "2"), entry("new", "1")}, changed)
+	d.Remove(entry("new", "1"))
+	changed, _ = d.ChangedSince(version, session.RoleEntry)
+	must.Len(t, 0, changed)
+}
--- a/session/start.go
+++ b/session/start.go
@@ -91,13 +91,3 @@
 // StopReply confirms that the runs are being stopped; their ends follow as
 // events.
 type StopReply struct{}
-
-// AnnounceRequest sends an entry the peers that the sender announces.
-type AnnounceRequest struct {
-	Peers []Peer
-}
-
-// AnnounceReply returns the peers that the entry knows; to a sidecar, only the entries.
-type AnnounceReply struct {
-	Peers []Peer
-}
