Read who is registered before writing the own row

Cause: each process announced itself in the table before it read the others' rows.

Change: the rows outlive the processes, so a process reads first. If its own row is there and differs only in the incarnation, it updates it 2 to 7 s later; if not, it announces itself and reads again. Failed instance tests print the log lines that say why.

--- a/instance/logs_test.go
+++ b/instance/logs_test.go
@@ -66,3 +66,26 @@
 func isLostSession(line explain.Line) bool {
 	return line.Kind == eventlog.KindEntrySilent || line.Kind == eventlog.KindDependencyLost
 }
+
+// maxFailureLines bounds the log lines that logFailure prints.
+const maxFailureLines = 80
+
+// logFailure prints, if the test has failed, the last log lines that say why a job or a
+// session did not go well.
+func (s *system) logFailure() {
+	if !s.t.Failed() {
+		return
+	}
+	wanted := []eventlog.Kind{
+		eventlog.KindRefused, eventlog.KindJobFailed, eventlog.KindOrderRefused, eventlog.KindOrderUnanswered,
+		eventlog.KindDependencyLost, eventlog.KindDependencyRegained, eventlog.KindSession, eventlog.KindMinion,
+	}
+	var found []string
+	for line := range strings.Lines(s.logs.String()) {
+		if slices.ContainsFunc(wanted, func(kind eventlog.Kind) bool { return strings.Contains(line, `"event":"`+string(kind)+`"`) }) {
+			found = append(found, line)
+		}
+	}
+	found = found[max(0, len(found)-maxFailureLines):]
+	s.t.Logf("the last %d lines about failures:\n%s", len(found), strings.Join(found, ""))
+}
--- /dev/null
+++ b/instance/restart_test.go
@@ -0,0 +1,44 @@
+package instance
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// membersTable is the table in which processes announce themselves.
+const membersTable = "members"
+
+// TestFleetRestartsWithoutWritingToTheTable restarts all processes while the table
+// refuses writes, as one does to which a whole fleet writes at once, and with no seed that
+// answers. The rows of the
+// earlier incarnations are enough for the processes to find each other, and each updates
+// its row later.
+func TestFleetRestartsWithoutWritingToTheTable(t *testing.T) {
+	const sidecars, entries = 3, 2
+	s := newSystem(t, sidecars, entries)
+	announced := func(count int) func() bool {
+		return func() bool { return s.table.Transactions(membersTable) >= count }
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(announced(sidecars+entries)), wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+	s.table.SetRefuseWrites(true)
+	for _, running := range append(s.entries, s.sidecars...) {
+		running.stop(t)
+	}
+	s.entries, s.sidecars, s.seeds = nil, nil, nil
+	for i := range sidecars {
+		s.sidecars = append(s.sidecars, s.startSidecar(i))
+	}
+	for i := range entries {
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	for _, entry := range s.entries {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.ready(entry) }), wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+		must.EqOp(t, http.StatusOK, s.submit(entry, "00000000000000a"+entry.name[len(entry.name)-1:], job(2, 300, 20*time.Millisecond)).status)
+	}
+	s.table.SetRefuseWrites(false)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(announced(2*(sidecars+entries))), wait.Timeout(15*time.Second), wait.Gap(50*time.Millisecond)))
+}
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -157,27 +159,59 @@
 	discoverTimeout = 15 * time.Second
 	// joinPause is the pause between attempts.
 	joinPause = 250 * time.Millisecond
+	// updateDelay is the shortest time after which a restarted process updates its row,
+	// and updateSpread the range of a random time that is added.
+	updateDelay  = 2 * time.Second
+	updateSpread = 5 * time.Second
 )
 
-// join announces the process in the table and then discovers its peers. It retries
-// both until they succeed or ctx ends.
+// join discovers the process's peers in the table and announces the process there. After
+// a power loss, the rows of all processes are still in the table: they are enough to find
+// each other, so that a process whose own row differs only in its incarnation updates it
+// later. Together the updates of a whole fleet would take seconds.
 func (s *shared) join(ctx context.Context) {
 	members := rows.NewMembers(s.table)
+	registered := false
+	s.retry(ctx, discoverTimeout, func(ctx context.Context) error {
+		peers, err := members.List(ctx)
+		registered = slices.ContainsFunc(peers, s.isEarlierSelf)
+		s.addPeers(peers, registered)
+		return err
+	})
+	if registered {
+		// retry handles the end of ctx.
+		_ = pause.For(ctx, updateDelay+rand.N(updateSpread))
+	}
 	s.retry(ctx, announceTimeout, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
-	s.retry(ctx, discoverTimeout, s.discoverPeers)
+	if !registered {
+		// A process that has joined in between knows of this one only if it has read the
+		// table after the announcement. This one finds it now.
+		s.retry(ctx, discoverTimeout, s.discoverPeers)
+	}
+}
+
+// isEarlierSelf reports whether the peer is an earlier incarnation of this process.
+func (s *shared) isEarlierSelf(peer session.Peer) bool {
+	peer.Boot = s.self.Boot
+	return peer == s.self
 }
 
 // discoverPeers adds all processes that have announced themselves in the table to the
 // directory.
 func (s *shared) discoverPeers(ctx context.Context) error {
 	peers, err := rows.NewMembers(s.table).List(ctx)
-	if err != nil {
-		return err
+	s.addPeers(peers, err == nil)
+	return err
+}
+
+// addPeers adds peers to the directory. complete means that they are all processes of
+// which this one need know.
+func (s *shared) addPeers(peers []session.Peer, complete bool) {
+	if complete {
+		// Whoever is woken by the change of the directory then finds that it is complete.
+		s.peersDiscovered.Store(true)
 	}
-	// Whoever is woken by the change of the directory then finds that it is complete.
-	s.peersDiscovered.Store(true)
 	s.directory.Merge(peers...)
-	return nil
 }
 
 // retry calls try, each time with the timeout, until it succeeds or ctx ends.
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -47,6 +47,8 @@
 	port     int
 
 	sidecarsPerEntry int
+	// seeds are the seeds of the processes that are started from now on.
+	seeds []string
 }
 
 // process is one running executor or dispatcher.
@@ -80,6 +82,8 @@
 	network := networks.next
 	networks.Unlock()
 	s := &system{t: t, table: standin.NewTable(), ledger: &standin.Ledger{}, zones: []string{"a", "b", "c"}, logs: &logBuffer{}, network: network, port: freePort(t), sidecarsPerEntry: sidecarsPerEntry}
+	s.seeds = []string{s.address(entryHost, 1)}
+	t.Cleanup(s.logFailure)
 	s.store = httptest.NewServer(s.table.Handler())
 	t.Cleanup(s.store.Close)
 	s.putManifest(1)
@@ -169,7 +173,7 @@
 		Name: name, Zone: zone, RPCListen: s.address(host, s.port), RPCAdvertise: s.address(host, s.port), StatusListen: s.address(host, s.port+4),
 		Table: s.store.Listener.Addr().String(), Secret: testSecret, StopGrace: settings.Duration(6 * time.Second),
 		SidecarsPerEntry: s.sidecarsPerEntry,
-		Seeds:            []string{s.address(entryHost, 1)},
+		Seeds:            s.seeds,
 	}
 }
 
