--- a/instance/logs_test.go
+++ b/instance/logs_test.go
@@ -67,6 +67,18 @@
 	return line.Kind == eventlog.KindEntrySilent || line.Kind == eventlog.KindDependencyLost
 }
 
+// lostContact reports whether an entry has lost a session, or a sidecar an answer of its
+// minion, since the start of the system.
+func (s *system) lostContact() bool {
+	for line := range strings.Lines(s.logs.String()) {
+		lostSession := strings.Contains(line, `"event":"dependency_lost","dependency":"side-`)
+		if lostSession || strings.Contains(line, "context deadline exceeded") {
+			return true
+		}
+	}
+	return false
+}
+
 // maxFailureLines bounds the log lines that logFailure prints.
 const maxFailureLines = 80
 
