Read the table again while a new fleet registers

Cause: since processes that have read the table are sent no peers, an entry that reads it before the sidecars have registered learns of one only when that asks for a session; sidecars that the entries after it have connected to have enough. Before, the replies of other entries told it.

Change: a process that announces itself for the first time reads the table again 1, 4 and 9 s later. Restarted processes find all rows at once.

--- a/instance/shared.go
+++ b/instance/shared.go
@@ -165,6 +165,9 @@
 	updateSpread = 5 * time.Second
 )
 
+// rereadIntervals are the times between the reads of a process that is new.
+var rereadIntervals = []time.Duration{time.Second, 3 * time.Second, 5 * time.Second}
+
 // join discovers the process's peers in the table and announces the process there. After
 // a power loss, the rows of all processes are still in the table: they are enough to find
 // each other, so that a process whose own row differs only in its incarnation updates it
@@ -184,8 +187,18 @@
 	}
 	s.retry(ctx, announceTimeout, func(ctx context.Context) error { return members.Announce(ctx, s.self) })
 	if !registered {
-		// A process that has joined in between knows of this one only if it has read the
-		// table after the announcement. This one finds it now.
+		s.discoverJoining(ctx)
+	}
+}
+
+// discoverJoining reads the table after the process has announced itself for the first
+// time, and again some seconds later. Processes that start together register within
+// seconds of each other, and an entry that knows too few sidecars gets no work.
+func (s *shared) discoverJoining(ctx context.Context) {
+	s.retry(ctx, discoverTimeout, s.discoverPeers)
+	for _, interval := range rereadIntervals {
+		// retry handles the end of ctx.
+		_ = pause.For(ctx, interval)
 		s.retry(ctx, discoverTimeout, s.discoverPeers)
 	}
 }
