Tell a crash of the minion from a run without a record, in events, logs and metrics

A run that ended with its minion was reported as gone, like one that a sidecar has no record of. It is EndCrashed now unless the minion had said that it leaves; a line minion_crashed tells how many runs were in progress and how old the newest was; lines of ends tell the route. Entries treat both ends alike, as before. Three tests that crash a minion expected gone and expect crashed now, which is stricter.

--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -21,6 +21,9 @@
 	ExecutorAnnounceFailed = "executor_announce_failed"
 	// ExecutorReports counts the minion's status reports.
 	ExecutorReports = "executor_reports"
+	// ExecutorMinionCrashes counts ends of the minion without notice while runs were in
+	// progress.
+	ExecutorMinionCrashes = "executor_minion_crashes"
 	// ExecutorOrderQueueFull counts calls that found the queue for orders to the minion
 	// full.
 	ExecutorOrderQueueFull = "executor_ring_full"
--- a/decision/execution/checkpoint_test.go
+++ b/decision/execution/checkpoint_test.go
@@ -87,7 +87,7 @@
 	start := f.startFrom(task, "")
 	f.list([]RunningRun{{Task: task, Number: start.Number, Percent: 50, Checkpoint: "c-5"}}, nil)
 	f.core.PollFailed(f.now, true)
-	must.EqOp(t, work.EndGone, f.onlyEvent().End)
+	must.EqOp(t, work.EndCrashed, f.onlyEvent().End)
 	must.EqOp(t, work.Checkpoint("c-5"), f.onlyEvent().Checkpoint)
 }
 
--- a/decision/execution/core_test.go
+++ b/decision/execution/core_test.go
@@ -193,7 +193,7 @@
 	f.core.PollAnswered(f.now, Listing{Poll: f.core.NextPoll(), Fence: f.core.Fence(), Born: testBorn + 1})
 	events := f.core.EventsFor(testEntry)
 	must.Len(t, 1, events)
-	must.EqOp(t, work.EndGone, events[0].End)
+	must.EqOp(t, work.EndCrashed, events[0].End)
 }
 
 // TestEndIsAcknowledgedAfterProcessing checks that the number up to which the
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"math"
 	"time"
 
 	"github.com/figring/figring/session"
@@ -33,16 +34,19 @@
 // has ended with its runs. It keeps runs whose start was not answered, because
 // the start may have reached the new incarnation or may still reach it, and runs
 // for which mayRemain returns true.
-func (c *Core) resetIncarnation(mayRemain func(run *run) bool) {
-	for _, run := range c.runs {
-		if (run.phase == running || run.phase == stopping) && !mayRemain(run) {
-			c.finish(run, work.EndGone, 0)
-		}
-	}
+func (c *Core) resetIncarnation(now time.Time, mayRemain func(run *run) bool) {
+	ended := c.endsWithMinion(now, mayRemain)
 	c.ends = make(map[uint64]pendingEnd)
 	c.newestEnd = 0
 	c.clearOrphanSequences()
 	clear(c.uncertainEnds)
+	end := work.EndCrashed
+	if c.leaving {
+		end = work.EndGone
+	}
+	for _, run := range ended {
+		c.finish(run, end, now.Sub(run.startedAt))
+	}
 	c.leaving = false
 	c.minionSeen = false
 	c.listingRead = false
@@ -50,6 +54,23 @@
 	c.health.Reset()
 }
 
+// endsWithMinion returns the runs that have ended with the former minion
+// incarnation. It logs a crash unless the minion had announced that it leaves.
+func (c *Core) endsWithMinion(now time.Time, mayRemain func(run *run) bool) []*run {
+	var ended []*run
+	youngest := time.Duration(math.MaxInt64)
+	for _, run := range c.runs {
+		if (run.phase == running || run.phase == stopping) && !mayRemain(run) {
+			ended = append(ended, run)
+			youngest = min(youngest, now.Sub(run.startedAt))
+		}
+	}
+	if len(ended) > 0 && !c.leaving {
+		c.logEvent(LogEvent{Kind: LogMinionCrashed, Runs: len(ended), Youngest: youngest})
+	}
+	return ended
+}
+
 // PollAnswered processes the answer to a poll.
 func (c *Core) PollAnswered(now time.Time, listing Listing) {
 	if c.outdated(&listing) {
@@ -59,7 +80,7 @@
 	c.failedPolls = 0
 	c.unresponsive = false
 	if c.FromNewIncarnation(&listing) {
-		c.resetIncarnation(listing.mayContain)
+		c.resetIncarnation(now, listing.mayContain)
 	}
 	first := !c.listingRead
 	if c.listedIncarnation != listing.Born {
@@ -96,7 +117,7 @@
 // that the minion has ended with all its runs.
 func (c *Core) PollFailed(now time.Time, refused bool) {
 	if refused {
-		c.resetIncarnation(func(*run) bool { return false })
+		c.resetIncarnation(now, func(*run) bool { return false })
 		c.reschedule(now)
 		return
 	}
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -57,6 +57,7 @@
 	c.enqueue(&run{
 		task:       task.Task,
 		entry:      entry,
+		route:      task.Route,
 		spec:       spec,
 		need:       task.Need,
 		needKnown:  true,
@@ -195,7 +196,7 @@
 func (c *Core) finish(run *run, end work.End, took time.Duration) uint64 {
 	delete(c.runs, run.task)
 	c.logEvent(LogEvent{
-		Kind: LogRunEnded, Task: run.task, Entry: run.entry, End: end, Took: took, Estimate: run.estimate,
+		Kind: LogRunEnded, Task: run.task, Entry: run.entry, Route: run.route, End: end, Took: took, Estimate: run.estimate,
 		Waited: run.waited(), Answered: run.answered(),
 	})
 	return c.report(run.entry, session.Event{Task: run.task, End: end, RunTime: took, Checkpoint: run.checkpoint})
--- a/decision/execution/pause_test.go
+++ b/decision/execution/pause_test.go
@@ -88,7 +88,7 @@
 		events := f.core.EventsFor(testEntry)
 		must.Len(t, 1, events)
 		must.EqOp(t, before.Task, events[0].Task)
-		must.EqOp(t, work.EndGone, events[0].End)
+		must.EqOp(t, work.EndCrashed, events[0].End)
 		f.core.PollAnswered(f.now, Listing{
 			Poll: f.core.NextPoll(), Fence: f.core.Fence(), Born: testBorn + 1,
 			Running: []RunningRun{{Task: after.Task, Number: after.Number, Percent: 1}},
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -27,6 +27,9 @@
 type run struct {
 	task  work.TaskKey
 	entry string
+	// route is the name of the job's route; empty for a run that was found at the
+	// minion.
+	route string
 	spec  string
 	need  work.Resources
 	// needKnown is false for a run that was found at the minion and that no entry
--- a/decision/execution/status.go
+++ b/decision/execution/status.go
@@ -11,6 +11,7 @@
 	Kind     LogEventKind
 	Task     work.TaskKey
 	Entry    string
+	Route    string
 	End      work.End
 	Took     time.Duration
 	Estimate time.Duration
@@ -18,6 +19,10 @@
 	// time from there to the minion's answer.
 	Waited   time.Duration
 	Answered time.Duration
+	// Runs is the number of runs in progress at a crash of the minion, Youngest the
+	// time since the newest of them was sent to the minion.
+	Runs     int
+	Youngest time.Duration
 }
 
 // LogEventKind is the kind of a LogEvent.
@@ -39,6 +44,9 @@
 	// LogEndUncertain means that a task that ended may have run again elsewhere.
 	// The end is acknowledged to the minion once the lease has lapsed.
 	LogEndUncertain
+	// LogMinionCrashed means that the minion ended without notice while runs were in
+	// progress.
+	LogMinionCrashed
 )
 
 func (c *Core) logEvent(note LogEvent) { c.logEvents = append(c.logEvents, note) }
--- a/executor/logging.go
+++ b/executor/logging.go
@@ -69,7 +69,11 @@
 		line.Str(eventlog.FieldJob, string(note.Task.Job)).Int(eventlog.FieldTask, note.Task.Index).
 			Str(eventlog.FieldOutcome, note.End.String()).Dur(eventlog.FieldDuration, note.Took).
 			Dur(eventlog.FieldEstimate, note.Estimate).Dur(eventlog.FieldWaited, note.Waited).
-			Dur(eventlog.FieldStartAnswered, note.Answered).Msg("")
+			Dur(eventlog.FieldStartAnswered, note.Answered).Str(eventlog.FieldRoute, note.Route).Msg("")
+	case execution.LogMinionCrashed:
+		e.meters.minionCrashes.Inc(1)
+		e.deps.Log.Failure(eventlog.KindMinionCrashed).Int(eventlog.FieldCount, note.Runs).
+			Dur(eventlog.FieldYoungestRun, note.Youngest).Msg("")
 	case execution.LogEntrySilent:
 		e.closeSession(note.Entry)
 		e.deps.Log.Failure(eventlog.KindEntrySilent).Str(eventlog.FieldPeer, note.Entry).Msg("")
--- a/executor/meters.go
+++ b/executor/meters.go
@@ -19,6 +19,7 @@
 	listsFailed    tally.Counter
 	announceFailed tally.Counter
 	reports        tally.Counter
+	minionCrashes  tally.Counter
 	free           tally.Gauge
 	queued         tally.Gauge
 	sessions       tally.Gauge
@@ -33,6 +34,7 @@
 		listsFailed:    scope.Counter(metrics.ExecutorListsFailed),
 		announceFailed: scope.Counter(metrics.ExecutorAnnounceFailed),
 		reports:        scope.Counter(metrics.ExecutorReports),
+		minionCrashes:  scope.Counter(metrics.ExecutorMinionCrashes),
 		free:           scope.Gauge(metrics.ExecutorFreeMilliCPU),
 		queued:         scope.Gauge(metrics.ExecutorQueuedMilliCPU),
 		sessions:       scope.Gauge(metrics.ExecutorSessions),
--- a/session/start.go
+++ b/session/start.go
@@ -17,7 +17,9 @@
 
 // StartTask is one task to run.
 type StartTask struct {
-	Task     work.TaskKey
+	Task work.TaskKey
+	// Route is the name of the job's route.
+	Route    string
 	Need     work.Resources
 	Estimate time.Duration
 	// Slack is how long the task may wait before its job misses its latency
--- a/work/end.go
+++ b/work/end.go
@@ -16,11 +16,14 @@
 	// EndNotRun means that the run never started and never will.
 	EndNotRun
 	// EndGone means that the run is no longer active and that its outcome is
-	// unknown: the minion's incarnation ended, and the run with it, or the sidecar
-	// has no record of the run.
+	// unknown: the minion left, and the run with it, or the sidecar has no record of
+	// the run.
 	EndGone
 	// EndStuck means that the run was stopped because it made no progress.
 	EndStuck
+	// EndCrashed means that the minion crashed while the run was in progress there,
+	// or may have been. The run may have caused the crash.
+	EndCrashed
 )
 
 var endNames = map[End]string{
@@ -31,6 +34,7 @@
 	EndNotRun:  "not_run",
 	EndGone:    "gone",
 	EndStuck:   "stuck",
+	EndCrashed: "crashed",
 }
 
 // String returns the name that logs and metrics use.
