--- a/decision/schedule/entry_test.go
+++ b/decision/schedule/entry_test.go
@@ -57,9 +57,7 @@
 func (e *entry) restart(at time.Time) {
 	e.starts++
 	e.core = heldjob.New("a", rand.New(rand.NewPCG(uint64(e.starts), 1)), at)
-	e.core.SetSnapshot(manifest.Snapshot{Version: 1, Manifest: &manifest.Manifest{Version: 1, Routes: []manifest.Route{{
-		Name: "r", Host: "h", Prefix: "/", Service: "desk", Attempts: 3, Stretch: 3, Objective: time.Second,
-	}}}})
+	e.core.SetSnapshot(manifest.Snapshot{Version: 1, Manifest: &manifest.Manifest{Version: 1, Routes: e.sim.routes}})
 	e.sessions = make(map[string]*sidecarSession)
 	for _, sidecar := range e.sim.sidecars {
 		e.sessions[sidecar.name] = &sidecarSession{}
@@ -208,11 +206,11 @@
 }
 
 // submit submits a job to the core.
-func (e *entry) submit(now time.Time, waiter uint64, id work.JobID, tasks int) {
+func (e *entry) submit(now time.Time, c *caller) {
 	e.core.Submit(now, &heldjob.Submission{
-		Waiter: waiter, Host: "h", Path: "/" + string(id), CallerTimeout: 4 * time.Second,
-		Job: work.Job{ID: id, BestEffort: true, Steps: []work.Step{{
-			Count: tasks, Need: work.Resources{MilliCPU: taskNeed, MemMB: 1}, Estimate: e.sim.runTimes[id],
+		Waiter: c.waiter, Host: "h", Path: "/" + c.route + "/" + string(c.job), CallerTimeout: 4 * time.Second,
+		Job: work.Job{ID: c.job, BestEffort: true, Steps: []work.Step{{
+			Count: c.tasks, Need: work.Resources{MilliCPU: taskNeed, MemMB: 1}, Estimate: e.sim.runTimes[c.job],
 		}}},
 	})
 	e.performActions(now)
--- a/decision/schedule/minion_test.go
+++ b/decision/schedule/minion_test.go
@@ -28,8 +28,17 @@
 	lastNumber map[work.TaskKey]int
 	finished   []execution.FinishedRun
 	sequence   uint64
+	// crashAt is when the minion crashes under a deadly task; zero if it does not.
+	crashAt time.Time
 }
 
+const (
+	// deadlyDelay is the time from the start of a deadly task to the crash, deadlyPause
+	// the time until the minion is back.
+	deadlyDelay = 10 * time.Millisecond
+	deadlyPause = 3300 * time.Millisecond
+)
+
 func newMinion(sim *simulation, name string) *minion {
 	return &minion{sim: sim, name: name, incarnation: 1, running: make(map[work.TaskKey]activeRun), lastNumber: make(map[work.TaskKey]int)}
 }
@@ -46,6 +55,15 @@
 	m.running = make(map[work.TaskKey]activeRun)
 	m.lastNumber = make(map[work.TaskKey]int)
 	m.finished = nil
+	m.crashAt = time.Time{}
+}
+
+// crashIfDue crashes the minion if a deadly task was started deadlyDelay ago.
+func (m *minion) crashIfDue(now time.Time) {
+	if !m.crashAt.IsZero() && !now.Before(m.crashAt) {
+		m.sim.logEvent("%s crashes", m.name)
+		m.crash(now.Add(deadlyPause))
+	}
 }
 
 // endDueRuns ends the runs that have completed, and all runs once the lease has
@@ -80,6 +98,9 @@
 	m.lastNumber[order.Task] = order.Number
 	m.running[order.Task] = activeRun{number: order.Number, endsAt: now.Add(m.sim.runTimes[order.Task.Job])}
 	m.sim.taskStarted(order.Task, m)
+	if m.sim.deadly[order.Task] && m.crashAt.IsZero() {
+		m.crashAt = now.Add(deadlyDelay)
+	}
 	return execution.Started
 }
 
--- a/decision/schedule/simulation_test.go
+++ b/decision/schedule/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/work"
 )
 
@@ -34,7 +35,9 @@
 
 // caller is a caller that waits for the answer to one job.
 type caller struct {
-	job    work.JobID
+	job work.JobID
+	// route is the name of the job's route.
+	route  string
 	tasks  int
 	entry  *entry
 	waiter uint64
@@ -61,25 +64,44 @@
 	// linkDownUntil has the name of an entry followed by that of a sidecar as key.
 	linkDownUntil map[string]time.Time
 	messages      []message
+	routes        []manifest.Route
 	runTimes      map[work.JobID]time.Duration
-	callers       []*caller
-	lastWaiter    uint64
+	// deadly are the tasks under which a minion crashes.
+	deadly     map[work.TaskKey]bool
+	callers    []*caller
+	lastWaiter uint64
 
 	// runningAt is the minion at which a task runs.
 	runningAt map[work.TaskKey]*minion
 	started   map[work.JobID]bool
 	succeeded map[work.TaskKey]bool
+	// startCount counts the starts of each task.
+	startCount map[work.TaskKey]int
+	// mayFail are the jobs that may be answered as failed.
+	mayFail map[work.JobID]bool
 }
 
+// routeName is the name of the only route of a simulation without routes of its own.
+const routeName = "r"
+
 func newSimulation(t *testing.T, seed uint64) *simulation {
+	return newFleet(t, seed, entryCount, sidecarCount, []manifest.Route{{
+		Name: routeName, Host: "h", Prefix: "/r/", Service: "desk", Attempts: 3, Stretch: 3, Objective: time.Second,
+	}})
+}
+
+// newFleet returns a simulation with numbers of processes and routes of its own.
+func newFleet(t *testing.T, seed uint64, entries, sidecars int, routes []manifest.Route) *simulation {
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: simulationStart, linkDownUntil: make(map[string]time.Time), runTimes: make(map[work.JobID]time.Duration),
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: simulationStart, linkDownUntil: make(map[string]time.Time), routes: routes, runTimes: make(map[work.JobID]time.Duration),
+		deadly:    make(map[work.TaskKey]bool),
 		runningAt: make(map[work.TaskKey]*minion), started: make(map[work.JobID]bool), succeeded: make(map[work.TaskKey]bool),
+		startCount: make(map[work.TaskKey]int), mayFail: make(map[work.JobID]bool),
 	}
-	for i := range sidecarCount {
+	for i := range sidecars {
 		sim.sidecars = append(sim.sidecars, newSidecar(sim, fmt.Sprintf("s%d", i)))
 	}
-	for i := range entryCount {
+	for i := range entries {
 		sim.entries = append(sim.entries, newEntry(sim, fmt.Sprintf("e%d", i)))
 	}
 	return sim
@@ -139,6 +161,7 @@
 	}
 	sim.logEvent("%v starts at %s", task, m.name)
 	sim.runningAt[task] = m
+	sim.startCount[task]++
 	sim.started[task.Job] = true
 	if used := len(m.running) * taskNeed; used > minionCapacity {
 		sim.fail("%d of %d mCPU in use at %s", used, minionCapacity, m.name)
@@ -181,18 +204,21 @@
 			sim.fail("%s is reported as refused, but has started", c.job)
 		}
 	case heldjob.Failed:
-		sim.fail("%s is reported as failed", c.job)
+		if !sim.mayFail[c.job] {
+			sim.fail("%s is reported as failed", c.job)
+		}
 	}
 }
 
 // submit submits a new job to a random entry, unless that entry is frozen or down.
 func (sim *simulation) submit() {
-	e := sim.entries[sim.drawInt(0, entryCount-1)]
+	e := sim.entries[sim.drawInt(0, len(sim.entries)-1)]
 	if !e.alive(sim.now) {
 		return
 	}
 	c := &caller{
 		job:   work.JobID(fmt.Sprintf("j%d", len(sim.callers))),
+		route: routeName,
 		tasks: sim.drawInt(1, 4),
 	}
 	sim.runTimes[c.job] = time.Duration(sim.drawInt(20, 900)) * time.Millisecond
@@ -207,7 +233,7 @@
 	c.submissions++
 	c.resubmitAt = time.Time{}
 	sim.logEvent("%s with %d tasks of %v is submitted to %s", c.job, c.tasks, sim.runTimes[c.job], e.name)
-	e.submit(sim.now, c.waiter, c.job, c.tasks)
+	e.submit(sim.now, c)
 }
 
 // disconnectCallers breaks the connections of all callers of an entry without
@@ -237,7 +263,7 @@
 		if c.finished || c.resubmitAt.IsZero() || sim.now.Before(c.resubmitAt) {
 			continue
 		}
-		e := sim.entries[sim.drawInt(0, entryCount-1)]
+		e := sim.entries[sim.drawInt(0, len(sim.entries)-1)]
 		if e.alive(sim.now) {
 			sim.submitTo(c, e)
 		}
@@ -252,8 +278,8 @@
 func (sim *simulation) injectFault() {
 	length := time.Duration(sim.drawInt(20, 2500)) * time.Millisecond
 	until := sim.now.Add(length)
-	e := sim.entries[sim.drawInt(0, entryCount-1)]
-	s := sim.sidecars[sim.drawInt(0, sidecarCount-1)]
+	e := sim.entries[sim.drawInt(0, len(sim.entries)-1)]
+	s := sim.sidecars[sim.drawInt(0, len(sim.sidecars)-1)]
 	kind := sim.drawInt(0, 6)
 	sim.logEvent("%s for %v (%s, %s)", faultNames[kind], length, e.name, s.name)
 	switch kind {
@@ -280,6 +306,7 @@
 	sim.now = sim.now.Add(stepTime)
 	for _, s := range sim.sidecars {
 		s.minion.endDueRuns(sim.now)
+		s.minion.crashIfDue(sim.now)
 	}
 	sim.deliver()
 	for _, s := range sim.sidecars {
