Count the crashes of minions under a task, and give up a task that crashes them

Callers saw: one task (d6f408ed.0, 9fa70697.0) crashed up to twelve minions one after the other, since a run that ended with its minion was placed again at once and without a bound, together with all that had run beside it.

Sidecars tell every entry which runs were in progress at a crash and how old they were, and keep that for a minute, so that the count outlives the entry that ran the task; of stored jobs it is part of the progress too. decision/quarantine decides from that how a task is started again: like any other after one crash, with 0.1 s before and after in which its minion starts no other job once crashes repeat, alone from the third on. A task is poison when two minions have crashed right after its start, once with no other job that can have been the cause; its job fails at once. What ran beside it is not given up with it. A sidecar hands its queue back when its minion has crashed, and doesn't send an unanswered start again to the minion's next incarnation.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -35,6 +35,9 @@
 	KindResources          Kind = "room"
 	KindDisowned           Kind = "disowned"
 	KindEndUncertain       Kind = "end_doubtful"
+	KindPoison             Kind = "poison"
+	KindRouteConfined      Kind = "route_confined"
+	KindRouteReleased      Kind = "route_released"
 )
 
 // The keys of the fields of a log line.
--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -43,6 +43,8 @@
 	DispatcherTargets = "dispatcher_targets"
 	// DispatcherTasksFreed counts tasks that had to be reassigned, by reason.
 	DispatcherTasksFreed = "dispatcher_freed"
+	// DispatcherConfinements counts how often a route was confined to a few sidecars.
+	DispatcherConfinements = "dispatcher_confinements"
 	// DispatcherMalformed counts requests that could not be read.
 	DispatcherMalformed = "dispatcher_malformed"
 	// StoreReads counts reads of the platform's table by outcome.
--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -79,6 +79,7 @@
 	c.handBackOverdue(now)
 	c.repeatStops(now)
 	c.stopStuck(now)
+	c.startQueued(now)
 }
 
 func (c *Core) handBackOverdue(now time.Time) {
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -72,6 +72,14 @@
 	reportBorn     int64
 	reportSequence uint64
 
+	// crashes are the latest crashes of the minion, lapsed the runs that lapsed since
+	// the newest listing. If the next listing comes from another incarnation, the
+	// minion has crashed under them.
+	crashes     []crash
+	newestCrash uint64
+	lapsed      []session.CrashedRun
+	isolation   isolation
+
 	actions       []Action
 	logEvents     []LogEvent
 	loggedSuspect bool
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"math"
 	"time"
 
 	"github.com/figring/figring/session"
@@ -55,19 +54,24 @@
 }
 
 // endsWithMinion returns the runs that have ended with the former minion
-// incarnation. It logs a crash unless the minion had announced that it leaves.
+// incarnation. It records a crash unless the minion had announced that it leaves.
 func (c *Core) endsWithMinion(now time.Time, mayRemain func(run *run) bool) []*run {
 	var ended []*run
-	youngest := time.Duration(math.MaxInt64)
+	var crashed []session.CrashedRun
 	for _, run := range c.runs {
-		if (run.phase == running || run.phase == stopping) && !mayRemain(run) {
+		if run.phase == queued || run.inCrash || mayRemain(run) {
+			continue
+		}
+		run.inCrash = true
+		crashed = append(crashed, session.CrashedRun{Task: run.task, Route: run.route, Age: now.Sub(run.startedAt)})
+		if run.phase == running || run.phase == stopping {
 			ended = append(ended, run)
-			youngest = min(youngest, now.Sub(run.startedAt))
 		}
 	}
-	if len(ended) > 0 && !c.leaving {
-		c.logEvent(LogEvent{Kind: LogMinionCrashed, Runs: len(ended), Youngest: youngest})
+	if !c.leaving {
+		c.recordCrash(now, append(crashed, c.lapsed...))
 	}
+	c.lapsed = nil
 	return ended
 }
 
@@ -82,6 +86,7 @@
 	if c.FromNewIncarnation(&listing) {
 		c.resetIncarnation(now, listing.mayContain)
 	}
+	c.lapsed = nil
 	first := !c.listingRead
 	if c.listedIncarnation != listing.Born {
 		c.listedIncarnation = listing.Born
@@ -117,6 +122,7 @@
 // that the minion has ended with all its runs.
 func (c *Core) PollFailed(now time.Time, refused bool) {
 	if refused {
+		c.handBackQueueOfEndedMinion(now)
 		c.resetIncarnation(now, func(*run) bool { return false })
 		c.reschedule(now)
 		return
@@ -133,6 +139,14 @@
 	}
 }
 
+// handBackQueueOfEndedMinion reports the queued runs as not run once the minion has
+// ended: it may be away for longer than they can wait.
+func (c *Core) handBackQueueOfEndedMinion(now time.Time) {
+	if c.listingRead {
+		c.handBackQueue(now)
+	}
+}
+
 // pollIfOverdue requests an additional poll, while others are in flight, if none
 // was answered for PollOverdueAfter: the lease has to be renewed in time.
 func (c *Core) pollIfOverdue(now time.Time) {
@@ -158,6 +172,7 @@
 			continue
 		}
 		if run.phase == running || run.phase == stopping {
+			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: max(c.answeredAt.Sub(run.startedAt), 0)})
 			c.finish(run, work.EndLapsed, 0)
 			ended = true
 		}
@@ -277,8 +292,7 @@
 		switch run.phase {
 		case unconfirmed:
 			if listing.Fence >= run.confirmFence {
-				run.number++
-				c.resend(now, run)
+				c.resolveUnconfirmed(now, run)
 			}
 		case running, stopping:
 			if listing.Poll >= run.firstPoll {
@@ -288,6 +302,19 @@
 	}
 }
 
+// resolveUnconfirmed decides about a run whose start had no effect on the listed
+// incarnation. If it was sent to an earlier one, that one may have crashed under it, and
+// the entry decides whether to start it again.
+func (c *Core) resolveUnconfirmed(now time.Time, run *run) {
+	if run.incarnation != c.listedIncarnation {
+		c.finish(run, work.EndCrashed, 0)
+		c.reschedule(now)
+		return
+	}
+	run.number++
+	c.resend(now, run)
+}
+
 func (c *Core) resolvePendingClaims(now time.Time) {
 	for name, state := range c.entries {
 		claims := state.pendingClaims
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -64,6 +64,7 @@
 		estimate:   task.Estimate,
 		jobStored:  task.Stored,
 		label:      task.Label,
+		isolation:  task.Isolation,
 		checkpoint: task.Checkpoint,
 		number:     1,
 		orderedAt:  now,
@@ -83,10 +84,11 @@
 			shortfall += queued.need.MilliCPU
 		}
 	}
+	pause := c.startPause(now)
 	if shortfall <= 0 || c.minion.Capacity.MilliCPU <= 0 {
-		return 0
+		return pause
 	}
-	return time.Duration(float64(c.turnover(now)) * float64(shortfall) / float64(c.minion.Capacity.MilliCPU))
+	return pause + time.Duration(float64(c.turnover(now))*float64(shortfall)/float64(c.minion.Capacity.MilliCPU))
 }
 
 // enqueue inserts the run in order of its latest start time.
@@ -107,18 +109,29 @@
 	}
 	free := c.free()
 	kept := c.queue[:0]
-	for _, waiting := range c.queue {
-		if !free.Fits(waiting.need) || !c.minion.HasLabel(waiting.label) || c.trialRunning() || c.silent(now, waiting.entry) {
-			kept = append(kept, waiting)
+	for i, waiting := range c.queue {
+		isolated := c.mayStart(now, waiting)
+		if isolated && free.Fits(waiting.need) && c.suits(now, waiting) {
+			free = free.Sub(waiting.need)
+			c.start(now, waiting)
 			continue
 		}
-		free = free.Sub(waiting.need)
-		c.start(now, waiting)
+		if !isolated && c.suits(now, waiting) && c.holdsBack(now, waiting) {
+			kept = append(kept, c.queue[i:]...)
+			break
+		}
+		kept = append(kept, waiting)
 	}
 	clear(c.queue[len(kept):])
 	c.queue = kept
 }
 
+// suits reports whether the minion may start the run now, regardless of room and of
+// isolated runs.
+func (c *Core) suits(now time.Time, waiting *run) bool {
+	return c.minion.HasLabel(waiting.label) && !c.trialRunning() && !c.silent(now, waiting.entry)
+}
+
 // trialRunning reports whether the minion is suspect and its trial task is in
 // progress.
 func (c *Core) trialRunning() bool {
@@ -135,6 +148,8 @@
 
 func (c *Core) start(now time.Time, run *run) {
 	run.phase = starting
+	run.incarnation = c.listedIncarnation
+	c.isolation.started(now, run)
 	run.startedAt = now
 	run.progressAt = now
 	run.percent = 0
--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -103,7 +103,9 @@
 		Free:      c.free(),
 		Queued:    c.backlog(now),
 		Turnover:  c.turnover(now),
-		Pace:      c.health.Pace(now),
+
+		StartPause: c.startPause(now),
+		Pace:       c.health.Pace(now),
 	}
 	if peer, ok := c.entries[entry]; ok {
 		state.LastStartNumber = peer.newestRequest
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -36,6 +37,8 @@
 	// has claimed yet.
 	needKnown bool
 	estimate  time.Duration
+	// isolation says how the run is started among the others.
+	isolation session.Isolation
 	// label is a label that the minion must have; empty for none.
 	label string
 	// jobStored means that the task's job is stored, so that an end must not be
@@ -48,6 +51,10 @@
 	startBy          time.Time
 	queueUntil       time.Time
 
+	// inCrash means that the run is part of a recorded crash of the minion.
+	inCrash bool
+	// incarnation is the minion's incarnation that the start was sent to.
+	incarnation int64
 	// orderedAt is when the order arrived, startedAt when its start was sent and
 	// answeredAt when the minion answered it.
 	orderedAt  time.Time
--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -60,6 +60,8 @@
 type Progress struct {
 	Done     []work.TaskKey
 	Failures map[work.TaskKey]int
+	// Crashes is the number of minions that have crashed under each task.
+	Crashes map[work.TaskKey]int
 	// Checkpoints are the newest known checkpoints of the tasks that are not done.
 	Checkpoints map[work.TaskKey]work.Checkpoint
 }
--- a/decision/heldjob/answer.go
+++ b/decision/heldjob/answer.go
@@ -41,15 +41,17 @@
 type Reason string
 
 const (
-	ReasonNone             Reason = ""
-	ReasonOverload         Reason = "overload"
-	ReasonNoManifest       Reason = "no_manifest"
-	ReasonNoTargets        Reason = "no_targets"
-	ReasonUnsupported      Reason = "unsupported"
-	ReasonTooLate          Reason = "too_late"
-	ReasonDeadline         Reason = "deadline"
-	ReasonCallerGone       Reason = "caller_gone"
-	ReasonTaskFailed       Reason = "task_failed"
+	ReasonNone        Reason = ""
+	ReasonOverload    Reason = "overload"
+	ReasonNoManifest  Reason = "no_manifest"
+	ReasonNoTargets   Reason = "no_targets"
+	ReasonUnsupported Reason = "unsupported"
+	ReasonTooLate     Reason = "too_late"
+	ReasonDeadline    Reason = "deadline"
+	ReasonCallerGone  Reason = "caller_gone"
+	ReasonTaskFailed  Reason = "task_failed"
+	// ReasonPoison means that minions crash under a task of the job.
+	ReasonPoison           Reason = "poison"
 	ReasonDraining         Reason = "draining"
 	ReasonStoreUnavailable Reason = "store_out"
 	ReasonTooManyJobs      Reason = "too_many_jobs"
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figring/figring/decision/placement"
+	"github.com/figring/figring/decision/quarantine"
 	"github.com/figring/figring/decision/queuedelay"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
@@ -27,6 +28,8 @@
 	// the stored jobs that have not ended, in the order in which they are placed.
 	pendingCreates map[work.JobID]*pendingCreate
 	queue          []*job
+	// quarantine keeps tasks and routes apart under which minions crash.
+	quarantine *quarantine.Tracker
 	// queueDelay estimates how long a new stored job will wait for room.
 	queueDelay *queuedelay.Estimator
 	// ownsJobs is true while no other entry may take over the stored jobs of this one.
@@ -74,6 +77,7 @@
 		answers:        newAnswerCache(maxCachedAnswers),
 		pendingCreates: make(map[work.JobID]*pendingCreate),
 		queueDelay:     queuedelay.New(),
+		quarantine:     quarantine.New(),
 
 		warmupUntil: now.Add(warmupTime),
 	}
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -23,6 +23,9 @@
 	// Targets is the number of sidecars that were known: on admission the connected
 	// ones, on refusal those of them that accept tasks.
 	Targets int
+	// Crashes is the number of minions that crashed under a task, or of the jobs for
+	// which a route is confined.
+	Crashes int
 }
 
 // DecisionKind is the kind of a Decision; the log events use its value.
@@ -36,6 +39,12 @@
 	DecidedTaskFreed DecisionKind = "task_freed"
 	DecidedAnswered  DecisionKind = "answered"
 	DecidedDisowned  DecisionKind = "disowned"
+	// DecidedPoison means that a task is given up because minions crash under it.
+	DecidedPoison DecisionKind = "poison"
+	// DecidedRouteConfined and DecidedRouteReleased mean that a route gets only a few
+	// sidecars of its service, and all of them again.
+	DecidedRouteConfined DecisionKind = "route_confined"
+	DecidedRouteReleased DecisionKind = "route_released"
 )
 
 func (c *Core) recordDecision(decision Decision) { c.decisions = append(c.decisions, decision) }
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -5,7 +5,6 @@
 
 	"github.com/figring/figring/decision/placement"
 	"github.com/figring/figring/session"
-	"github.com/figring/figring/work"
 )
 
 // plan is a placement of the unplaced tasks of a job.
@@ -21,6 +20,8 @@
 	choices []plannedTask
 	// waitFactor is the wait factor of the job, see Core.waitFactor.
 	waitFactor float64
+	// allowed reports whether a sidecar may get tasks of the job; nil if each one may.
+	allowed func(sidecar string) bool
 	// chosenSidecars holds the names of the sidecars chosen so far.
 	chosenSidecars map[string]bool
 }
@@ -68,9 +69,11 @@
 		Rack:         step.Rack,
 		AtStepLimit:  c.stepLimitReached(job, task.step, planned),
 		MaxWait:      limit,
+		Allowed:      planned.allowed,
 		FailedBefore: task.failures > 0,
 	}
-	choice, ok := c.chooser.Choose(c.candidates, wanted, task.avoidedSidecars)
+	avoided := c.isolate(now, task, &wanted)
+	choice, ok := c.chooser.Choose(c.candidates, wanted, avoided)
 	if !ok {
 		planned.reason = ReasonNoTargets
 		return false
@@ -85,7 +88,7 @@
 		planned.reason = ReasonOverload
 		return false
 	}
-	c.addChoice(planned, numbers, task, choice, step.Need, wanted.Slack)
+	c.addChoice(planned, numbers, task, choice, &wanted)
 	return true
 }
 
@@ -114,14 +117,14 @@
 }
 
 // addChoice adds a choice to a plan and counts it as sent to the sidecar.
-func (c *Core) addChoice(planned *plan, numbers map[*sidecar]uint64, task *task, choice placement.Choice, need work.Resources, slack time.Duration) {
+func (c *Core) addChoice(planned *plan, numbers map[*sidecar]uint64, task *task, choice placement.Choice, wanted *placement.Task) {
 	chosen := c.sidecars[choice.Candidate.Name]
 	number, ok := numbers[chosen]
 	if !ok {
 		number = chosen.lastRequest + 1
 		numbers[chosen] = number
 	}
-	chosen.candidate.AddPending(number, need, slack)
+	chosen.candidate.AddPending(number, wanted.Need, wanted.Slack, wanted.Pause)
 	planned.choices = append(planned.choices, plannedTask{task, choice, chosen, number})
 	planned.chosenSidecars[choice.Candidate.Name] = true
 }
@@ -154,6 +157,7 @@
 		})
 		request.Tasks[len(request.Tasks)-1].Stored = job.stored != nil
 		request.Tasks[len(request.Tasks)-1].Checkpoint = chosen.task.checkpoint
+		request.Tasks[len(request.Tasks)-1].Isolation = c.quarantine.Isolation(now, chosen.task.key)
 		chosen.task.phase = phaseSent
 		chosen.task.sidecar = chosen.sidecar.candidate.Name
 		chosen.sidecar.placed[chosen.task.key] = chosen.task
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -95,7 +95,7 @@
 	case work.EndFailed:
 		placed.failures++
 		placed.avoidSidecar(name)
-	case work.EndStuck:
+	case work.EndStuck, work.EndCrashed:
 		placed.avoidSidecar(name)
 	}
 	c.recordDecision(Decision{Kind: DecidedTaskFreed, Job: job.id, Task: placed.key.Index, Sidecar: name, Reason: end.String()})
@@ -103,9 +103,12 @@
 		c.end(job, Answer{Outcome: Failed, Reason: ReasonTaskFailed})
 		return
 	}
-	if end == work.EndFailed {
+	if end == work.EndFailed || end == work.EndCrashed {
 		c.requestSave(job)
 	}
+	if c.endIfPoison(job) {
+		return
+	}
 	job.nextPlacement = time.Time{}
 	c.place(now, job)
 }
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -41,6 +41,8 @@
 	Accepted time.Time
 	Done     func(step, index int) bool
 	Failures map[work.TaskKey]int
+	// Crashes is the number of minions that have crashed under each task.
+	Crashes map[work.TaskKey]int
 	// Checkpoints are the checkpoints of tasks that are not done.
 	Checkpoints map[work.TaskKey]work.Checkpoint
 }
@@ -71,6 +73,7 @@
 	added.stored = &storedState{accepted: stored.Accepted, cancelWaiters: make(map[uint64]bool)}
 	for _, task := range added.tasks {
 		task.failures = stored.Failures[task.key]
+		c.quarantine.Restore(now, task.key, stored.Route.Name, stored.Crashes[task.key])
 		task.checkpoint = stored.Checkpoints[task.key]
 		if stored.Done != nil && stored.Done(task.key.Step, task.key.Index) {
 			task.phase = phaseDone
@@ -79,7 +82,7 @@
 			added.unfinishedTasks--
 			added.unfinishedByStep[task.step]--
 		}
-		added.mayHaveRun = added.mayHaveRun || task.failures > 0
+		added.mayHaveRun = added.mayHaveRun || task.failures > 0 || stored.Crashes[task.key] > 0
 	}
 	c.jobs[added.id] = added
 	othersWait := c.hasWaitingJob(added.route.Priority)
@@ -103,7 +106,7 @@
 		c.end(job, Answer{Outcome: Completed})
 		return true
 	}
-	return false
+	return c.endIfPoison(job)
 }
 
 // active reports whether a run of a stored job may be active or a write of the job is
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -94,7 +94,7 @@
 		if task.phase != phaseUnplaced || !job.eligible(task.step) {
 			continue
 		}
-		switch c.planStoredTask(job, task, slack, &planned, numbers) {
+		switch c.planStoredTask(now, job, task, slack, &planned, numbers) {
 		case placementNoRoom:
 			return planned, placementNoRoom
 		case placementNoMinion:
@@ -116,9 +116,9 @@
 
 // planStoredTask adds a place for the task to the plan if a minion has room for it
 // within storedMaxExpectedWait.
-func (c *Core) planStoredTask(job *job, task *task, slack time.Duration, planned *plan, numbers map[*sidecar]uint64) placementResult {
+func (c *Core) planStoredTask(now time.Time, job *job, task *task, slack time.Duration, planned *plan, numbers map[*sidecar]uint64) placementResult {
 	step := job.steps[task.step]
-	choice, ok := c.chooser.Choose(c.candidates, placement.Task{
+	wanted := placement.Task{
 		Service:      job.route.Service,
 		Need:         step.Need,
 		Estimate:     step.Estimate,
@@ -128,14 +128,17 @@
 		Rack:         step.Rack,
 		AtStepLimit:  c.stepLimitReached(job, task.step, planned),
 		MaxWait:      storedMaxExpectedWait,
+		Allowed:      planned.allowed,
 		FailedBefore: task.failures > 0,
-	}, task.avoidedSidecars)
+	}
+	avoided := c.isolate(now, task, &wanted)
+	choice, ok := c.chooser.Choose(c.candidates, wanted, avoided)
 	if !ok {
 		return placementNoMinion
 	}
 	if choice.Wait > storedMaxExpectedWait {
 		return placementNoRoom
 	}
-	c.addChoice(planned, numbers, task, choice, step.Need, slack)
+	c.addChoice(planned, numbers, task, choice, &wanted)
 	return placedAll
 }
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -52,16 +52,17 @@
 		c.emit(EndJob{Job: job.id, Outcome: stored.outcome})
 		return
 	}
-	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Progress: job.progress()})
+	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Progress: c.progress(job)})
 }
 
 // progress returns the persistent state of the job.
-func (j *job) progress() Progress {
+func (c *Core) progress(job *job) Progress {
 	progress := Progress{
 		Failures:    make(map[work.TaskKey]int),
+		Crashes:     make(map[work.TaskKey]int),
 		Checkpoints: make(map[work.TaskKey]work.Checkpoint),
 	}
-	for _, task := range j.tasks {
+	for _, task := range job.tasks {
 		switch {
 		case task.phase == phaseDone:
 			progress.Done = append(progress.Done, task.key)
@@ -71,6 +72,9 @@
 		if task.failures > 0 {
 			progress.Failures[task.key] = task.failures
 		}
+		if crashes := c.quarantine.Crashes(task.key); crashes > 0 {
+			progress.Crashes[task.key] = crashes
+		}
 	}
 	return progress
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -26,6 +26,7 @@
 		c.refuse(submission, route.Name, Answer{Outcome: Refused, Reason: ReasonUnsupported}, 0)
 		return
 	}
+	c.quarantine.RecordSubmission(now, route.Name, route.Service)
 	if !submission.Job.BestEffort {
 		c.submitStored(now, submission, route)
 		return
@@ -140,6 +141,10 @@
 		c.refuse(submission, job.route.Name, Answer{Outcome: Refused, Reason: ReasonTooLate, RetryAfter: minRetryAfter}, 0)
 		return
 	}
+	if c.hasPoison(job) {
+		c.refuse(submission, job.route.Name, Answer{Outcome: Failed, Reason: ReasonPoison}, 0)
+		return
+	}
 	plan := c.plan(now, job)
 	if !plan.complete && !c.waitsForSettling(now, job) {
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -24,11 +24,14 @@
 	requestNumber uint64
 	need          work.Resources
 	slack         time.Duration
+	// pause is the time for which the task keeps its minion from starting others.
+	pause time.Duration
 }
 
-// AddPending records the start of a task in the StartRequest of requestNumber.
-func (c *Candidate) AddPending(requestNumber uint64, need work.Resources, slack time.Duration) {
-	c.pending = append(c.pending, pendingStart{requestNumber, need, slack})
+// AddPending records the start of a task in the StartRequest of requestNumber. The task
+// keeps the minion from starting others for the pause.
+func (c *Candidate) AddPending(requestNumber uint64, need work.Resources, slack, pause time.Duration) {
+	c.pending = append(c.pending, pendingStart{requestNumber, need, slack, pause})
 }
 
 // Update sets a newer state and drops the pending starts that it takes account
@@ -64,15 +67,30 @@
 // then starts at once.
 func (c *Candidate) expectedWait(need work.Resources, slack time.Duration) time.Duration {
 	missing := need.Sub(c.State.Free).MilliCPU + c.State.Queued.Ahead(slack)
+	pause := c.State.StartPause + c.pendingPause()
 	for _, start := range c.pending {
 		if start.slack <= slack || missing+c.State.Queued.Total() <= 0 {
 			missing += start.need.MilliCPU
 		}
 	}
 	if missing <= 0 {
-		return 0
+		return pause
 	}
-	return time.Duration(float64(c.State.Turnover) * float64(missing) / float64(c.State.Minion.Capacity.MilliCPU))
+	return pause + time.Duration(float64(c.State.Turnover)*float64(missing)/float64(c.State.Minion.Capacity.MilliCPU))
+}
+
+// pendingPause returns for how long the pending starts will keep the minion from starting
+// others. The tasks of one request are started together.
+func (c *Candidate) pendingPause() time.Duration {
+	pause := time.Duration(0)
+	var counted uint64
+	for _, start := range c.pending {
+		if start.pause > 0 && start.requestNumber != counted {
+			pause += start.pause
+			counted = start.requestNumber
+		}
+	}
+	return pause
 }
 
 // RemovePending drops the pending starts of a request that was not sent.
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -54,6 +54,10 @@
 	// AtStepLimit reports whether a sidecar has the largest number of tasks of
 	// the step that it may get; nil if there is no limit.
 	AtStepLimit func(sidecar string) bool
+	// Allowed reports whether a sidecar may get the task; nil if each one may.
+	Allowed func(sidecar string) bool
+	// Pause is the time for which the task keeps its minion from starting others.
+	Pause time.Duration
 	// FailedBefore means that a run of the task has failed. Such a task is not
 	// used as the trial task of a suspect minion.
 	FailedBefore bool
@@ -102,6 +106,9 @@
 	if !state.Accepting || state.Minion.Service != task.Service || c.Evacuated(candidate.Zone) {
 		return false
 	}
+	if task.Allowed != nil && !task.Allowed(candidate.Name) {
+		return false
+	}
 	if !state.Minion.HasLabel(task.Label) || (task.AtStepLimit != nil && task.AtStepLimit(candidate.Name)) {
 		return false
 	}
--- /dev/null
+++ b/decision/quarantine/bounds.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import "time"
+
+const (
+	// Spacing is the time before and after an isolated start in which its minion starts
+	// nothing else. A task that crashes its minion does so within this time.
+	Spacing = 100 * time.Millisecond
+	// youngAge is the age up to which a run may have crashed its minion at its start. It
+	// includes the time until the sidecar notices the crash.
+	youngAge = 2 * Spacing
+	// poisonCrashes is the number of minions that have to crash under a task before it
+	// may be taken for poison.
+	poisonCrashes = 2
+	// aloneCrashes is the number of crashes from which a task is started alone. If its
+	// minion crashes then too, the task is taken for poison.
+	aloneCrashes = 3
+	// evidenceTime is how long a crash counts as evidence against a route, and how long
+	// the first runs after a repeated crash are started with Spacing.
+	evidenceTime = 10 * time.Second
+	// confineTime is how long a route stays confined after the last crash with a young
+	// run of it. It is longer than a minion is away after a crash.
+	confineTime = 8 * time.Second
+	// minBlamedJobs is the least number of jobs that have to be blamed for crashes
+	// before their route is confined.
+	minBlamedJobs = 2
+	// blamedShare is the share of a service's sidecars that the number of blamed jobs of
+	// a route has to reach too.
+	blamedShare = 0.1
+	// confinedShare is the share of a service's sidecars that confined routes get.
+	confinedShare = 0.3
+	// activeTime is how long a route counts as in use after a submission.
+	activeTime = 5 * time.Second
+	// retention is how long a task's crashes are remembered.
+	retention = 60 * time.Second
+	// maxTasks bounds the tasks that are remembered.
+	maxTasks = 10_000
+)
--- /dev/null
+++ b/decision/quarantine/confine.go
@@ -0,0 +1,129 @@
+package quarantine
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+// Change is the beginning or the end of a route's confinement.
+type Change struct {
+	Route    string
+	Confined bool
+	// BlamedJobs is the number of jobs of the route that were blamed for crashes lately.
+	BlamedJobs int
+}
+
+// TakeChanges returns the changes since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+// RecordSubmission records that a route of the service is in use.
+func (t *Tracker) RecordSubmission(now time.Time, route, service string) {
+	t.sweep(now)
+	t.route(route, service).submittedAt = now
+}
+
+// ConfinedRoutes returns the confined routes of a service with the number of sidecars;
+// nil if there are none. A route is confined only for the sake of other routes that are
+// in use.
+func (t *Tracker) ConfinedRoutes(now time.Time, service string, sidecars int) map[string]bool {
+	if !t.evidence {
+		return nil
+	}
+	var confined map[string]bool
+	evidence := false
+	for name, route := range t.routes {
+		route.dropOldEvidence(now)
+		if route.service == service {
+			t.updateConfined(now, name, route, sidecars)
+		}
+		evidence = evidence || route.confined || len(route.blamed) > 0
+		if route.confined && route.service == service {
+			if confined == nil {
+				confined = make(map[string]bool)
+			}
+			confined[name] = true
+		}
+	}
+	t.evidence = evidence
+	return confined
+}
+
+func (t *Tracker) updateConfined(now time.Time, name string, route *routeRecord, sidecars int) {
+	confined := t.shouldConfine(now, route, sidecars)
+	if confined == route.confined {
+		return
+	}
+	route.confined = confined
+	t.changes = append(t.changes, Change{Route: name, Confined: confined, BlamedJobs: len(route.blamed)})
+}
+
+func (t *Tracker) shouldConfine(now time.Time, route *routeRecord, sidecars int) bool {
+	if now.Sub(route.suspectedAt) > confineTime || !t.othersInUse(now, route) {
+		return false
+	}
+	needed := max(minBlamedJobs, int(math.Ceil(blamedShare*float64(sidecars))))
+	return route.confined || len(route.blamed) >= needed
+}
+
+// othersInUse reports whether another route of the service is in use and not confined.
+func (t *Tracker) othersInUse(now time.Time, route *routeRecord) bool {
+	for _, other := range t.routes {
+		if other != route && other.service == route.service && !other.confined && now.Sub(other.submittedAt) <= activeTime {
+			return true
+		}
+	}
+	return false
+}
+
+// ConfinedSidecars returns which of a service's sidecars the confined routes get. Entries
+// that know the same crashes and sidecars choose the same ones. Sidecars whose minions
+// have crashed lately come first, since they may be away.
+func (t *Tracker) ConfinedSidecars(now time.Time, names []string) map[string]bool {
+	ranked := make([]rankedSidecar, len(names))
+	for i, name := range names {
+		ranked[i] = rankedSidecar{name: name, crashRank: t.crashRank(now, name), hash: nameHash(name)}
+	}
+	slices.SortFunc(ranked, compareRanks)
+	count := 0
+	if len(names) > 1 {
+		count = int(math.Ceil(confinedShare * float64(len(names))))
+	}
+	chosen := make(map[string]bool, count)
+	for _, sidecar := range ranked[:count] {
+		chosen[sidecar.name] = true
+	}
+	return chosen
+}
+
+// rankedSidecar is a sidecar with what orders it among those for confined routes.
+type rankedSidecar struct {
+	name      string
+	crashRank int
+	hash      uint64
+}
+
+func compareRanks(a, b rankedSidecar) int {
+	return cmp.Or(cmp.Compare(a.crashRank, b.crashRank), cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+// crashRank returns 0 for a sidecar whose minion has crashed lately, otherwise 1.
+func (t *Tracker) crashRank(now time.Time, sidecar string) int {
+	if t.CrashedLately(now, sidecar) {
+		return 0
+	}
+	return 1
+}
+
+func nameHash(name string) uint64 {
+	hash := fnv.New64a()
+	// Write of a hash returns no error.
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
--- a/decision/schedule/schedule_test.go
+++ b/decision/schedule/schedule_test.go
@@ -45,6 +45,7 @@
 
 func runSchedule(t *testing.T, seed uint64) {
 	sim := newSimulation(t, seed)
+	sim.crashesByChance = true
 	rate := sim.drawInt(2, 12)
 	for until := sim.now.Add(faultPhaseTime); sim.now.Before(until); {
 		if sim.drawInt(0, 99) < rate {
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -119,7 +119,7 @@
 				t.versions[job.ID] = result.Version
 				t.dispatcher.core.AddStoredJob(now, heldjob.StoredJob{
 					Job: record.Job, Route: record.Route, Accepted: record.Accepted,
-					Done: progress.Done.Has, Failures: failures, Checkpoints: checkpoints,
+					Done: progress.Done.Has, Failures: failures, Crashes: progress.Crashes.ByTask(&record.Job), Checkpoints: checkpoints,
 				})
 			})
 		}
--- a/dispatcher/logging.go
+++ b/dispatcher/logging.go
@@ -33,11 +33,26 @@
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindDisowned), decision).Msg("")
 	case heldjob.DecidedJoined:
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindJoined), decision).Msg("")
+	case heldjob.DecidedPoison:
+		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindPoison), decision).
+			Int(eventlog.FieldTask, decision.Task).Str(eventlog.FieldPeer, decision.Sidecar).Int(eventlog.FieldCount, decision.Crashes).Msg("")
+	case heldjob.DecidedRouteConfined, heldjob.DecidedRouteReleased:
+		d.logConfinement(decision)
 	case heldjob.DecidedRepeated:
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindRepeated), decision).Msg("")
 	}
 }
 
+// logConfinement logs that a route is confined to a few sidecars, or is not any more.
+func (d *Dispatcher) logConfinement(decision heldjob.Decision) {
+	kind := eventlog.KindRouteReleased
+	if decision.Kind == heldjob.DecidedRouteConfined {
+		kind = eventlog.KindRouteConfined
+		d.meters.confinements.Inc(1)
+	}
+	d.deps.Log.Failure(kind).Str(eventlog.FieldRoute, decision.Route).Int(eventlog.FieldCount, decision.Crashes).Msg("")
+}
+
 func (d *Dispatcher) logAnswer(decision heldjob.Decision) {
 	line := d.deps.Log.Routine(eventlog.KindAnswered)
 	if decision.Outcome != heldjob.Completed {
--- a/dispatcher/meters.go
+++ b/dispatcher/meters.go
@@ -18,6 +18,8 @@
 	targets   tally.Gauge
 	manifest  tally.Gauge
 	malformed tally.Counter
+	// confinements counts how often a route was confined to a few sidecars.
+	confinements tally.Counter
 
 	mu       sync.Mutex
 	outcomes map[outcomeKey]outcomeMeters
@@ -45,8 +47,10 @@
 		targets:   scope.Gauge(metrics.DispatcherTargets),
 		manifest:  scope.Gauge(metrics.ManifestVersion),
 		malformed: scope.Counter(metrics.DispatcherMalformed),
-		outcomes:  make(map[outcomeKey]outcomeMeters),
-		freed:     make(map[string]tally.Counter),
+
+		confinements: scope.Counter(metrics.DispatcherConfinements),
+		outcomes:     make(map[outcomeKey]outcomeMeters),
+		freed:        make(map[string]tally.Counter),
 	}
 }
 
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -91,6 +91,7 @@
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
 			AckedUpTo:       s.link.ackedUpTo,
+			CrashesAfter:    s.link.crashesAfter,
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
 			SnapshotVersion: d.deps.Holder.Newest().Version,
@@ -124,6 +125,7 @@
 	placed := 0
 	d.loop.Do(func(now time.Time) {
 		d.core.Updated(now, s.link.name, reply.State)
+		s.link.applyCrashes(now, reply.Crashes)
 		for _, event := range reply.Events {
 			d.core.RunEnded(now, s.link.name, event)
 		}
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -29,6 +29,20 @@
 	// ackedUpTo is the number up to which the sidecar need not keep events for
 	// this entry.
 	ackedUpTo uint64
+	// crashesAfter is the number of the newest crash received from the sidecar's
+	// incarnation afterBoot.
+	crashesAfter uint64
+}
+
+// applyCrashes passes crashes of the sidecar's minion to the core. It must be called from
+// the loop, before the ends of the runs that were in progress.
+func (l *sidecarLink) applyCrashes(now time.Time, crashes []session.Crash) {
+	for i := range crashes {
+		if crashes[i].Number > l.crashesAfter {
+			l.crashesAfter = crashes[i].Number
+			l.dispatcher.core.MinionCrashed(now, l.name, &crashes[i])
+		}
+	}
 }
 
 // observeBoot tells the link an incarnation of its sidecar. If it is newer than
@@ -138,7 +152,7 @@
 	opened := newOpenSession(l, client, &reply)
 	restarted := l.afterBoot != reply.Sidecar.Boot
 	if restarted {
-		l.after, l.ackedUpTo = 0, 0
+		l.after, l.ackedUpTo, l.crashesAfter = 0, 0, 0
 		l.afterBoot = reply.Sidecar.Boot
 	}
 	d.loop.Do(func(time.Time) {
--- a/dispatcher/storedjobs.go
+++ b/dispatcher/storedjobs.go
@@ -168,6 +168,9 @@
 	for task, count := range action.Progress.Failures {
 		progress.Failures.Set(task.Step, task.Index, count)
 	}
+	for task, count := range action.Progress.Crashes {
+		progress.Crashes.Set(task.Step, task.Index, count)
+	}
 	progress.Checkpoints = jobstore.StoredCheckpoints(action.Progress.Checkpoints)
 	s.write(action.Job, jobstore.SaveProgress(action.Job, s.versions[action.Job], progress, s.onSaved(action.Job, false)))
 }
--- a/executor/service.go
+++ b/executor/service.go
@@ -43,6 +43,8 @@
 	closed    bool
 	lastReply time.Time
 	lastState session.State
+	// sentCrash is the number of the newest crash that was sent to the entry.
+	sentCrash uint64
 	// sentVersion is the version of the directory that was last sent to the entry.
 	sentVersion uint64
 }
@@ -229,6 +231,7 @@
 		now = at
 		orphans = e.core.HasOrphans()
 		reply.Events = e.core.EventsFor(entry)
+		reply.Crashes = e.core.CrashesAfter(at, request.CrashesAfter)
 		reply.State = e.stateFor(entry, at)
 	})
 	if now.IsZero() {
@@ -236,9 +239,13 @@
 	}
 	stateDue := c.lastReply.Add(time.Duration(e.sessionCount()) * stateInterval)
 	changed := c.stateChanged(&reply.State) && !now.Before(stateDue)
-	if len(reply.Events) > 0 || changed || !now.Before(deadline) {
+	crashed := len(reply.Crashes) > 0 && reply.Crashes[len(reply.Crashes)-1].Number > c.sentCrash
+	if len(reply.Events) > 0 || crashed || changed || !now.Before(deadline) {
 		c.lastReply = now
 		c.lastState = reply.State
+		if crashed {
+			c.sentCrash = reply.Crashes[len(reply.Crashes)-1].Number
+		}
 		reply.Stamp = session.StampOf(now)
 		e.fillConfiguration(request, reply)
 		reply.Entries = c.changedEntries()
@@ -273,7 +280,8 @@
 func (c *conn) stateChanged(state *session.State) bool {
 	last := &c.lastState
 	return last.Accepting != state.Accepting || last.Suspect != state.Suspect || last.TrialDue != state.TrialDue ||
-		last.Free != state.Free || last.Queued != state.Queued || last.Minion.Born != state.Minion.Born
+		last.Free != state.Free || last.Queued != state.Queued || last.Minion.Born != state.Minion.Born ||
+		(last.StartPause > 0) != (state.StartPause > 0)
 }
 
 // wait waits for an event until the deadline. A changed state ends the wait only
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -34,15 +34,18 @@
 	// recognise its own writes.
 	Write uint64 `json:"write"`
 	// Done is the set of finished tasks.
-	Done     TaskSet  `json:"done,omitempty"`
-	Failures Failures `json:"failed,omitempty"`
+	Done     TaskSet    `json:"done,omitempty"`
+	Failures TaskCounts `json:"failed,omitempty"`
+	// Crashes counts the minions that have crashed under each task.
+	Crashes TaskCounts `json:"crashed,omitempty"`
 	// Checkpoints are the checkpoints of unfinished tasks, as many as fit into
 	// the row.
 	Checkpoints []TaskCheckpoint `json:"checkpoints,omitempty"`
 }
 
-// Begun reports whether any task of the job has finished or failed.
-func (p *Progress) Begun() bool { return len(p.Done) > 0 || len(p.Failures) > 0 }
+// Begun reports whether any task of the job has finished, failed or crashed its
+// minion.
+func (p *Progress) Begun() bool { return len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Crashes) > 0 }
 
 // Outcome says how a job ended.
 type Outcome string
--- a/session/poll.go
+++ b/session/poll.go
@@ -16,6 +16,8 @@
 	// AckedUpTo is the number up to which the sidecar need not keep events for
 	// the entry any longer: those that have to be stored are stored.
 	AckedUpTo uint64
+	// CrashesAfter is the number of the newest Crash that the entry has received.
+	CrashesAfter uint64
 	// Wait bounds the time until the reply.
 	Wait time.Duration
 	// Sidecars is the number of sidecars that the entry knows.
@@ -33,6 +35,8 @@
 	Stamp  Stamp
 	Events []Event
 	State  State
+	// Crashes are the crashes of the minion after PollRequest.CrashesAfter.
+	Crashes []Crash
 	// SnapshotVersion is the version of the sidecar's newest snapshot.
 	SnapshotVersion int64
 	// Snapshot is set only by builds without Zones.
--- a/session/start.go
+++ b/session/start.go
@@ -32,6 +32,8 @@
 	Label string
 	// Checkpoint is the point from which the run resumes; empty to start over.
 	Checkpoint work.Checkpoint
+	// Isolation says how the task is started among the others of the minion.
+	Isolation Isolation
 	// Stored means that the job is in the job store: the sidecar keeps the task's
 	// end until an entry has stored it.
 	Stored bool
--- a/session/state.go
+++ b/session/state.go
@@ -25,6 +25,9 @@
 	// Turnover is the expected time within which the whole capacity is freed
 	// once.
 	Turnover time.Duration
+	// StartPause is the time for which the minion starts nothing, because of tasks that
+	// are started in isolation.
+	StartPause time.Duration
 	// Pace is the ratio of actual to estimated run time on this minion.
 	Pace float64
 	// LastStartNumber is the number of the newest StartRequest of this session
