Confine a route whose tasks crash minions to a few sidecars of its service

A route with a task proved to be poison is confined, as long as another route of the service is in use: its tasks go to three tenths of the service's sidecars, those whose minions have crashed lately first, and the tasks of all other routes to the rest. Every entry learns of every crash and so chooses the same ones. In larger fleets it takes as many jobs to blame as a tenth of the sidecars. It ends 8 s after the last crash with a young run of the route, 3 s while only one job is to blame. The first retry after a crash is spaced already, and the tasks of a job are started together then.

--- a/decision/execution/isolation.go
+++ b/decision/execution/isolation.go
@@ -80,13 +80,17 @@
 	return false
 }
 
-// startPause estimates how long the minion starts nothing else because of isolated runs.
-func (c *Core) startPause(now time.Time) time.Duration {
-	pause := max(c.isolation.pausedUntil.Sub(now), 0)
+// startPause estimates how long the minion starts nothing of other jobs, because of
+// isolated runs. The job is empty for one that has no runs there.
+func (c *Core) startPause(now time.Time, job work.JobID) time.Duration {
+	pause := time.Duration(0)
+	if job == "" || job != c.isolation.spacedJob {
+		pause = max(c.isolation.pausedUntil.Sub(now), 0)
+	}
 	if c.aloneInProgress() {
 		pause += c.expectedRemaining(c.isolation.alone, now)
 	}
-	var counted work.JobID
+	counted := job
 	for _, waiting := range c.queue {
 		if waiting.isolation != session.IsolationNone && waiting.task.Job != counted {
 			pause += pauseFor(waiting)
@@ -100,7 +104,7 @@
 func pauseFor(waiting *run) time.Duration {
 	switch waiting.isolation {
 	case session.IsolationSpaced:
-		return 2 * quarantine.Spacing
+		return quarantine.Spacing
 	case session.IsolationAlone:
 		return defaultTurnover + waiting.estimate
 	}
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -63,7 +63,9 @@
 			continue
 		}
 		run.inCrash = true
-		crashed = append(crashed, session.CrashedRun{Task: run.task, Route: run.route, Age: now.Sub(run.startedAt)})
+		crashed = append(crashed, session.CrashedRun{
+			Task: run.task, Route: run.route, Age: now.Sub(run.startedAt), Alone: run.isolation == session.IsolationAlone,
+		})
 		if run.phase == running || run.phase == stopping {
 			ended = append(ended, run)
 		}
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -84,7 +84,7 @@
 			shortfall += queued.need.MilliCPU
 		}
 	}
-	pause := c.startPause(now)
+	pause := c.startPause(now, task.Task.Job)
 	if shortfall <= 0 || c.minion.Capacity.MilliCPU <= 0 {
 		return pause
 	}
--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -104,7 +104,7 @@
 		Queued:    c.backlog(now),
 		Turnover:  c.turnover(now),
 
-		StartPause: c.startPause(now),
+		StartPause: c.startPause(now, ""),
 		Pace:       c.health.Pace(now),
 	}
 	if peer, ok := c.entries[entry]; ok {
--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -15,9 +15,21 @@
 	for _, key := range c.quarantine.RecordCrash(now, name, service, crash) {
 		c.recordDecision(Decision{Kind: DecidedPoison, Job: key.Job, Task: key.Index, Sidecar: name, Crashes: c.quarantine.Crashes(key)})
 		if job, ok := c.jobs[key.Job]; ok {
-			c.end(job, Answer{Outcome: Failed, Reason: ReasonPoison})
+			c.endIfPoison(job)
 		}
 	}
+	c.recordConfinements()
+}
+
+// recordConfinements records the routes whose confinement has begun or ended.
+func (c *Core) recordConfinements() {
+	for _, change := range c.quarantine.TakeChanges() {
+		kind := DecidedRouteReleased
+		if change.Confined {
+			kind = DecidedRouteConfined
+		}
+		c.recordDecision(Decision{Kind: kind, Route: change.Route, Crashes: change.BlamedJobs})
+	}
 }
 
 // endIfPoison fails a job with a task that is poison.
@@ -38,14 +50,41 @@
 	return false
 }
 
-// isolate makes a task that may have crashed a minion run apart from those of other jobs,
-// and returns the sidecars that it should avoid: those whose minions have crashed lately
-// too.
+// limitPlacement restricts a plan to the sidecars that the job may use: confined routes
+// get some of the service's sidecars, and other routes the rest.
+func (c *Core) limitPlacement(now time.Time, job *job, planned *plan) {
+	names := c.sidecarsOf(job.route.Service)
+	confined := c.quarantine.ConfinedRoutes(now, job.route.Service, len(names))
+	c.recordConfinements()
+	if len(confined) == 0 {
+		return
+	}
+	set := c.quarantine.ConfinedSidecars(now, names)
+	inSet := confined[job.route.Name]
+	planned.allowed = func(name string) bool { return set[name] == inSet }
+}
+
+// sidecarsOf returns the connected sidecars of a service outside evacuated zones.
+func (c *Core) sidecarsOf(service string) []string {
+	var names []string
+	for _, candidate := range c.candidates {
+		if candidate.State.Minion.Service == service && !c.chooser.Evacuated(candidate.Zone) {
+			names = append(names, candidate.Name)
+		}
+	}
+	return names
+}
+
+// isolate completes what is wanted for a task that is started in isolation, and returns
+// the sidecars that it should avoid: for one that may have crashed a minion, those whose
+// minions have crashed lately. The tasks of one job are kept together.
 func (c *Core) isolate(now time.Time, task *task, wanted *placement.Task) (avoided map[string]bool) {
+	isolation := c.quarantine.Isolation(task.key)
+	wanted.Pause = isolationPause(isolation, wanted.Estimate)
+	wanted.Together = isolation == session.IsolationSpaced
 	if c.quarantine.Crashes(task.key) == 0 {
 		return task.avoidedSidecars
 	}
-	wanted.Pause = isolationPause(c.quarantine.Isolation(now, task.key), wanted.Estimate)
 	avoided = make(map[string]bool)
 	for _, candidate := range c.candidates {
 		name := candidate.Name
@@ -58,7 +97,7 @@
 func isolationPause(isolation session.Isolation, estimate time.Duration) time.Duration {
 	switch isolation {
 	case session.IsolationSpaced:
-		return 2 * quarantine.Spacing
+		return quarantine.Spacing
 	case session.IsolationAlone:
 		return estimate
 	}
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -40,6 +40,7 @@
 // plan is undone.
 func (c *Core) plan(now time.Time, job *job) plan {
 	planned := plan{complete: true, chosenSidecars: make(map[string]bool), waitFactor: c.waitFactor(job)}
+	c.limitPlacement(now, job, &planned)
 	limit := c.planLimit(now, job)
 	numbers := make(map[*sidecar]uint64)
 	for _, task := range job.tasks {
@@ -157,7 +158,7 @@
 		})
 		request.Tasks[len(request.Tasks)-1].Stored = job.stored != nil
 		request.Tasks[len(request.Tasks)-1].Checkpoint = chosen.task.checkpoint
-		request.Tasks[len(request.Tasks)-1].Isolation = c.quarantine.Isolation(now, chosen.task.key)
+		request.Tasks[len(request.Tasks)-1].Isolation = c.quarantine.Isolation(chosen.task.key)
 		chosen.task.phase = phaseSent
 		chosen.task.sidecar = chosen.sidecar.candidate.Name
 		chosen.sidecar.placed[chosen.task.key] = chosen.task
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -88,6 +88,7 @@
 func (c *Core) planStored(now time.Time, job *job) (plan, placementResult) {
 	slack := max(job.slack(now), 0)
 	planned := plan{chosenSidecars: make(map[string]bool)}
+	c.limitPlacement(now, job, &planned)
 	numbers := make(map[*sidecar]uint64)
 	found := placedAll
 	for _, task := range job.tasks {
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -29,6 +29,8 @@
 	// colocationBonus is subtracted for a minion that another task of the same
 	// job is placed at, because tasks at the same minion share messages.
 	colocationBonus = 6 * time.Millisecond
+	// togetherBonus is subtracted too if the tasks of the job should be together.
+	togetherBonus = 60 * time.Millisecond
 	// lateStartCost is added for a candidate where the expected wait exceeds the
 	// task's MaxWait.
 	lateStartCost = 20 * time.Second
@@ -56,6 +58,9 @@
 	AtStepLimit func(sidecar string) bool
 	// Allowed reports whether a sidecar may get the task; nil if each one may.
 	Allowed func(sidecar string) bool
+	// Together means that the tasks of the job should be at the same minion even if they
+	// start later there.
+	Together bool
 	// Pause is the time for which the task keeps its minion from starting others.
 	Pause time.Duration
 	// FailedBefore means that a run of the task has failed. Such a task is not
@@ -91,6 +96,10 @@
 			continue
 		}
 		choice := Choice{Candidate: candidate, Wait: candidate.expectedWait(task.Need, task.Slack)}
+		if task.JobSidecars[candidate.Name] {
+			// The tasks of one job don't wait for each other's pause.
+			choice.Wait = max(choice.Wait-task.Pause, 0)
+		}
 		cost := c.cost(choice, task, avoided[candidate.Name])
 		if !found || cost < bestCost {
 			best, bestCost, found = choice, cost, true
@@ -138,6 +147,9 @@
 	}
 	if task.JobSidecars[choice.Candidate.Name] {
 		cost -= colocationBonus
+		if task.Together {
+			cost -= togetherBonus
+		}
 	}
 	capacity := float64(state.Minion.Capacity.MilliCPU)
 	cost += time.Duration(float64(utilizationCost) * (1 - float64(choice.Candidate.freeAfterPending().MilliCPU)/capacity))
--- a/decision/quarantine/bounds.go
+++ b/decision/quarantine/bounds.go
@@ -15,17 +15,16 @@
 	// aloneCrashes is the number of crashes from which a task is started alone. If its
 	// minion crashes then too, the task is taken for poison.
 	aloneCrashes = 3
-	// evidenceTime is how long a crash counts as evidence against a route, and how long
-	// the first runs after a repeated crash are started with Spacing.
+	// evidenceTime is how long a poison task counts as evidence against its route, and
+	// how long a crash counts against the place of the minion.
 	evidenceTime = 10 * time.Second
 	// confineTime is how long a route stays confined after the last crash with a young
-	// run of it. It is longer than a minion is away after a crash.
-	confineTime = 8 * time.Second
-	// minBlamedJobs is the least number of jobs that have to be blamed for crashes
-	// before their route is confined.
-	minBlamedJobs = 2
-	// blamedShare is the share of a service's sidecars that the number of blamed jobs of
-	// a route has to reach too.
+	// run of it: longer than a minion is away after a crash. firstConfineTime is how long
+	// it does while only one of its jobs is to blame.
+	confineTime      = 8 * time.Second
+	firstConfineTime = 3 * time.Second
+	// blamedShare is the number of jobs to blame from which a route is confined, as a
+	// share of the service's sidecars; at least one.
 	blamedShare = 0.1
 	// confinedShare is the share of a service's sidecars that confined routes get.
 	confinedShare = 0.3
--- a/decision/quarantine/confine.go
+++ b/decision/quarantine/confine.go
@@ -33,25 +33,22 @@
 // nil if there are none. A route is confined only for the sake of other routes that are
 // in use.
 func (t *Tracker) ConfinedRoutes(now time.Time, service string, sidecars int) map[string]bool {
-	if !t.evidence {
-		return nil
-	}
 	var confined map[string]bool
-	evidence := false
-	for name, route := range t.routes {
-		route.dropOldEvidence(now)
-		if route.service == service {
-			t.updateConfined(now, name, route, sidecars)
+	for name, route := range t.suspects {
+		if route.service != service {
+			continue
 		}
-		evidence = evidence || route.confined || len(route.blamed) > 0
-		if route.confined && route.service == service {
-			if confined == nil {
-				confined = make(map[string]bool)
-			}
+		route.dropOldEvidence(now)
+		t.updateConfined(now, name, route, sidecars)
+		switch {
+		case route.confined && confined == nil:
+			confined = map[string]bool{name: true}
+		case route.confined:
 			confined[name] = true
+		case len(route.blamed) == 0:
+			delete(t.suspects, name)
 		}
 	}
-	t.evidence = evidence
 	return confined
 }
 
@@ -65,10 +62,14 @@
 }
 
 func (t *Tracker) shouldConfine(now time.Time, route *routeRecord, sidecars int) bool {
-	if now.Sub(route.suspectedAt) > confineTime || !t.othersInUse(now, route) {
+	limit := confineTime
+	if len(route.blamed) <= 1 {
+		limit = firstConfineTime
+	}
+	if now.Sub(route.suspectedAt) > limit || !t.othersInUse(now, route) {
 		return false
 	}
-	needed := max(minBlamedJobs, int(math.Ceil(blamedShare*float64(sidecars))))
+	needed := max(1, int(blamedShare*float64(sidecars)))
 	return route.confined || len(route.blamed) >= needed
 }
 
--- a/decision/quarantine/task.go
+++ b/decision/quarantine/task.go
@@ -5,22 +5,46 @@
 // taskRecord is what is known of a task that was in progress when minions crashed.
 type taskRecord struct {
 	route string
-	// crashes is the number of minions that crashed while the task was in progress.
-	crashes int
-	// youngCrashes are those of the crashes at which the run was young, young means that
+	// stored is the number of crashes that was stored with the job when this entry took
+	// the job over at storedAt. reportedBefore and reportedSince count the crashes that
+	// sidecars have reported, by whether they came before or after that.
+	stored, reportedBefore, reportedSince int
+	storedAt                              time.Time
+	// youngCrashes are the reported crashes at which the run was young, young means that
 	// the last one was among them.
 	youngCrashes int
 	young        bool
-	// sole means that no other job can have caused one of the crashes.
-	sole   bool
-	poison bool
+	// sole means that no other job can have caused one of the crashes at which the run
+	// was young, alone that the task was alone at one of the crashes.
+	sole, alone bool
+	poison      bool
 	// at is the time of the last crash.
 	at time.Time
 }
 
-func (r *taskRecord) record(at time.Time, young, sole bool) {
-	r.crashes++
+// crashes returns the number of minions that crashed while the task was in progress. The
+// stored number may include crashes that are reported too.
+func (r *taskRecord) crashes() int {
+	return max(r.stored, r.reportedBefore) + r.reportedSince
+}
+
+func (r *taskRecord) restore(now time.Time, crashes int) {
+	r.stored = crashes
+	r.storedAt = now
+	r.reportedBefore += r.reportedSince
+	r.reportedSince = 0
+	r.at = latest(r.at, now)
+}
+
+// record counts a crash.
+func (r *taskRecord) record(at time.Time, young, sole, alone bool) {
+	if at.Before(r.storedAt) {
+		r.reportedBefore++
+	} else {
+		r.reportedSince++
+	}
 	r.sole = r.sole || (young && sole)
+	r.alone = r.alone || alone
 	if young {
 		r.youngCrashes++
 	}
@@ -31,8 +55,8 @@
 }
 
 // isPoison reports whether the task crashes minions: several have crashed soon after its
-// start, at one of these crashes nothing else can have been the cause; or it was started
-// alone and its minion crashed nevertheless.
+// start, and at one of these crashes nothing else can have been the cause; or several
+// have crashed, one of them while the task was alone.
 func (r *taskRecord) isPoison() bool {
-	return r.crashes > aloneCrashes || (r.youngCrashes >= poisonCrashes && r.sole)
+	return (r.youngCrashes >= poisonCrashes && r.sole) || (r.crashes() >= poisonCrashes && r.alone)
 }
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -16,19 +16,17 @@
 	routes map[string]*routeRecord
 	// crashedAt is when the minion of each sidecar last crashed.
 	crashedAt map[string]time.Time
-	// repeatedAt is when a minion last crashed under a task under which another had
-	// crashed before.
-	repeatedAt time.Time
-	nextSweep  time.Time
-	// evidence is false while no task of any route is blamed for a crash.
-	evidence bool
-	changes  []Change
+	// suspects are the routes that are blamed for crashes or confined.
+	suspects  map[string]*routeRecord
+	nextSweep time.Time
+	changes   []Change
 }
 
 // New returns a Tracker that knows of no crash.
 func New() *Tracker {
 	return &Tracker{
-		tasks: make(map[work.TaskKey]*taskRecord), routes: make(map[string]*routeRecord), crashedAt: make(map[string]time.Time),
+		tasks: make(map[work.TaskKey]*taskRecord), crashedAt: make(map[string]time.Time),
+		routes: make(map[string]*routeRecord), suspects: make(map[string]*routeRecord),
 	}
 }
 
@@ -40,33 +38,21 @@
 	at := now.Add(-crash.Age)
 	t.crashedAt[sidecar] = latest(t.crashedAt[sidecar], at)
 	cause, found := soleCause(crash.Runs)
-	var poison, repeated []work.TaskKey
+	var poison []work.TaskKey
 	for _, run := range crash.Runs {
 		task := t.task(run.Task, run.Route)
 		young := run.Age <= youngAge
-		task.record(at, young, found && run.Task.Job == cause)
+		task.record(at, young, found && run.Task.Job == cause, run.Alone)
 		if young {
 			route := t.route(run.Route, service)
 			route.suspectedAt = latest(route.suspectedAt, at)
 		}
-		if task.crashes < poisonCrashes {
-			continue
-		}
-		t.repeatedAt = latest(t.repeatedAt, at)
-		if young {
-			repeated = append(repeated, run.Task)
-		}
 		if task.isPoison() && !task.poison {
 			task.poison = true
 			poison = append(poison, run.Task)
+			t.blame(at, run.Route, service, run.Task.Job)
 		}
 	}
-	switch {
-	case len(poison) > 0:
-		t.blame(at, service, poison)
-	case crash.Age <= youngAge:
-		t.blame(at, service, repeated)
-	}
 	return poison
 }
 
@@ -88,18 +74,14 @@
 	return youngest.Task.Job, true
 }
 
-// blame counts a crash as evidence against the route of the tasks, if all are of one
-// route.
-func (t *Tracker) blame(at time.Time, service string, tasks []work.TaskKey) {
-	for _, task := range tasks {
-		if t.tasks[task].route != t.tasks[tasks[0]].route {
-			return
-		}
-	}
-	for _, task := range tasks {
-		t.route(t.tasks[task].route, service).blamed[task.Job] = at
-		t.evidence = true
+// blame counts a job with a poison task as evidence against its route, if that is known.
+func (t *Tracker) blame(at time.Time, name, service string, job work.JobID) {
+	if name == "" {
+		return
 	}
+	route := t.route(name, service)
+	route.blamed[job] = at
+	t.suspects[name] = route
 }
 
 // Restore records that a number of minions are known to have crashed under a task, from
@@ -108,15 +90,13 @@
 	if crashes == 0 {
 		return
 	}
-	task := t.task(key, route)
-	task.crashes = max(task.crashes, crashes)
-	task.at = now
+	t.task(key, route).restore(now, crashes)
 }
 
 // Crashes returns the number of minions that are known to have crashed under a task.
 func (t *Tracker) Crashes(key work.TaskKey) int {
 	if task, ok := t.tasks[key]; ok {
-		return task.crashes
+		return task.crashes()
 	}
 	return 0
 }
@@ -127,18 +107,15 @@
 	return ok && task.poison
 }
 
-// Isolation returns how the next run of a task is to be started. A single crash says
-// little, so that the first runs after it are started like any others.
-func (t *Tracker) Isolation(now time.Time, key work.TaskKey) session.Isolation {
+// Isolation returns how the next run of a task is to be started.
+func (t *Tracker) Isolation(key work.TaskKey) session.Isolation {
 	task, ok := t.tasks[key]
 	switch {
 	case !ok:
 		return session.IsolationNone
-	case task.crashes >= aloneCrashes:
+	case task.crashes() >= aloneCrashes:
 		return session.IsolationAlone
-	case !task.young:
-		return session.IsolationNone
-	case task.crashes >= poisonCrashes || now.Sub(t.repeatedAt) <= evidenceTime:
+	case task.young:
 		return session.IsolationSpaced
 	}
 	return session.IsolationNone
@@ -184,8 +161,8 @@
 		}
 	}
 	maps.DeleteFunc(t.crashedAt, func(_ string, at time.Time) bool { return now.Sub(at) > retention })
-	maps.DeleteFunc(t.routes, func(_ string, route *routeRecord) bool {
-		return now.Sub(latest(route.submittedAt, route.suspectedAt)) > retention
+	maps.DeleteFunc(t.routes, func(name string, route *routeRecord) bool {
+		return t.suspects[name] == nil && now.Sub(latest(route.submittedAt, route.suspectedAt)) > retention
 	})
 }
 
--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -16,7 +16,7 @@
 // state or of its view of the system.
 var processStateKinds = []eventlog.Kind{
 	eventlog.KindStart, eventlog.KindStop, eventlog.KindDependencyLost, eventlog.KindDependencyRegained, eventlog.KindManifest,
-	eventlog.KindMinion, eventlog.KindMinionSuspect, eventlog.KindMinionTrusted, eventlog.KindEntrySilent, eventlog.KindReload,
+	eventlog.KindMinion, eventlog.KindMinionCrashed, eventlog.KindMinionSuspect, eventlog.KindMinionTrusted, eventlog.KindEntrySilent, eventlog.KindReload,
 }
 
 // Timeline holds the log lines of one request, and the state changes of the
--- a/session/crash.go
+++ b/session/crash.go
@@ -25,6 +25,8 @@
 	Route string
 	// Age is the time from the sending of the start to the crash.
 	Age time.Duration
+	// Alone means that nothing else was in progress since the start of the run.
+	Alone bool
 }
 
 // Isolation says how a task is started among the other tasks of its minion.
--- a/session/hello.go
+++ b/session/hello.go
@@ -9,7 +9,9 @@
 // Claim is a run that an entry had placed on a sidecar before the connection was
 // lost or the sidecar restarted.
 type Claim struct {
-	Task     work.TaskKey
+	Task work.TaskKey
+	// Route is the name of the job's route.
+	Route    string
 	Need     work.Resources
 	Estimate time.Duration
 	// Stored means that the task's job is in the job store.
