--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		if run.phase == running || run.phase == stopping {
-			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: max(c.answeredAt.Sub(run.startedAt), 0)})
+			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: now.Sub(run.startedAt)})
 			c.finish(run, work.EndLapsed, 0)
 			ended = true
 		}
--- /dev/null
+++ b/decision/heldjob/crash_test.go
@@ -0,0 +1,96 @@
+package heldjob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// crashUnder crashes the minion of a start's sidecar right after the start.
+func (f *fixture) crashUnder(start StartTasks, beside ...session.CrashedRun) {
+	crash := &session.Crash{Runs: beside}
+	for _, task := range start.Request.Tasks {
+		crash.Runs = append(crash.Runs, session.CrashedRun{Task: task.Task, Route: task.Route, Age: 20 * time.Millisecond, Alone: task.Isolation == session.IsolationAlone})
+	}
+	f.core.MinionCrashed(f.now, start.Sidecar, crash)
+	f.endRuns(start, work.EndCrashed)
+}
+
+// TestJobThatCrashesTwoMinionsFails checks that a task that crashes minions is started in
+// isolation after the first crash, and that its job fails after the second.
+func TestJobThatCrashesTwoMinionsFails(t *testing.T) {
+	f := newFixture(t, 4)
+	waiter := f.submit("deadly", 1)
+	first := f.replyToStarts(session.RefusedNone)
+	must.EqOp(t, session.IsolationNone, first[0].Request.Tasks[0].Isolation)
+	f.crashUnder(first[0])
+	second := f.replyToStarts(session.RefusedNone)
+	must.NotEqOp(t, first[0].Sidecar, second[0].Sidecar)
+	must.EqOp(t, session.IsolationSpaced, second[0].Request.Tasks[0].Isolation)
+	f.crashUnder(second[0])
+	must.Len(t, 0, f.starts)
+	must.Eq(t, Answer{Outcome: Failed, Reason: ReasonPoison}, f.replies[waiter])
+}
+
+// TestResubmittedPoisonJobFailsAtOnce guards against starting a task again that is known
+// to crash minions, at an entry that has heard of it only from sidecars.
+func TestResubmittedPoisonJobFailsAtOnce(t *testing.T) {
+	f := newFixture(t, 4)
+	task := work.TaskKey{Job: "deadly"}
+	for _, sidecar := range []string{"s0", "s1"} {
+		f.core.MinionCrashed(f.now, sidecar, &session.Crash{Age: time.Second, Runs: []session.CrashedRun{{Task: task, Route: "r", Age: 15 * time.Millisecond}}})
+	}
+	waiter := f.submit("deadly", 1)
+	must.Len(t, 0, f.starts)
+	must.Eq(t, Answer{Outcome: Failed, Reason: ReasonPoison}, f.replies[waiter])
+}
+
+// TestTaskBesideDeadlyOneIsRunToItsEnd guards against innocent tasks that are given up
+// with a deadly one that was started beside them.
+func TestTaskBesideDeadlyOneIsRunToItsEnd(t *testing.T) {
+	f := newFixture(t, 4)
+	waiter := f.submit("innocent", 1)
+	for range 3 {
+		starts := f.replyToStarts(session.RefusedNone)
+		must.Len(t, 1, starts)
+		f.crashUnder(starts[0], session.CrashedRun{Task: work.TaskKey{Job: "deadly"}, Route: "r", Age: 15 * time.Millisecond})
+	}
+	last := f.replyToStarts(session.RefusedNone)
+	must.EqOp(t, session.IsolationAlone, last[0].Request.Tasks[0].Isolation)
+	f.endRuns(last[0], work.EndDone)
+	must.EqOp(t, Completed, f.replies[waiter].Outcome)
+}
+
+// TestStoredJobKeepsCountOfCrashes checks that the number of crashes under the tasks of a
+// stored job is saved with it and holds for the entry that takes the job over.
+func TestStoredJobKeepsCountOfCrashes(t *testing.T) {
+	f := newFixture(t, 4)
+	task := work.TaskKey{Job: "stored"}
+	f.core.SetOwnership(f.now, true)
+	stored := StoredJob{
+		Job: work.Job{ID: task.Job, Steps: []work.Step{{
+			Count: 1, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
+		}}},
+		Route: f.core.snapshot.Manifest.Routes[0], Accepted: f.now,
+	}
+	f.core.AddStoredJob(f.now, stored)
+	f.collect()
+	f.crashUnder(f.replyToStarts(session.RefusedNone)[0])
+	must.Len(t, 1, f.saves)
+	must.Eq(t, map[work.TaskKey]int{task: 1}, f.saves[0].Progress.Crashes)
+
+	next := newFixture(t, 4)
+	next.core.SetOwnership(next.now, true)
+	stored.Crashes = map[work.TaskKey]int{task: 3}
+	next.core.AddStoredJob(next.now, stored)
+	next.collect()
+	start := next.replyToStarts(session.RefusedNone)[0]
+	must.EqOp(t, session.IsolationAlone, start.Request.Tasks[0].Isolation)
+	next.crashUnder(start)
+	must.Len(t, 0, next.starts)
+	must.EqOp(t, Failed, next.endings[0].Outcome)
+}
--- /dev/null
+++ b/decision/quarantine/confine_test.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// provePoison makes a task of the route poison.
+func provePoison(tracker *Tracker, now time.Time, job, route string) {
+	for _, sidecar := range []string{"s1", "s2"} {
+		tracker.RecordCrash(now, sidecar, service, crash(run(job, route, 10*time.Millisecond)))
+	}
+}
+
+// TestRouteIsConfinedForTheOthersInUse checks when a route is confined, and that it is not
+// while there is no other route to protect.
+func TestRouteIsConfinedForTheOthersInUse(t *testing.T) {
+	tracker := New()
+	tracker.RecordSubmission(start, "bad", service)
+	provePoison(tracker, start, "j1", "bad")
+	must.MapEmpty(t, tracker.ConfinedRoutes(start, service, 11))
+	tracker.RecordSubmission(start, "other service", "elsewhere")
+	must.MapEmpty(t, tracker.ConfinedRoutes(start, service, 11))
+	tracker.RecordSubmission(start, "good", service)
+	must.Eq(t, map[string]bool{"bad": true}, tracker.ConfinedRoutes(start, service, 11))
+	must.MapEmpty(t, tracker.ConfinedRoutes(start, "elsewhere", 11))
+	must.Eq(t, []Change{{Route: "bad", Confined: true, BlamedJobs: 1}}, tracker.TakeChanges())
+}
+
+// TestConfinementEnds checks for how long a route stays confined after its last crash.
+func TestConfinementEnds(t *testing.T) {
+	for jobs, limit := range map[int]time.Duration{1: firstConfineTime, 2: confineTime} {
+		tracker := New()
+		for i := range jobs {
+			provePoison(tracker, start, fmt.Sprint(i), "bad")
+		}
+		for _, after := range []time.Duration{0, limit} {
+			tracker.RecordSubmission(start.Add(after), "good", service)
+			must.MapLen(t, 1, tracker.ConfinedRoutes(start.Add(after), service, 11))
+		}
+		must.MapEmpty(t, tracker.ConfinedRoutes(start.Add(limit+time.Millisecond), service, 11))
+		must.MapEmpty(t, tracker.ConfinedRoutes(start.Add(time.Minute), service, 11))
+		must.MapEmpty(t, tracker.suspects)
+	}
+}
+
+// TestLargeFleetConfinesLater checks that one poison task among many sidecars does not
+// confine its route.
+func TestLargeFleetConfinesLater(t *testing.T) {
+	tracker := New()
+	tracker.RecordSubmission(start, "good", service)
+	for i := range 5 {
+		must.MapEmpty(t, tracker.ConfinedRoutes(start, service, 55))
+		provePoison(tracker, start, fmt.Sprint(i), "bad")
+	}
+	must.MapLen(t, 1, tracker.ConfinedRoutes(start, service, 55))
+}
+
+// TestEntriesChooseTheSameConfinedSidecars checks that the choice depends on the names and
+// crashes only, that sidecars whose minions crashed come first, and that the rest of the
+// service is left to the other routes.
+func TestEntriesChooseTheSameConfinedSidecars(t *testing.T) {
+	tracker := New()
+	tracker.RecordCrash(start, "s7", service, crash(run("j", "r", time.Second)))
+	for count, want := range map[int]int{1: 0, 2: 1, 11: 4, 72: 22} {
+		var names []string
+		for i := range count {
+			names = append(names, fmt.Sprintf("s%d", i))
+		}
+		chosen := tracker.ConfinedSidecars(start, names)
+		must.MapLen(t, want, chosen)
+		if count > 7 {
+			must.True(t, chosen["s7"])
+		}
+		rand.Shuffle(count, func(i, j int) { names[i], names[j] = names[j], names[i] })
+		must.Eq(t, chosen, tracker.ConfinedSidecars(start, names))
+	}
+}
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -149,14 +149,16 @@
 // sweepInterval is the least time between two sweeps.
 const sweepInterval = time.Second
 
-// sweep forgets old crashes, and all if there are too many.
+// sweep forgets old crashes. If there are too many, it forgets all but those of poison
+// tasks.
 func (t *Tracker) sweep(now time.Time) {
 	if now.Before(t.nextSweep) && len(t.tasks) <= maxTasks {
 		return
 	}
 	t.nextSweep = now.Add(sweepInterval)
+	tooMany := len(t.tasks) > maxTasks
 	for key, task := range t.tasks {
-		if now.Sub(task.at) > retention || len(t.tasks) > maxTasks && !task.poison {
+		if now.Sub(task.at) > retention || tooMany && !task.poison {
 			delete(t.tasks, key)
 		}
 	}
--- a/decision/schedule/minion_test.go
+++ b/decision/schedule/minion_test.go
@@ -29,10 +29,46 @@
 	lastNumber map[work.TaskKey]int
 	finished   []execution.FinishedRun
 	sequence   uint64
+	// capacity is the room in thousandths of a core, rooms its changes of the last
+	// roomGrace. nextReport is when the minion next reports it to its sidecar.
+	capacity   int64
+	rooms      []roomChange
+	nextReport time.Time
 	// crashAt is when the minion crashes under a deadly task; zero if it does not.
 	crashAt time.Time
 }
 
+// roomChange is the room that a minion had until a time.
+type roomChange struct {
+	until    time.Time
+	capacity int64
+}
+
+const (
+	// reportInterval is the time between two reports of a minion about itself.
+	reportInterval = 1500 * time.Millisecond
+	// roomGrace is how long a start may count on room that has gone meanwhile: the users
+	// allow 3 s and one report.
+	roomGrace = 3*time.Second + reportInterval
+)
+
+// setCapacity changes the room of the minion while it runs.
+func (m *minion) setCapacity(now time.Time, capacity int64) {
+	m.rooms = append(m.rooms, roomChange{now, m.capacity})
+	m.capacity = capacity
+}
+
+// allowedRoom returns the room that starts may count on.
+func (m *minion) allowedRoom(now time.Time) int64 {
+	allowed := m.capacity
+	for _, old := range m.rooms {
+		if now.Sub(old.until) <= roomGrace {
+			allowed = max(allowed, old.capacity)
+		}
+	}
+	return allowed
+}
+
 const (
 	// deadlyDelay is the time from the start of a deadly task to the crash, deadlyPause
 	// the time until the minion is back.
@@ -41,7 +77,7 @@
 )
 
 func newMinion(sim *simulation, name string) *minion {
-	return &minion{sim: sim, name: name, incarnation: 1, running: make(map[work.TaskKey]activeRun), lastNumber: make(map[work.TaskKey]int)}
+	return &minion{sim: sim, name: name, incarnation: 1, capacity: minionCapacity, running: make(map[work.TaskKey]activeRun), lastNumber: make(map[work.TaskKey]int)}
 }
 
 // crash ends the incarnation and all its runs; the next one starts at the given
@@ -58,6 +94,7 @@
 	m.lastNumber = make(map[work.TaskKey]int)
 	m.finished = nil
 	m.crashAt = time.Time{}
+	m.nextReport = time.Time{}
 }
 
 // crashIfDue crashes the minion if a deadly task was started deadlyDelay ago.
--- a/decision/schedule/sidecar_test.go
+++ b/decision/schedule/sidecar_test.go
@@ -56,9 +56,12 @@
 		s.performActions(now)
 		return
 	}
-	s.core.Heartbeat(now, session.Minion{
-		ID: s.name, Service: "desk", Born: s.minion.incarnation, Capacity: work.Resources{MilliCPU: minionCapacity, MemMB: 1 << 10},
-	}, false)
+	if !now.Before(s.minion.nextReport) {
+		s.minion.nextReport = now.Add(reportInterval)
+		s.core.Heartbeat(now, session.Minion{
+			ID: s.name, Service: "desk", Born: s.minion.incarnation, Capacity: work.Resources{MilliCPU: s.minion.capacity, MemMB: 1 << 10},
+		}, false)
+	}
 	s.pollMinion(now)
 	s.core.Tick(now)
 	s.performActions(now)
--- a/decision/schedule/simulation_test.go
+++ b/decision/schedule/simulation_test.go
@@ -169,8 +169,8 @@
 	sim.runningAt[task] = m
 	sim.startCount[task]++
 	sim.started[task.Job] = true
-	if used := len(m.running) * taskNeed; used > minionCapacity {
-		sim.fail("%d of %d mCPU in use at %s", used, minionCapacity, m.name)
+	if used := int64(len(m.running) * taskNeed); used > m.allowedRoom(sim.now) {
+		sim.fail("%d of %d mCPU in use at %s", used, m.allowedRoom(sim.now), m.name)
 	}
 	for _, c := range sim.callers {
 		if c.job == task.Job && c.finished && c.refusals == c.submissions {
