Pass a minion's room on to a starting sidecar only while it is fresh

An entry tells a sidecar that has just started what it knows of the minion, so that the sidecar need not wait for the minion's report. An entry that still had tasks of stored jobs there kept that for as long as it was cut off, so that a room that had shrunk meanwhile could be filled to its former size until the next report, 1.5 s later. It is passed on for 2 s now: with one report that is within the 4.5 s the users allow.

--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -19,6 +19,9 @@
 	// execution.SilenceLimit; if the sidecar is frozen by then, the lease that it
 	// renewed last expires at the minion.
 	RunExpiry = execution.SilenceLimit + stopTime + execution.Lease + leaseMargin
+	// maxMinionAge is the age up to which what an entry knows of a minion is passed on to
+	// a sidecar that has just started. The minion's capacity may have shrunk since.
+	maxMinionAge = 2 * time.Second
 	// maxLatenessFactor is the multiple of its latency objective that a job may take
 	// and still be of use to a caller that sent no timeout.
 	maxLatenessFactor = 3
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -166,11 +166,14 @@
 }
 
 // BeginSession records that a session with the sidecar is about to be opened. It
-// returns the claims and the minion for the Hello call. Connected or SessionFailed
-// must follow.
-func (c *Core) BeginSession(name string) ([]session.Claim, session.Minion) {
+// returns the claims for the Hello call, and the minion unless what is known of it is old.
+// Connected or SessionFailed must follow.
+func (c *Core) BeginSession(now time.Time, name string) ([]session.Claim, session.Minion) {
 	sidecar := c.sidecar(name)
 	sidecar.opening = true
+	if now.Sub(sidecar.candidate.StateAt) > maxMinionAge {
+		return c.claims(sidecar), session.Minion{}
+	}
 	return c.claims(sidecar), sidecar.candidate.State.Minion
 }
 
--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -47,7 +47,7 @@
 }
 
 func (f *fixture) connect(name string) []session.Claim {
-	claims, _ := f.core.BeginSession(name)
+	claims, _ := f.core.BeginSession(f.now, name)
 	f.core.Connected(name, "a", claims)
 	f.core.Updated(f.now, name, f.state(10000))
 	return claims
@@ -201,7 +201,7 @@
 	f.submit("a", 1)
 	start := f.replyToStarts(session.RefusedNone)[0]
 	f.core.Disconnected(start.Sidecar, f.now)
-	claims, _ := f.core.BeginSession(start.Sidecar)
+	claims, _ := f.core.BeginSession(f.now, start.Sidecar)
 	must.Len(t, 1, claims)
 	f.tick(RunExpiry + time.Millisecond)
 	must.Len(t, 0, f.starts)
@@ -220,7 +220,7 @@
 	waiter := f.submit("a", 1)
 	f.replyToStarts(session.RefusedNone)
 	f.core.Disconnected("s0", f.now)
-	claims, _ := f.core.BeginSession("s0")
+	claims, _ := f.core.BeginSession(f.now, "s0")
 	f.core.CallerGone("a", waiter)
 	f.core.Connected("s0", "a", claims)
 	f.collect()
--- a/decision/heldjob/overload_test.go
+++ b/decision/heldjob/overload_test.go
@@ -97,7 +97,7 @@
 	f.minions[name] = minion
 	f.names = append(f.names, name)
 	f.reportRuns(minion)
-	claims, _ := f.core.BeginSession(name)
+	claims, _ := f.core.BeginSession(f.now, name)
 	f.core.Connected(name, "a", claims)
 	f.core.Updated(f.now, name, minion.core.StateFor("e", f.now))
 }
--- a/decision/schedule/entry_test.go
+++ b/decision/schedule/entry_test.go
@@ -129,7 +129,7 @@
 	if !e.sim.connected(e, sidecar) {
 		return
 	}
-	claims, knownMinion := e.core.BeginSession(sidecar.name)
+	claims, knownMinion := e.core.BeginSession(now, sidecar.name)
 	greeting := execution.HelloParams{Entry: e.name, Boot: e.incarnation(), Claims: claims, Minion: knownMinion}
 	restarted := conn.incarnation != sidecar.incarnation()
 	if !restarted {
