--- /dev/null
+++ b/instance/crash_test.go
@@ -0,0 +1,58 @@
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/figring/figring/platform/standin"
+)
+
+// deadlyJob returns the body of a best-effort job whose only task crashes each minion that
+// starts it.
+func deadlyJob() map[string]any {
+	spec, _ := json.Marshal(standin.Spec{WorkMillis: 200, Crash: true})
+	body := job(1, 1000, 200*time.Millisecond)
+	body["spec"] = string(spec)
+	return body
+}
+
+// TestDeadlyJobIsGivenUpAndItsNeighboursAreNot guards against a task that crashes minion
+// after minion and is given up never, or together with what ran beside it; and against an
+// entry that starts it anew because another one has given it up.
+func TestDeadlyJobIsGivenUpAndItsNeighboursAreNot(t *testing.T) {
+	const (
+		deadly     = "dead000000000001"
+		neighbours = 60
+		// startsAllowed is fewer than three starts after three minions have crashed.
+		startsAllowed = 5
+	)
+	s := newSystem(t, 6, 2)
+	var group sync.WaitGroup
+	answers := make([]answer, neighbours)
+	for i := range neighbours {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			answers[i] = s.submitUntilServed(s.entries[i%2], fmt.Sprintf("%016x", 0x1000+i), job(2, 500, 300*time.Millisecond))
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	given := s.submitUntilServed(s.entries[0], deadly, deadlyJob())
+	must.EqOp(t, http.StatusOK, given.status)
+	must.EqOp(t, "failed", given.state)
+	starts := s.starts(deadly)
+	must.LessEq(t, startsAllowed, starts)
+	given = s.submitUntilServed(s.entries[1], deadly, deadlyJob())
+	must.EqOp(t, "failed", given.state)
+	must.EqOp(t, starts, s.starts(deadly))
+	group.Wait()
+	for i := range neighbours {
+		must.EqOp(t, "completed", answers[i].state)
+	}
+	must.SliceEmpty(t, s.ledger.Overlaps())
+}
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -152,16 +152,35 @@
 	entryHost   = 10
 )
 
+// crashPause is the time from the crash of a minion until it is back.
+const crashPause = 600 * time.Millisecond
+
 func (s *system) startMinion(i int) {
+	life, end := context.WithCancel(context.Background())
+	s.t.Cleanup(end)
+	s.minions = append(s.minions, s.runMinion(life, i))
+}
+
+// runMinion runs a minion until ctx ends, or until a task crashes it; then another takes
+// its place after crashPause.
+func (s *system) runMinion(ctx context.Context, i int) *standin.Minion {
 	minion := standin.NewMinion(fmt.Sprintf("i-%d", i), s.ledger, uint64(i))
 	listener, err := net.Listen("tcp", s.address(minionHost+i, s.port))
 	must.NoError(s.t, err)
 	server := &http.Server{Handler: minion.Handler()}
 	go func() { _ = server.Serve(listener) }()
-	s.minions = append(s.minions, minion)
-	ctx, cancel := context.WithCancel(context.Background())
-	s.t.Cleanup(func() { cancel(); minion.Close(); _ = server.Close() })
-	go s.sendHeartbeats(ctx, i, minion)
+	life, end := context.WithCancel(ctx)
+	context.AfterFunc(life, func() { minion.Close(); _ = server.Close() })
+	minion.OnCrash(func() {
+		end()
+		time.AfterFunc(crashPause, func() {
+			if ctx.Err() == nil {
+				s.runMinion(ctx, i)
+			}
+		})
+	})
+	go s.sendHeartbeats(life, i, minion)
+	return minion
 }
 
 // sendHeartbeats sends the minion's heartbeats to its executor until ctx ends.
