Tell all entries of poison tasks, also those with sessions at other sidecars

An entry tells its sidecars the poison tasks that it has found, and these tell their other entries, in the polls, once, numbered with the crashes. The number of jobs to blame is a share of the whole fleet then.

--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -72,13 +72,15 @@
 	reportBorn     int64
 	reportSequence uint64
 
-	// crashes are the latest crashes of the minion, lapsed the runs that lapsed since
-	// the newest listing. If the next listing comes from another incarnation, the
-	// minion has crashed under them.
-	crashes     []crash
-	newestCrash uint64
-	lapsed      []session.CrashedRun
-	isolation   isolation
+	// crashes are the latest crashes of the minion, poison the tasks that entries have
+	// found to be poison. Both are numbered in one sequence.
+	crashes    []crash
+	poison     []poisonTask
+	newestNews uint64
+	// lapsed are the runs that lapsed since the newest listing. If the next listing
+	// comes from another incarnation, the minion has crashed under them.
+	lapsed    []session.CrashedRun
+	isolation isolation
 
 	actions       []Action
 	logEvents     []LogEvent
--- a/decision/execution/crash.go
+++ b/decision/execution/crash.go
@@ -10,8 +10,9 @@
 const (
 	// crashRetention is how long a crash is kept for entries that open a session later.
 	crashRetention = 60 * time.Second
-	// maxCrashes bounds the crashes that are kept.
+	// maxCrashes bounds the crashes that are kept, maxPoison the poison tasks.
 	maxCrashes = 16
+	maxPoison  = 256
 )
 
 // crash is a crash of the minion.
@@ -27,13 +28,17 @@
 	if len(runs) == 0 {
 		return
 	}
-	c.newestCrash++
-	c.crashes = append(c.crashes, crash{number: c.newestCrash, at: now, runs: runs})
-	c.crashes = slices.DeleteFunc(c.crashes, func(old crash) bool {
-		return now.Sub(old.at) > crashRetention || old.number+maxCrashes <= c.newestCrash
-	})
+	c.newestNews++
+	c.crashes = append(c.crashes, crash{number: c.newestNews, at: now, runs: runs})
+	c.crashes = slices.DeleteFunc(c.crashes, func(old crash) bool { return now.Sub(old.at) > crashRetention })
+	c.crashes = c.crashes[max(len(c.crashes)-maxCrashes, 0):]
 	youngest := slices.MinFunc(runs, func(a, b session.CrashedRun) int { return int(a.Age - b.Age) })
 	c.logEvent(LogEvent{Kind: LogMinionCrashed, Runs: len(runs), Youngest: youngest.Age})
+	c.notifyAll()
+}
+
+// notifyAll wakes the polls of all entries, for news that all of them are told.
+func (c *Core) notifyAll() {
 	for name := range c.entries {
 		c.emit(NotifyEntry{Entry: name, Event: true})
 	}
--- a/decision/execution/crash_test.go
+++ b/decision/execution/crash_test.go
@@ -128,6 +128,16 @@
 	must.True(t, notified[testEntry])
 }
 
+// TestRunOfEarlierProcessIsNotYoung guards against taking a run for the cause of a crash
+// because the sidecar has only just found it at the minion.
+func TestRunOfEarlierProcessIsNotYoung(t *testing.T) {
+	f := &fixture{t: t, core: New(100), now: time.Unix(1000, 0)}
+	f.core.Heartbeat(f.now, session.Minion{ID: "i-1", Born: testBorn, Capacity: work.Resources{MilliCPU: 10000, MemMB: 1000}}, false)
+	f.list([]RunningRun{{Task: key("a", 0), Number: 1}}, nil)
+	f.core.PollFailed(f.now, true)
+	must.GreaterEq(t, foundRunAge, f.core.CrashesAfter(f.now, 0)[0].Runs[0].Age)
+}
+
 // TestMinionThatLeavesHasNotCrashed covers a minion that announced its end.
 func TestMinionThatLeavesHasNotCrashed(t *testing.T) {
 	f := newFixture(t)
@@ -189,3 +199,23 @@
 	must.EqOp(t, work.EndCrashed, f.onlyEvent().End)
 	must.EqOp(t, 10000, f.freeCPU())
 }
+
+// TestSidecarPassesPoisonTasksOn checks that what one entry has found is kept once, for
+// every entry, with the crashes in one sequence of numbers.
+func TestSidecarPassesPoisonTasksOn(t *testing.T) {
+	f := newFixture(t)
+	f.startTask(key("a", 0))
+	f.core.PollFailed(f.now, true)
+	found := session.PoisonTask{Task: key("a", 0), Route: "r", Service: "desk", Age: time.Second}
+	f.core.RecordPoison(f.now, []session.PoisonTask{found})
+	f.core.RecordPoison(f.now, []session.PoisonTask{found})
+	passed := f.core.PoisonAfter(f.now.Add(time.Second), 0)
+	must.Len(t, 1, passed)
+	must.EqOp(t, 2*time.Second, passed[0].Age)
+	must.Greater(t, f.core.CrashesAfter(f.now, 0)[0].Number, passed[0].Number)
+	must.Len(t, 0, f.core.PoisonAfter(f.now, passed[0].Number))
+	for i := range 2 * maxPoison {
+		f.core.RecordPoison(f.now, []session.PoisonTask{{Task: key("b", i)}})
+	}
+	must.Len(t, maxPoison, f.core.PoisonAfter(f.now, 0))
+}
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -64,7 +64,7 @@
 		}
 		run.inCrash = true
 		crashed = append(crashed, session.CrashedRun{
-			Task: run.task, Route: run.route, Age: now.Sub(run.startedAt), Alone: run.isolation == session.IsolationAlone,
+			Task: run.task, Route: run.route, Age: run.age(now), Alone: run.isolation == session.IsolationAlone,
 		})
 		if run.phase == running || run.phase == stopping {
 			ended = append(ended, run)
@@ -174,7 +174,7 @@
 			continue
 		}
 		if run.phase == running || run.phase == stopping {
-			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: now.Sub(run.startedAt)})
+			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: run.age(now)})
 			c.finish(run, work.EndLapsed, 0)
 			ended = true
 		}
@@ -270,6 +270,7 @@
 			number:     listed.Number,
 			percent:    listed.Percent,
 			checkpoint: listed.Checkpoint,
+			found:      true,
 			startedAt:  now,
 			progressAt: now,
 			firstPoll:  listing.Poll,
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -56,7 +56,9 @@
 	// incarnation is the minion's incarnation that the start was sent to.
 	incarnation int64
 	// orderedAt is when the order arrived, startedAt when its start was sent and
-	// answeredAt when the minion answered it.
+	// answeredAt when the minion answered it. A run that was found at the minion was
+	// started earlier than that.
+	found      bool
 	orderedAt  time.Time
 	startedAt  time.Time
 	answeredAt time.Time
@@ -87,6 +89,18 @@
 	return max(minStuckTime, time.Duration(float64(r.estimate)*stuckShare))
 }
 
+// foundRunAge is the least age assumed of a run that was found at the minion.
+const foundRunAge = time.Second
+
+// age returns the time since the start of the run.
+func (r *run) age(now time.Time) time.Duration {
+	age := now.Sub(r.startedAt)
+	if r.found {
+		return age + foundRunAge
+	}
+	return age
+}
+
 // waited returns the time from the order to the sending of the start.
 func (r *run) waited() time.Duration { return elapsed(r.orderedAt, r.startedAt) }
 
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -45,6 +45,9 @@
 	// with, and targetAddedAt when a sidecar last began to accept tasks.
 	expectedSidecars int
 	targetAddedAt    time.Time
+	// knownSidecars is the number of sidecars in the fleet. The entry has sessions with
+	// only some of them where there are many.
+	knownSidecars int
 
 	actions   []Action
 	decisions []Decision
--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -21,6 +21,27 @@
 	c.recordConfinements()
 }
 
+// PoisonReported records a task that another entry has found to be poison, reported by a
+// sidecar. A job of this entry with that task fails.
+func (c *Core) PoisonReported(now time.Time, name string, reported *session.PoisonTask) {
+	if !c.quarantine.RecordPoison(now, reported) {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedPoison, Job: reported.Task.Job, Task: reported.Task.Index, Sidecar: name})
+	if job, ok := c.jobs[reported.Task.Job]; ok {
+		c.endIfPoison(job)
+	}
+}
+
+// PoisonAfter returns the tasks that this entry has found to be poison, with numbers above
+// the given one, and the highest number.
+func (c *Core) PoisonAfter(now time.Time, number uint64) ([]session.PoisonTask, uint64) {
+	return c.quarantine.ProofsAfter(now, number)
+}
+
+// SetKnownSidecars records the number of sidecars in the fleet.
+func (c *Core) SetKnownSidecars(count int) { c.knownSidecars = count }
+
 // recordConfinements records the routes whose confinement has begun or ended.
 func (c *Core) recordConfinements() {
 	for _, change := range c.quarantine.TakeChanges() {
@@ -54,7 +75,7 @@
 // get some of the service's sidecars, and other routes the rest.
 func (c *Core) limitPlacement(now time.Time, job *job, planned *plan) {
 	names := c.sidecarsOf(job.route.Service)
-	confined := c.quarantine.ConfinedRoutes(now, job.route.Service, len(names))
+	confined := c.quarantine.ConfinedRoutes(now, job.route.Service, max(len(names), c.knownSidecars))
 	c.recordConfinements()
 	if len(confined) == 0 {
 		return
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -94,3 +94,17 @@
 	must.Len(t, 0, next.starts)
 	must.EqOp(t, Failed, next.endings[0].Outcome)
 }
+
+// TestJobFailsWhenAnotherEntryHasFoundItsTaskToBePoison covers an entry that has sessions
+// with other sidecars than the one that saw the crashes.
+func TestJobFailsWhenAnotherEntryHasFoundItsTaskToBePoison(t *testing.T) {
+	f := newFixture(t, 2)
+	waiter := f.submit("deadly", 1)
+	must.Len(t, 1, f.replyToStarts(session.RefusedNone))
+	f.core.PoisonReported(f.now, "s0", &session.PoisonTask{Task: work.TaskKey{Job: "deadly"}, Route: "r", Service: "desk"})
+	f.collect()
+	must.Eq(t, Answer{Outcome: Failed, Reason: ReasonPoison}, f.replies[waiter])
+	must.Len(t, 1, f.stops)
+	proofs, _ := f.core.PoisonAfter(f.now, 0)
+	must.SliceEmpty(t, proofs)
+}
--- a/decision/quarantine/confine_test.go
+++ b/decision/quarantine/confine_test.go
@@ -80,3 +80,27 @@
 		must.Eq(t, chosen, tracker.ConfinedSidecars(start, names))
 	}
 }
+
+// TestEntriesShareWhatTheyFound covers entries that have sessions with different sidecars:
+// one proves a task to be poison, and the other is told.
+func TestEntriesShareWhatTheyFound(t *testing.T) {
+	finder, other := New(), New()
+	provePoison(finder, start, "j", "bad")
+	tasks, newest := finder.ProofsAfter(start.Add(time.Second), 0)
+	must.Len(t, 1, tasks)
+	must.EqOp(t, time.Second, tasks[0].Age)
+	again, _ := finder.ProofsAfter(start, newest)
+	must.SliceEmpty(t, again)
+
+	now := start.Add(time.Second)
+	other.RecordSubmission(now, "good", service)
+	must.True(t, other.RecordPoison(now, &tasks[0]))
+	must.False(t, other.RecordPoison(now, &tasks[0]))
+	must.True(t, other.Poison(key("j")))
+	must.Eq(t, map[string]bool{"bad": true}, other.ConfinedRoutes(now, service, 11))
+	must.MapEmpty(t, other.ConfinedRoutes(now.Add(firstConfineTime), service, 11))
+	own, _ := other.ProofsAfter(now, 0)
+	must.SliceEmpty(t, own)
+	tasks[0].Age = retention + time.Second
+	must.False(t, New().RecordPoison(now, &tasks[0]))
+}
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -17,7 +17,9 @@
 	// crashedAt is when the minion of each sidecar last crashed.
 	crashedAt map[string]time.Time
 	// suspects are the routes that are blamed for crashes or confined.
-	suspects  map[string]*routeRecord
+	suspects map[string]*routeRecord
+	// proofs are the poison tasks that this entry has found, for all other entries.
+	proofs    []proof
 	nextSweep time.Time
 	changes   []Change
 }
@@ -51,6 +53,7 @@
 			task.poison = true
 			poison = append(poison, run.Task)
 			t.blame(at, run.Route, service, run.Task.Job)
+			t.addProof(at, run.Task, run.Route, service)
 		}
 	}
 	return poison
--- a/decision/schedule/entry_test.go
+++ b/decision/schedule/entry_test.go
@@ -39,11 +39,12 @@
 	// need not keep events for this entry.
 	incarnation  string
 	heard, noted uint64
-	// heardCrash is the number of the last crash received from it.
-	heardCrash uint64
-	echo       session.Stamp
-	lastAnswer time.Time
-	nextDial   time.Time
+	// heardNews is the number of the last crash or poison task received from it,
+	// toldPoison that of the last poison task sent to it.
+	heardNews, toldPoison uint64
+	echo                  session.Stamp
+	lastAnswer            time.Time
+	nextDial              time.Time
 	// sessionNumber counts the sessions, so that messages of an earlier session are
 	// recognised and dropped.
 	sessionNumber int
@@ -111,10 +112,7 @@
 	}
 	conn.echo, conn.lastAnswer = session.StampOf(now), now
 	e.core.Updated(now, sidecar.name, core.StateFor(e.name, now))
-	for _, crash := range core.CrashesAfter(now, conn.heardCrash) {
-		conn.heardCrash = crash.Number
-		e.core.MinionCrashed(now, sidecar.name, &crash)
-	}
+	e.exchangeNews(now, conn, sidecar)
 	for _, event := range core.EventsFor(e.name) {
 		conn.heard = event.Number
 		e.core.RunEnded(now, sidecar.name, event)
@@ -122,6 +120,21 @@
 	conn.noted = max(conn.noted, e.core.AckedUpTo(sidecar.name))
 }
 
+// exchangeNews exchanges crashes and poison tasks with a sidecar.
+func (e *entry) exchangeNews(now time.Time, conn *sidecarSession, sidecar *sidecar) {
+	found, newest := e.core.PoisonAfter(now, conn.toldPoison)
+	sidecar.core.RecordPoison(now, found)
+	conn.toldPoison = newest
+	reply := session.PollReply{Crashes: sidecar.core.CrashesAfter(now, conn.heardNews), Poison: sidecar.core.PoisonAfter(now, conn.heardNews)}
+	for i := range reply.Crashes {
+		e.core.MinionCrashed(now, sidecar.name, &reply.Crashes[i])
+	}
+	for i := range reply.Poison {
+		e.core.PoisonReported(now, sidecar.name, &reply.Poison[i])
+	}
+	conn.heardNews = max(conn.heardNews, reply.NewestNews())
+}
+
 // dial opens a session. The answer may be lost after the sidecar has processed the
 // Hello.
 func (e *entry) dial(now time.Time, conn *sidecarSession, sidecar *sidecar) {
@@ -141,10 +154,11 @@
 		return
 	}
 	if restarted {
-		conn.incarnation, conn.heard, conn.noted, conn.heardCrash = sidecar.incarnation(), 0, 0, 0
+		conn.incarnation, conn.heard, conn.noted, conn.heardNews = sidecar.incarnation(), 0, 0, 0
 		e.core.SidecarRestarted(sidecar.name)
 	}
 	conn.open = true
+	conn.toldPoison = 0
 	conn.sessionNumber++
 	conn.echo, conn.lastAnswer = session.StampOf(now), now
 	e.core.Connected(sidecar.name, "a", claims)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -199,6 +199,7 @@
 		}
 	}
 	d.core.SetStoreUnavailable(d.deps.StoreUnavailable())
+	d.core.SetKnownSidecars(int(d.sidecars.Load()))
 	d.updateSettled(now)
 	targets := d.core.Targets()
 	d.targets.Store(int64(targets))
--- a/dispatcher/opensession.go
+++ b/dispatcher/opensession.go
@@ -35,6 +35,11 @@
 	// echo is the newest timestamp from the sidecar; it arrived at echoReceivedAt.
 	echo           session.Stamp
 	echoReceivedAt time.Time
+
+	// poison are the poison tasks to send with the next poll. The newest of them has the
+	// number poisonNewest; those up to poisonAfter were sent. Only poll uses these.
+	poison                    []session.PoisonTask
+	poisonAfter, poisonNewest uint64
 }
 
 func newOpenSession(l *sidecarLink, client *link.Client, reply *session.HelloReply) *openSession {
@@ -91,7 +96,8 @@
 			Echo:            s.newestEcho(),
 			After:           s.link.after,
 			AckedUpTo:       s.link.ackedUpTo,
-			CrashesAfter:    s.link.crashesAfter,
+			NewsAfter:       s.link.newsAfter,
+			Poison:          s.poison,
 			Wait:            pollWait,
 			Sidecars:        int(d.sidecars.Load()),
 			SnapshotVersion: d.deps.Holder.Newest().Version,
@@ -102,6 +108,7 @@
 			return err
 		}
 		known = reply.SnapshotVersion
+		s.poisonAfter = s.poisonNewest
 		if placed := s.applyReply(&reply); placed == 0 && reply.State.Reason == session.RefusedTooManyEntries {
 			return errDismissed
 		}
@@ -125,10 +132,11 @@
 	placed := 0
 	d.loop.Do(func(now time.Time) {
 		d.core.Updated(now, s.link.name, reply.State)
-		s.link.applyCrashes(now, reply.Crashes)
+		s.link.applyNews(now, reply)
 		for _, event := range reply.Events {
 			d.core.RunEnded(now, s.link.name, event)
 		}
+		s.poison, s.poisonNewest = d.core.PoisonAfter(now, s.poisonAfter)
 		placed = d.core.PlacedTasks(s.link.name)
 		s.link.ackedUpTo = max(s.link.ackedUpTo, d.core.AckedUpTo(s.link.name))
 	})
--- a/dispatcher/sidecarlink.go
+++ b/dispatcher/sidecarlink.go
@@ -29,20 +29,26 @@
 	// ackedUpTo is the number up to which the sidecar need not keep events for
 	// this entry.
 	ackedUpTo uint64
-	// crashesAfter is the number of the newest crash received from the sidecar's
-	// incarnation afterBoot.
-	crashesAfter uint64
+	// newsAfter is the number of the newest crash or poison task received from the
+	// sidecar's incarnation afterBoot.
+	newsAfter uint64
 }
 
-// applyCrashes passes crashes of the sidecar's minion to the core. It must be called from
-// the loop, before the ends of the runs that were in progress.
-func (l *sidecarLink) applyCrashes(now time.Time, crashes []session.Crash) {
-	for i := range crashes {
-		if crashes[i].Number > l.crashesAfter {
-			l.crashesAfter = crashes[i].Number
-			l.dispatcher.core.MinionCrashed(now, l.name, &crashes[i])
+// applyNews passes crashes of the sidecar's minion and poison tasks to the core. It must
+// be called from the loop, before the ends of the runs that were in progress.
+func (l *sidecarLink) applyNews(now time.Time, reply *session.PollReply) {
+	core := l.dispatcher.core
+	for i := range reply.Crashes {
+		if reply.Crashes[i].Number > l.newsAfter {
+			core.MinionCrashed(now, l.name, &reply.Crashes[i])
+		}
+	}
+	for i := range reply.Poison {
+		if reply.Poison[i].Number > l.newsAfter {
+			core.PoisonReported(now, l.name, &reply.Poison[i])
 		}
 	}
+	l.newsAfter = max(l.newsAfter, reply.NewestNews())
 }
 
 // observeBoot tells the link an incarnation of its sidecar. If it is newer than
@@ -152,7 +158,7 @@
 	opened := newOpenSession(l, client, &reply)
 	restarted := l.afterBoot != reply.Sidecar.Boot
 	if restarted {
-		l.after, l.ackedUpTo, l.crashesAfter = 0, 0, 0
+		l.after, l.ackedUpTo, l.newsAfter = 0, 0, 0
 		l.afterBoot = reply.Sidecar.Boot
 	}
 	d.loop.Do(func(time.Time) {
--- a/executor/service.go
+++ b/executor/service.go
@@ -43,8 +43,9 @@
 	closed    bool
 	lastReply time.Time
 	lastState session.State
-	// sentCrash is the number of the newest crash that was sent to the entry.
-	sentCrash uint64
+	// sentNews is the number of the newest crash or poison task that was sent to the
+	// entry. An entry of a build without them asks for all of them each time.
+	sentNews uint64
 	// sentVersion is the version of the directory that was last sent to the entry.
 	sentVersion uint64
 }
@@ -219,6 +220,9 @@
 	if request.Zones != nil {
 		c.executor.deps.Holder.OfferZones(c.entryName(), *request.Zones)
 	}
+	if len(request.Poison) > 0 {
+		c.executor.loop.Do(func(now time.Time) { c.executor.core.RecordPoison(now, request.Poison) })
+	}
 }
 
 // tryReply fills the reply and returns true if it is to be sent now. Otherwise it
@@ -231,7 +235,8 @@
 		now = at
 		orphans = e.core.HasOrphans()
 		reply.Events = e.core.EventsFor(entry)
-		reply.Crashes = e.core.CrashesAfter(at, request.CrashesAfter)
+		reply.Crashes = e.core.CrashesAfter(at, request.NewsAfter)
+		reply.Poison = e.core.PoisonAfter(at, request.NewsAfter)
 		reply.State = e.stateFor(entry, at)
 	})
 	if now.IsZero() {
@@ -239,13 +244,11 @@
 	}
 	stateDue := c.lastReply.Add(time.Duration(e.sessionCount()) * stateInterval)
 	changed := c.stateChanged(&reply.State) && !now.Before(stateDue)
-	crashed := len(reply.Crashes) > 0 && reply.Crashes[len(reply.Crashes)-1].Number > c.sentCrash
-	if len(reply.Events) > 0 || crashed || changed || !now.Before(deadline) {
+	news := reply.NewestNews()
+	if len(reply.Events) > 0 || news > c.sentNews || changed || !now.Before(deadline) {
 		c.lastReply = now
 		c.lastState = reply.State
-		if crashed {
-			c.sentCrash = reply.Crashes[len(reply.Crashes)-1].Number
-		}
+		c.sentNews = max(c.sentNews, news)
 		reply.Stamp = session.StampOf(now)
 		e.fillConfiguration(request, reply)
 		reply.Entries = c.changedEntries()
--- a/session/crash.go
+++ b/session/crash.go
@@ -11,7 +11,8 @@
 // keeps it for a while for entries that it meets later, so that what is known of a task
 // outlives the entry that ran it.
 type Crash struct {
-	// Number increases over all crashes that one incarnation of the sidecar reports.
+	// Number increases over all crashes and poison tasks that one incarnation of the
+	// sidecar reports.
 	Number uint64
 	// Age is the time since the sidecar noticed the crash.
 	Age  time.Duration
@@ -29,6 +30,19 @@
 	Alone bool
 }
 
+// PoisonTask reports that minions crash under a task. The entry that has found it tells its
+// sidecars, and these tell their other entries: where entries have sessions with only some
+// of the sidecars, none knows of all crashes.
+type PoisonTask struct {
+	// Number is as in Crash; 0 in what an entry tells.
+	Number  uint64
+	Task    work.TaskKey
+	Route   string
+	Service string
+	// Age is the time since the last crash under the task.
+	Age time.Duration
+}
+
 // Isolation says how a task is started among the other tasks of its minion.
 type Isolation int
 
--- a/session/poll.go
+++ b/session/poll.go
@@ -16,8 +16,11 @@
 	// AckedUpTo is the number up to which the sidecar need not keep events for
 	// the entry any longer: those that have to be stored are stored.
 	AckedUpTo uint64
-	// CrashesAfter is the number of the newest Crash that the entry has received.
-	CrashesAfter uint64
+	// NewsAfter is the number of the newest Crash or PoisonTask that the entry has
+	// received.
+	NewsAfter uint64
+	// Poison are tasks that the entry has found to be poison since its last request.
+	Poison []PoisonTask
 	// Wait bounds the time until the reply.
 	Wait time.Duration
 	// Sidecars is the number of sidecars that the entry knows.
@@ -35,8 +38,10 @@
 	Stamp  Stamp
 	Events []Event
 	State  State
-	// Crashes are the crashes of the minion after PollRequest.CrashesAfter.
+	// Crashes are the crashes of the minion, and Poison the poison tasks that entries have
+	// found, after PollRequest.NewsAfter.
 	Crashes []Crash
+	Poison  []PoisonTask
 	// SnapshotVersion is the version of the sidecar's newest snapshot.
 	SnapshotVersion int64
 	// Snapshot is set only by builds without Zones.
@@ -64,3 +69,15 @@
 	// for none.
 	Checkpoint work.Checkpoint
 }
+
+// NewestNews returns the highest number of a crash or poison task in the reply, 0 for none.
+func (r *PollReply) NewestNews() uint64 {
+	newest := uint64(0)
+	for _, crash := range r.Crashes {
+		newest = max(newest, crash.Number)
+	}
+	for _, poison := range r.Poison {
+		newest = max(newest, poison.Number)
+	}
+	return newest
+}
