--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -4,13 +4,18 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
+	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/platform/standin"
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/session/link"
 )
 
 // deadlyJob returns the body of a best-effort job whose only task crashes each minion that
@@ -56,3 +61,32 @@
 	}
 	must.SliceEmpty(t, s.ledger.Overlaps())
 }
+
+// TestEntryOfEarlierBuildIsToldOfCrashesOnce guards against polls that are answered at once
+// for as long as a crash is kept, because the entry doesn't say that it knows of the crash.
+func TestEntryOfEarlierBuildIsToldOfCrashesOnce(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	ctx := t.Context()
+	go s.submit(s.entries[0], "dead000000000002", deadlyJob())
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return strings.Contains(s.logs.String(), string(eventlog.KindMinionCrashed)) }),
+		wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond),
+	))
+	client, err := link.Dial(ctx, s.address(sidecarHost, s.port), testSecret)
+	must.NoError(t, err)
+	defer client.Close()
+	hello := session.HelloRequest{Entry: session.Peer{Name: "earlier", Boot: "1", Role: session.RoleEntry}, Sidecar: "side-0"}
+	var opened session.HelloReply
+	must.NoError(t, client.Call(ctx, session.MethodHello, &hello, &opened, time.Second))
+	told, polls, stamp := 0, 0, opened.Stamp
+	for until := time.Now().Add(time.Second); time.Now().Before(until); polls++ {
+		var reply session.PollReply
+		must.NoError(t, client.Call(ctx, session.MethodPoll, &session.PollRequest{Echo: stamp, Wait: 200 * time.Millisecond}, &reply, time.Second))
+		stamp = reply.Stamp
+		if len(reply.Crashes) > 0 {
+			told++
+		}
+	}
+	must.Positive(t, told)
+	must.Less(t, 40, polls)
+}
