--- /dev/null
+++ b/decision/execution/claims.go
@@ -0,0 +1,57 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
+)
+
+// resolveClaims compares the runs that an entry claims with those that the core
+// has.
+func (c *Core) resolveClaims(now time.Time, entry string, claims []session.Claim) {
+	claimed := claimedTasks(claims)
+	for _, claim := range claims {
+		c.resolveClaim(now, entry, claim)
+	}
+	for _, run := range c.runs {
+		if run.entry == entry && !claimed[run.task] {
+			c.withdraw(now, run)
+		}
+	}
+	c.reschedule(now)
+}
+
+func (c *Core) resolveClaim(now time.Time, entry string, claim session.Claim) {
+	if c.hasEvent(entry, claim.Task) || c.claimOrphan(entry, claim.Task) {
+		return
+	}
+	run, ok := c.runs[claim.Task]
+	if !ok || (run.entry != entry && run.entry != "") {
+		// The ordered task may have run: an end that no entry has received is
+		// forgotten some time after its entry.
+		c.report(entry, session.Event{Task: claim.Task, End: work.EndGone})
+		return
+	}
+	if run.entry == "" {
+		run.entry = entry
+		run.route = claim.Route
+		run.need = claim.Need
+		run.needKnown = true
+		run.estimate = claim.Estimate
+		run.jobStored = claim.Stored
+	}
+}
+
+func (c *Core) hasEvent(entry string, task work.TaskKey) bool {
+	state, ok := c.entries[entry]
+	if !ok {
+		return false
+	}
+	for _, event := range state.events {
+		if event.Task == task {
+			return true
+		}
+	}
+	return false
+}
--- a/executor/service.go
+++ b/executor/service.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/decision/execution"
 	"github.com/figring/figring/session"
@@ -170,37 +169,6 @@
 	return nil
 }
 
-// Poll replies as soon as there are events after request.After. A changed state
-// causes a reply too, limited in rate by stateInterval. Otherwise Poll replies when
-// request.Wait is over.
-func (c *conn) Poll(request *session.PollRequest, reply *session.PollReply) error {
-	entry, err := c.openEntry()
-	if err != nil {
-		return err
-	}
-	c.applyRequest(request)
-	deadline := boottime.Now().Add(min(request.Wait, maxPollWait))
-	known := false
-	c.executor.loop.Do(func(time.Time) {
-		c.executor.core.Echo(entry, request.Echo)
-		c.executor.core.Acknowledge(entry, execution.Acks{Received: request.After, Processed: request.AckedUpTo})
-		known = c.executor.core.HasSession(entry)
-	})
-	if !known {
-		// The sidecar has not received a message from the entry for too long. The
-		// entry has to open a new session, so that both sides agree on the runs.
-		return errNoSession
-	}
-	for {
-		if c.tryReply(entry, request, reply, deadline) {
-			return nil
-		}
-		if _, err := c.openEntry(); err != nil {
-			return err
-		}
-	}
-}
-
 // Manifest returns the sidecar's manifest if the entry's is older. It needs no session.
 func (c *conn) Manifest(request *session.ManifestRequest, reply *session.ManifestReply) error {
 	newest := c.executor.deps.Holder.Newest()
@@ -211,94 +179,3 @@
 	c.executor.meters.manifests.CountSent()
 	return nil
 }
-
-func (c *conn) applyRequest(request *session.PollRequest) {
-	c.sidecars.Store(int64(request.Sidecars))
-	if request.Snapshot != nil {
-		c.executor.deps.Holder.Offer(c.entryName(), *request.Snapshot)
-	}
-	if request.Zones != nil {
-		c.executor.deps.Holder.OfferZones(c.entryName(), *request.Zones)
-	}
-	if len(request.Poison) > 0 {
-		c.executor.loop.Do(func(now time.Time) { c.executor.core.RecordPoison(now, request.Poison) })
-	}
-}
-
-// tryReply fills the reply and returns true if it is to be sent now. Otherwise it
-// waits until there may be something new, and returns false.
-func (c *conn) tryReply(entry string, request *session.PollRequest, reply *session.PollReply, deadline time.Time) bool {
-	e := c.executor
-	var now time.Time
-	orphans := false
-	e.loop.Do(func(at time.Time) {
-		now = at
-		orphans = e.core.HasOrphans()
-		reply.Events = e.core.EventsFor(entry)
-		reply.Crashes = e.core.CrashesAfter(at, request.NewsAfter)
-		reply.Poison = e.core.PoisonAfter(at, request.NewsAfter)
-		reply.State = e.stateFor(entry, at)
-	})
-	if now.IsZero() {
-		return true
-	}
-	stateDue := c.lastReply.Add(time.Duration(e.sessionCount()) * stateInterval)
-	changed := c.stateChanged(&reply.State) && !now.Before(stateDue)
-	news := reply.NewestNews()
-	if len(reply.Events) > 0 || news > c.sentNews || changed || !now.Before(deadline) {
-		c.lastReply = now
-		c.lastState = reply.State
-		c.sentNews = max(c.sentNews, news)
-		reply.Stamp = session.StampOf(now)
-		e.fillConfiguration(request, reply)
-		reply.Entries = c.changedEntries()
-		if orphans {
-			e.loop.Do(func(at time.Time) { reply.Orphans = e.core.OrphansToQuery(at) })
-		}
-		return true
-	}
-	c.wait(now, stateDue, deadline)
-	return false
-}
-
-// fillConfiguration sets the versions of the sidecar's configuration in the reply, and
-// what the entry lacks of it.
-func (e *Executor) fillConfiguration(request *session.PollRequest, reply *session.PollReply) {
-	newest := e.deps.Holder.Newest()
-	reply.SnapshotVersion = newest.Version
-	reply.ManifestVersion = newest.ManifestVersion()
-	reply.Zones = e.deps.Holder.ZonesFor(request.SnapshotVersion)
-}
-
-// changedEntries returns the entries that the sidecar has met, or met in a newer
-// incarnation, since the last reply.
-func (c *conn) changedEntries() []session.Peer {
-	changed, version := c.executor.deps.Directory.ChangedSince(c.sentVersion, session.RoleEntry)
-	c.sentVersion = version
-	return changed
-}
-
-// stateChanged reports whether the state differs from the last one sent in a
-// field that an entry bases decisions on.
-func (c *conn) stateChanged(state *session.State) bool {
-	last := &c.lastState
-	return last.Accepting != state.Accepting || last.Suspect != state.Suspect || last.TrialDue != state.TrialDue ||
-		last.Free != state.Free || last.Queued != state.Queued || last.Minion.Born != state.Minion.Born ||
-		(last.StartPause > 0) != (state.StartPause > 0)
-}
-
-// wait waits for an event until the deadline. A changed state ends the wait only
-// from stateDue on.
-func (c *conn) wait(now, stateDue, deadline time.Time) {
-	until, changes := deadline, c.changes
-	if now.Before(stateDue) && stateDue.Before(deadline) {
-		until, changes = stateDue, nil
-	}
-	timer := time.NewTimer(until.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-c.events:
-	case <-changes:
-	case <-timer.C:
-	}
-}
