Leave confined sidecars to jobs that can run nowhere else, and the only one to all

Found by reading: while a route is confined, jobs of other routes whose label or size only minions of confined sidecars have were refused, and a service with a single sidecar gave its confined route none. The age that a peer reports of a crash can't lie in the future.

--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -71,12 +71,17 @@
 
 // submitWithTimeout submits a best-effort job whose caller waits for the timeout.
 func (f *fixture) submitWithTimeout(id string, tasks int, timeout time.Duration) uint64 {
+	return f.submitTo("/p/", id, timeout, work.Step{
+		Count: tasks, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
+	})
+}
+
+// submitTo submits a best-effort job of one step to the route with the prefix.
+func (f *fixture) submitTo(prefix, id string, timeout time.Duration, step work.Step) uint64 {
 	f.waiter++
 	f.core.Submit(f.now, &Submission{
-		Waiter: f.waiter, Host: "h", Path: "/p/" + id, CallerTimeout: timeout,
-		Job: work.Job{ID: work.JobID(id), BestEffort: true, Steps: []work.Step{{
-			Count: tasks, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
-		}}},
+		Waiter: f.waiter, Host: "h", Path: prefix + id, CallerTimeout: timeout,
+		Job: work.Job{ID: work.JobID(id), BestEffort: true, Steps: []work.Step{step}},
 	})
 	f.collect()
 	return f.waiter
--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -1,6 +1,7 @@
 package heldjob
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figring/figring/decision/placement"
@@ -82,9 +83,27 @@
 	}
 	set := c.quarantine.ConfinedSidecars(now, names)
 	inSet := confined[job.route.Name]
+	if len(set) == 0 || (!inSet && c.needsConfined(job, set)) {
+		return
+	}
 	planned.allowed = func(name string) bool { return set[name] == inSet }
 }
 
+// needsConfined reports whether no sidecar but the confined ones has a minion that can run
+// some task of the job.
+func (c *Core) needsConfined(job *job, confined map[string]bool) bool {
+	for _, step := range job.steps {
+		runnable := slices.ContainsFunc(c.candidates, func(candidate *placement.Candidate) bool {
+			minion := &candidate.State.Minion
+			return !confined[candidate.Name] && minion.Service == job.route.Service && minion.HasLabel(step.Label) && minion.Capacity.Fits(step.Need)
+		})
+		if !runnable {
+			return true
+		}
+	}
+	return false
+}
+
 // sidecarsOf returns the connected sidecars of a service outside evacuated zones.
 func (c *Core) sidecarsOf(service string) []string {
 	var names []string
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
@@ -95,6 +96,59 @@
 	must.EqOp(t, Failed, next.endings[0].Outcome)
 }
 
+// confine makes the fixture's route confined for the sake of another one, and returns the
+// sidecars that it gets.
+func (f *fixture) confine(names []string) map[string]bool {
+	f.core.snapshot.Manifest.Routes = append(f.core.snapshot.Manifest.Routes, manifest.Route{
+		Name: "other", Host: "h", Prefix: "/o/", Service: "desk", Attempts: 2, Stretch: 1.6, Objective: 60 * time.Millisecond,
+	})
+	f.core.quarantine.RecordSubmission(f.now, "other", "desk")
+	f.core.PoisonReported(f.now, names[0], &session.PoisonTask{Task: work.TaskKey{Job: "bad"}, Route: "r", Service: "desk"})
+	return f.core.quarantine.ConfinedSidecars(f.now, names)
+}
+
+// TestConfinedRouteAndOthersAreKeptApart checks where tasks of a confined route and of
+// others are placed.
+func TestConfinedRouteAndOthersAreKeptApart(t *testing.T) {
+	f := newFixture(t, 4)
+	confined := f.confine([]string{"s0", "s1", "s2", "s3"})
+	f.submit("a", 4)
+	for _, start := range f.replyToStarts(session.RefusedNone) {
+		must.True(t, confined[start.Sidecar])
+	}
+	f.submitTo("/o/", "b", 10*time.Second, work.Step{Count: 2, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond})
+	for _, start := range f.replyToStarts(session.RefusedNone) {
+		must.False(t, confined[start.Sidecar])
+	}
+}
+
+// TestJobThatNeedsAConfinedSidecarGetsIt guards against refusing callers of a route that is
+// not confined, because the only minions that can run their tasks are left to one that is.
+func TestJobThatNeedsAConfinedSidecarGetsIt(t *testing.T) {
+	f := newFixture(t, 4)
+	names := []string{"s0", "s1", "s2", "s3"}
+	confined := f.confine(names)
+	for _, name := range names {
+		state := f.state(10000)
+		if confined[name] {
+			state.Minion.Labels = []string{"special"}
+		}
+		f.core.Updated(f.now, name, state)
+	}
+	f.submitTo("/o/", "b", 10*time.Second, work.Step{Count: 1, Label: "special", Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond})
+	starts := f.replyToStarts(session.RefusedNone)
+	must.Len(t, 1, starts)
+	must.True(t, confined[starts[0].Sidecar])
+}
+
+// TestOnlySidecarIsNotConfined covers a service with a single sidecar.
+func TestOnlySidecarIsNotConfined(t *testing.T) {
+	f := newFixture(t, 1)
+	f.confine([]string{"s0"})
+	f.submit("a", 1)
+	must.Len(t, 1, f.replyToStarts(session.RefusedNone))
+}
+
 // TestJobFailsWhenAnotherEntryHasFoundItsTaskToBePoison covers an entry that has sessions
 // with other sidecars than the one that saw the crashes.
 func TestJobFailsWhenAnotherEntryHasFoundItsTaskToBePoison(t *testing.T) {
--- a/decision/quarantine/proof.go
+++ b/decision/quarantine/proof.go
@@ -43,7 +43,7 @@
 // RecordPoison records a task that another entry has found to be poison. It reports
 // whether that was not known yet.
 func (t *Tracker) RecordPoison(now time.Time, reported *session.PoisonTask) bool {
-	at := now.Add(-reported.Age)
+	at := now.Add(-max(reported.Age, 0))
 	if now.Sub(at) > retention || t.Poison(reported.Task) {
 		return false
 	}
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -37,7 +37,7 @@
 // order.
 func (t *Tracker) RecordCrash(now time.Time, sidecar, service string, crash *session.Crash) []work.TaskKey {
 	t.sweep(now)
-	at := now.Add(-crash.Age)
+	at := now.Add(-max(crash.Age, 0))
 	t.crashedAt[sidecar] = latest(t.crashedAt[sidecar], at)
 	cause, found := soleCause(crash.Runs)
 	var poison []work.TaskKey
