Count a crash under a task only if it was in progress, or nothing else can be the cause

Job was given up after two crashes, and the first start of its task had not reached the minion: it was sent in the same moment in which another task crashed it, and not answered. Such a start counts as a crash only where no other job can have been the cause; otherwise the task is only started apart.

TestUnansweredStartIsCountedOnlyAsSoleCause fails without the change.

--- a/decision/execution/incarnation.go
+++ b/decision/execution/incarnation.go
@@ -64,9 +64,10 @@
 		}
 		run.inCrash = true
 		crashed = append(crashed, session.CrashedRun{
-			Task: run.task, Route: run.route, Age: run.age(now), Alone: run.isolation == session.IsolationAlone,
+			Task: run.task, Route: run.route, Age: run.age(now), Confirmed: run.inProgress(),
+			Alone: run.isolation == session.IsolationAlone,
 		})
-		if run.phase == running || run.phase == stopping {
+		if run.inProgress() {
 			ended = append(ended, run)
 		}
 	}
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -89,6 +89,9 @@
 	return max(minStuckTime, time.Duration(float64(r.estimate)*stuckShare))
 }
 
+// inProgress reports whether the run is in progress as far as is known.
+func (r *run) inProgress() bool { return r.phase == running || r.phase == stopping }
+
 // foundRunAge is the least age assumed of a run that was found at the minion.
 const foundRunAge = time.Second
 
--- a/decision/execution/unanswered.go
+++ b/decision/execution/unanswered.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		if run.phase == running || run.phase == stopping {
-			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: run.age(now)})
+			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: run.age(now), Confirmed: true})
 			c.finish(run, work.EndLapsed, 0)
 			ended = true
 		}
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -15,7 +15,7 @@
 func (f *fixture) crashUnder(start StartTasks, beside ...session.CrashedRun) {
 	crash := &session.Crash{Runs: beside}
 	for _, task := range start.Request.Tasks {
-		crash.Runs = append(crash.Runs, session.CrashedRun{Task: task.Task, Route: task.Route, Age: 20 * time.Millisecond, Alone: task.Isolation == session.IsolationAlone})
+		crash.Runs = append(crash.Runs, session.CrashedRun{Task: task.Task, Route: task.Route, Age: 20 * time.Millisecond, Confirmed: true, Alone: task.Isolation == session.IsolationAlone})
 	}
 	f.core.MinionCrashed(f.now, start.Sidecar, crash)
 	f.endRuns(start, work.EndCrashed)
@@ -43,7 +43,7 @@
 	f := newFixture(t, 4)
 	task := work.TaskKey{Job: "deadly"}
 	for _, sidecar := range []string{"s0", "s1"} {
-		f.core.MinionCrashed(f.now, sidecar, &session.Crash{Age: time.Second, Runs: []session.CrashedRun{{Task: task, Route: "r", Age: 15 * time.Millisecond}}})
+		f.core.MinionCrashed(f.now, sidecar, &session.Crash{Age: time.Second, Runs: []session.CrashedRun{{Task: task, Route: "r", Age: 15 * time.Millisecond, Confirmed: true}}})
 	}
 	waiter := f.submit("deadly", 1)
 	must.Len(t, 0, f.starts)
@@ -58,7 +58,7 @@
 	for range 3 {
 		starts := f.replyToStarts(session.RefusedNone)
 		must.Len(t, 1, starts)
-		f.crashUnder(starts[0], session.CrashedRun{Task: work.TaskKey{Job: "deadly"}, Route: "r", Age: 15 * time.Millisecond})
+		f.crashUnder(starts[0], session.CrashedRun{Task: work.TaskKey{Job: "deadly"}, Route: "r", Age: 15 * time.Millisecond, Confirmed: true})
 	}
 	last := f.replyToStarts(session.RefusedNone)
 	must.EqOp(t, session.IsolationAlone, last[0].Request.Tasks[0].Isolation)
--- a/decision/quarantine/task.go
+++ b/decision/quarantine/task.go
@@ -10,8 +10,8 @@
 	// sidecars have reported, by whether they came before or after that.
 	stored, reportedBefore, reportedSince int
 	storedAt                              time.Time
-	// youngCrashes are the reported crashes at which the run was young, young means that
-	// the last one was among them.
+	// youngCrashes are the reported crashes at which the run was young. young means that
+	// it was, or may have been, at the last crash.
 	youngCrashes int
 	young        bool
 	// sole means that no other job can have caused one of the crashes at which the run
@@ -36,7 +36,7 @@
 	r.at = latest(r.at, now)
 }
 
-// record counts a crash.
+// record counts a crash of which it is certain that the task was in progress.
 func (r *taskRecord) record(at time.Time, young, sole, alone bool) {
 	if at.Before(r.storedAt) {
 		r.reportedBefore++
@@ -48,6 +48,10 @@
 	if young {
 		r.youngCrashes++
 	}
+}
+
+// setYoung records whether the run was young at a crash, if it is the last one.
+func (r *taskRecord) setYoung(at time.Time, young bool) {
 	if !at.Before(r.at) {
 		r.at = at
 		r.young = young
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -44,7 +44,11 @@
 	for _, run := range crash.Runs {
 		task := t.task(run.Task, run.Route)
 		young := run.Age <= youngAge
-		task.record(at, young, found && run.Task.Job == cause, run.Alone)
+		sole := found && run.Task.Job == cause
+		if run.Confirmed || sole {
+			task.record(at, young, sole, run.Alone)
+		}
+		task.setYoung(at, young)
 		if young {
 			route := t.route(run.Route, service)
 			route.suspectedAt = latest(route.suspectedAt, at)
--- a/decision/quarantine/tracker_test.go
+++ b/decision/quarantine/tracker_test.go
@@ -19,7 +19,7 @@
 
 // run returns a run that was started the age before a crash.
 func run(job, route string, age time.Duration) session.CrashedRun {
-	return session.CrashedRun{Task: key(job), Route: route, Age: age}
+	return session.CrashedRun{Task: key(job), Route: route, Age: age, Confirmed: true}
 }
 
 func crash(runs ...session.CrashedRun) *session.Crash { return &session.Crash{Runs: runs} }
@@ -85,6 +85,21 @@
 	must.Eq(t, []work.TaskKey{key("late")}, tracker.RecordCrash(start, "s2", service, crash(late)))
 }
 
+// TestUnansweredStartIsCountedOnlyAsSoleCause guards against giving up a task whose start
+// may not have reached the minion that crashed. It is started apart after that, and then a
+// crash is its own.
+func TestUnansweredStartIsCountedOnlyAsSoleCause(t *testing.T) {
+	tracker := New()
+	unanswered := run("j", "r", 10*time.Millisecond)
+	unanswered.Confirmed = false
+	must.SliceEmpty(t, tracker.RecordCrash(start, "s1", service, crash(unanswered, run("other", "r", 30*time.Millisecond))))
+	must.EqOp(t, 0, tracker.Crashes(key("j")))
+	must.EqOp(t, session.IsolationSpaced, tracker.Isolation(key("j")))
+	must.SliceEmpty(t, tracker.RecordCrash(start, "s2", service, crash(unanswered)))
+	must.EqOp(t, 1, tracker.Crashes(key("j")))
+	must.SliceNotEmpty(t, tracker.RecordCrash(start, "s3", service, crash(unanswered)))
+}
+
 // TestStoredCrashesAreNotCountedTwice covers an entry that takes over a stored job and
 // learns of the same crashes from the job store and from sidecars.
 func TestStoredCrashesAreNotCountedTwice(t *testing.T) {
--- a/session/crash.go
+++ b/session/crash.go
@@ -26,6 +26,9 @@
 	Route string
 	// Age is the time from the sending of the start to the crash.
 	Age time.Duration
+	// Confirmed means that the run is known to have been in progress. The start of any
+	// other was sent and not answered, so that it may not have reached the minion.
+	Confirmed bool
 	// Alone means that nothing else was in progress since the start of the run.
 	Alone bool
 }
