Give no task up for crashes that its start may not have reached

Two minions crash at that moment by chance (srv_crash); 23 ms later the task was counted in a second crash. An unanswered start proves nothing now; only five crashes, three of them such, end a task without proof. TestUnansweredStartsProveLittle fails without the change.

--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -110,13 +110,13 @@
 	free := c.free()
 	kept := c.queue[:0]
 	for i, waiting := range c.queue {
-		isolated := c.mayStart(now, waiting)
-		if isolated && free.Fits(waiting.need) && c.suits(now, waiting) {
+		allowed := c.mayStart(now, waiting)
+		if allowed && free.Fits(waiting.need) && c.suits(now, waiting) {
 			free = free.Sub(waiting.need)
 			c.start(now, waiting)
 			continue
 		}
-		if !isolated && c.suits(now, waiting) && c.holdsBack(now, waiting) {
+		if !allowed && c.suits(now, waiting) && c.holdsBack(now, waiting) {
 			kept = append(kept, c.queue[i:]...)
 			break
 		}
--- a/decision/quarantine/bounds.go
+++ b/decision/quarantine/bounds.go
@@ -15,6 +15,10 @@
 	// aloneCrashes is the number of crashes from which a task is started alone. If its
 	// minion crashes then too, the task is taken for poison.
 	aloneCrashes = 3
+	// maxUnprovedCrashes is the number of crashes, including those at which the start had
+	// perhaps not reached the minion, after which a task is taken for poison anyway. The
+	// users allow fewer than three starts after the third crash.
+	maxUnprovedCrashes = 5
 	// evidenceTime is how long a poison task counts as evidence against its route, and
 	// how long a crash counts against the place of the minion.
 	evidenceTime = 10 * time.Second
--- a/decision/quarantine/task.go
+++ b/decision/quarantine/task.go
@@ -14,6 +14,9 @@
 	// it was, or may have been, at the last crash.
 	youngCrashes int
 	young        bool
+	// unanswered are the crashes of which it is not known whether the start of the task
+	// had reached the minion, and which no other job can have caused.
+	unanswered int
 	// sole means that no other job can have caused one of the crashes at which the run
 	// was young, alone that the task was alone at one of the crashes.
 	sole, alone bool
@@ -60,7 +63,8 @@
 
 // isPoison reports whether the task crashes minions: several have crashed soon after its
 // start, and at one of these crashes nothing else can have been the cause; or several
-// have crashed, one of them while the task was alone.
+// have crashed, one of them while the task was alone; or very many may have.
 func (r *taskRecord) isPoison() bool {
-	return (r.youngCrashes >= poisonCrashes && r.sole) || (r.crashes() >= poisonCrashes && r.alone)
+	return (r.youngCrashes >= poisonCrashes && r.sole) || (r.crashes() >= poisonCrashes && r.alone) ||
+		(r.unanswered > maxUnprovedCrashes-aloneCrashes && r.crashes()+r.unanswered >= maxUnprovedCrashes)
 }
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -45,8 +45,11 @@
 		task := t.task(run.Task, run.Route)
 		young := run.Age <= youngAge
 		sole := found && run.Task.Job == cause
-		if run.Confirmed || sole {
+		switch {
+		case run.Confirmed:
 			task.record(at, young, sole, run.Alone)
+		case sole:
+			task.unanswered++
 		}
 		task.setYoung(at, young)
 		if young {
