--- a/decision/quarantine/task.go
+++ b/decision/quarantine/task.go
@@ -63,7 +63,8 @@
 
 // isPoison reports whether the task crashes minions: several have crashed soon after its
 // start, and at one of these crashes nothing else can have been the cause; or several
-// have crashed, one of them while the task was alone; or very many may have.
+// have crashed, one of them while the task was alone; or maxUnprovedCrashes may have,
+// at more of which its start was not answered than it takes to run it alone.
 func (r *taskRecord) isPoison() bool {
 	return (r.youngCrashes >= poisonCrashes && r.sole) || (r.crashes() >= poisonCrashes && r.alone) ||
 		(r.unanswered > maxUnprovedCrashes-aloneCrashes && r.crashes()+r.unanswered >= maxUnprovedCrashes)
