Let the fake minion crash without reporting how its runs end

Cause: a crash of the fake minion ended its runs as stopped, which answers a waiting list request, before its connections were closed. The sidecar took the end for a report, the entry placed the deadly task again without a crash to count, and minion after minion fell.

The new test failed before (the list request reported the end, stopped).

--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -13,9 +13,13 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/figring/figring/common/eventlog"
+	"github.com/figring/figring/decision/execution"
+	"github.com/figring/figring/executor"
+	"github.com/figring/figring/platform/minions"
 	"github.com/figring/figring/platform/standin"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
+	"github.com/figring/figring/work"
 )
 
 // deadlyJob returns the body of a best-effort job whose only task crashes each minion that
@@ -90,3 +94,32 @@
 	must.Positive(t, told)
 	must.Less(t, 40, polls)
 }
+
+// TestCrashingMinionReportsNothing guards against a fake minion that reports how its runs
+// end while it crashes, so that tests of crashes see ends instead.
+func TestCrashingMinionReportsNothing(t *testing.T) {
+	const (
+		crashes = 24
+		lease   = 900
+	)
+	s := newSystem(t, 0, 0)
+	spec, err := json.Marshal(standin.Spec{WorkMillis: 500, Crash: true})
+	must.NoError(t, err)
+	start := execution.Start{Task: work.TaskKey{Job: "dead000000000003"}, Number: 1, Spec: string(spec), Fence: 1}
+	list := executor.ListRequest{Number: 1, Fence: 1, Lease: lease, Wait: time.Second, Grace: time.Second}
+	started := 0
+	for i := range crashes {
+		s.startMinion(i)
+		client := minions.NewClient(s.address(minionHost+i, s.port))
+		t.Cleanup(client.Close)
+		outcome, _ := client.Start(t.Context(), "", start, lease)
+		if outcome != execution.Started {
+			continue
+		}
+		started++
+		// A request that fails returns an empty listing.
+		listing, _, _ := client.List(t.Context(), "", list)
+		must.SliceEmpty(t, listing.Finished)
+	}
+	must.Positive(t, started)
+}
--- a/instance/system_test.go
+++ b/instance/system_test.go
@@ -170,7 +170,7 @@
 	server := &http.Server{Handler: minion.Handler()}
 	go func() { _ = server.Serve(listener) }()
 	life, end := context.WithCancel(ctx)
-	context.AfterFunc(life, func() { minion.Close(); _ = server.Close() })
+	context.AfterFunc(life, func() { minion.Crash(); _ = server.Close() })
 	minion.OnCrash(func() {
 		end()
 		time.AfterFunc(crashPause, func() {
