Confine the route of a task that is proved to be poison by running alone

Cause: the time up to which a route stays confined followed only crashes with runs younger than 0.2 s. An entry that proved a task by running it alone, later than that after its start, did not confine the route; entries that were told did.

Change: blaming a job sets the time, in one place for both.

The new test failed before: no confined route.

--- a/decision/quarantine/confine_test.go
+++ b/decision/quarantine/confine_test.go
@@ -31,6 +31,21 @@
 	must.Eq(t, []Change{{Route: "bad", Confined: true, BlamedJobs: 1}}, tracker.TakeChanges())
 }
 
+// TestRouteOfTaskFoundAloneIsConfined covers a task that crashes minions long after its
+// start, so that no crash has a young run of its route.
+func TestRouteOfTaskFoundAloneIsConfined(t *testing.T) {
+	tracker := New()
+	tracker.RecordSubmission(start, "good", service)
+	late := run("late", "bad", time.Second)
+	for range aloneCrashes {
+		tracker.RecordCrash(start, "s1", service, crash(late))
+	}
+	must.MapEmpty(t, tracker.ConfinedRoutes(start, service, 11))
+	late.Alone = true
+	must.SliceNotEmpty(t, tracker.RecordCrash(start, "s2", service, crash(late)))
+	must.Eq(t, map[string]bool{"bad": true}, tracker.ConfinedRoutes(start, service, 11))
+}
+
 // TestConfinementEnds checks for how long a route stays confined after its last crash.
 func TestConfinementEnds(t *testing.T) {
 	for jobs, limit := range map[int]time.Duration{1: firstConfineTime, 2: confineTime} {
--- a/decision/quarantine/proof.go
+++ b/decision/quarantine/proof.go
@@ -51,9 +51,5 @@
 	task.poison = true
 	task.at = latest(task.at, at)
 	t.blame(at, reported.Route, reported.Service, reported.Task.Job)
-	if reported.Route != "" {
-		route := t.route(reported.Route, reported.Service)
-		route.suspectedAt = latest(route.suspectedAt, at)
-	}
 	return true
 }
--- a/decision/quarantine/route.go
+++ b/decision/quarantine/route.go
@@ -11,7 +11,8 @@
 	service string
 	// blamed are the jobs of the route that were blamed for a crash, and when.
 	blamed map[work.JobID]time.Time
-	// suspectedAt is the time of the last crash with a young run of the route.
+	// suspectedAt is the time of the last crash with a young run of the route, or by which
+	// a task of it was proved to be poison.
 	suspectedAt time.Time
 	confined    bool
 	// submittedAt is when a job of the route was last submitted.
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -91,6 +91,7 @@
 	}
 	route := t.route(name, service)
 	route.blamed[job] = at
+	route.suspectedAt = latest(route.suspectedAt, at)
 	t.suspects[name] = route
 }
 
