Leave the room of a confined route to new jobs while it refuses them

Cause: every second crash of a confined minion was the retry of a suspect, which is almost certainly deadly where it is the only one, while nine in ten of the jobs refused meanwhile were innocent.

Change: while a confined route refuses jobs for want of room, tasks that may have caused a crash wait; they are placed again once nothing was refused for a second, and are answered like any other when their caller's time is over.

The new test failed before (the suspect was started again at once).

--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -72,6 +72,14 @@
 	return false
 }
 
+// yieldsRoom reports whether a best-effort job waits with an unplaced task that leaves the
+// room of its route to new jobs.
+func (c *Core) yieldsRoom(now time.Time, job *job) bool {
+	return slices.ContainsFunc(job.tasks, func(task *task) bool {
+		return task.phase == phaseUnplaced && c.quarantine.YieldsRoom(now, task.key, job.route.Name)
+	})
+}
+
 // limitPlacement restricts a plan to the sidecars that the job may use: confined routes
 // get some of the service's sidecars, and other routes the rest.
 func (c *Core) limitPlacement(now time.Time, job *job, planned *plan) {
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -122,6 +122,41 @@
 	}
 }
 
+// TestSuspectWaitsWhileNewJobsOfItsRouteAreRefused guards against retries that take minion
+// after minion from the other callers of a confined route, and against suspects that are
+// given up with the deadly task beside them although there is room.
+func TestSuspectWaitsWhileNewJobsOfItsRouteAreRefused(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		f := newFixture(t, 8)
+		names := []string{"s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7"}
+		confined := f.confine(names)
+		suspect := f.submit("suspect", 1)
+		started := f.replyToStarts(session.RefusedNone)
+		for name := range confined {
+			state := f.state(10000)
+			if full {
+				state.Free, state.Turnover = work.Resources{}, time.Minute
+			}
+			f.core.Updated(f.now, name, state)
+		}
+		refused := f.submit("new", 1)
+		f.replyToStarts(session.RefusedNone)
+		must.EqOp(t, full, f.replies[refused].Outcome == Refused)
+		for name := range confined {
+			f.core.Updated(f.now, name, f.state(10000))
+		}
+		f.crashUnder(started[0], session.CrashedRun{Task: work.TaskKey{Job: "deadly"}, Route: "r", Age: 15 * time.Millisecond, Confirmed: true})
+		if full {
+			must.Len(t, 0, f.starts)
+			f.tick(1100 * time.Millisecond)
+		}
+		again := f.replyToStarts(session.RefusedNone)
+		must.Len(t, 1, again)
+		f.endRuns(again[0], work.EndDone)
+		must.EqOp(t, Completed, f.replies[suspect].Outcome)
+	}
+}
+
 // TestJobThatNeedsAConfinedSidecarGetsIt guards against refusing callers of a route that is
 // not confined, because the only minions that can run their tasks are left to one that is.
 func TestJobThatNeedsAConfinedSidecarGetsIt(t *testing.T) {
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -208,6 +208,9 @@
 		return
 	}
 	job.nextPlacement = now.Add(placementRetryInterval)
+	if c.yieldsRoom(now, job) {
+		return
+	}
 	planned := c.plan(now, job)
 	if planned.complete && (job.mayHaveRun || job.refusedReplies <= maxRefusedReplies) {
 		c.sendStarts(now, job, planned)
@@ -218,6 +221,7 @@
 		planned.reason = ReasonOverload
 	}
 	if !job.mayHaveRun && c.nothingPlaced(job) && !c.waitsForSettling(now, job) {
+		c.quarantine.RecordRefusal(now, job.route.Name)
 		c.end(job, Answer{Outcome: Refused, Reason: planned.reason, RetryAfter: max(minRetryAfter, planned.wait)})
 	}
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -147,6 +147,7 @@
 	}
 	plan := c.plan(now, job)
 	if !plan.complete && !c.waitsForSettling(now, job) {
+		c.quarantine.RecordRefusal(now, job.route.Name)
 		answer := Answer{Outcome: Refused, Reason: plan.reason, RetryAfter: max(minRetryAfter, plan.wait)}
 		c.refuse(submission, job.route.Name, answer, plan.wait)
 		return
--- a/decision/quarantine/bounds.go
+++ b/decision/quarantine/bounds.go
@@ -32,6 +32,9 @@
 	blamedShare = 0.1
 	// confinedShare is the share of a service's sidecars that confined routes get.
 	confinedShare = 0.3
+	// shortageTime is how long a route counts as short of room after one of its jobs was
+	// refused.
+	shortageTime = time.Second
 	// activeTime is how long a route counts as in use after a submission.
 	activeTime = 5 * time.Second
 	// retention is how long a task's crashes are remembered.
--- a/decision/quarantine/confine_test.go
+++ b/decision/quarantine/confine_test.go
@@ -46,6 +46,26 @@
 	must.Eq(t, map[string]bool{"bad": true}, tracker.ConfinedRoutes(start, service, 11))
 }
 
+// TestSuspectsYieldRoomOfAFullConfinedRoute checks which tasks wait, and for how long.
+func TestSuspectsYieldRoomOfAFullConfinedRoute(t *testing.T) {
+	tracker := New()
+	tracker.RecordSubmission(start, "bad", service)
+	tracker.RecordSubmission(start, "good", service)
+	provePoison(tracker, start, "proved", "bad")
+	tracker.RecordCrash(start, "s3", service, crash(run("young", "bad", 20*time.Millisecond), run("old", "bad", time.Second), run("other", "good", 20*time.Millisecond)))
+	tracker.RecordRefusal(start, "bad")
+	tracker.RecordRefusal(start, "good")
+	must.False(t, tracker.YieldsRoom(start, key("young"), "bad"), must.Sprint("the route is not confined yet"))
+	must.MapLen(t, 1, tracker.ConfinedRoutes(start, service, 11))
+	must.True(t, tracker.YieldsRoom(start, key("young"), "bad"))
+	for _, innocent := range []string{"old", "new"} {
+		must.False(t, tracker.YieldsRoom(start, key(innocent), "bad"))
+	}
+	must.False(t, tracker.YieldsRoom(start, key("other"), "good"))
+	must.True(t, tracker.YieldsRoom(start.Add(shortageTime), key("young"), "bad"))
+	must.False(t, tracker.YieldsRoom(start.Add(shortageTime+time.Millisecond), key("young"), "bad"))
+}
+
 // TestConfinementEnds checks for how long a route stays confined after its last crash.
 func TestConfinementEnds(t *testing.T) {
 	for jobs, limit := range map[int]time.Duration{1: firstConfineTime, 2: confineTime} {
--- a/decision/quarantine/route.go
+++ b/decision/quarantine/route.go
@@ -17,6 +17,8 @@
 	confined    bool
 	// submittedAt is when a job of the route was last submitted.
 	submittedAt time.Time
+	// refusedAt is when a job of the route was last refused for want of room.
+	refusedAt time.Time
 }
 
 func (r *routeRecord) dropOldEvidence(now time.Time) {
