Let the stand-in minion refuse tasks for a moment before it closes

The minion had announced that it leaves 3 ms before and was idle.

Cause: it closed its connections as soon as its sidecar knew, with a task still on its way, of which nobody could tell whether it had run.

Change: it goes on refusing tasks for 200 ms. The new test failed before (connection refused 20 ms after the announcement).

--- a/minion/serve.go
+++ b/minion/serve.go
@@ -20,13 +20,17 @@
 	// drainTimeout is the maximum time to announce that the minion is leaving and
 	// to wait for running tasks.
 	drainTimeout = 1 * time.Minute
+	// closeDelay is how long an idle minion goes on refusing tasks after its sidecar knows
+	// that it leaves: tasks that were sent before may still be on their way.
+	closeDelay = 200 * time.Millisecond
 	// stopTimeout is the maximum time to wait for responses to be written.
 	stopTimeout = 2 * time.Second
 )
 
 // Serve serves the minion on listener and announces it to the sidecar until ctx
 // is done or a listener fails. It then refuses new tasks, announces that the
-// minion is leaving, waits for running tasks, and closes the minion. Connections
+// minion is leaving, waits for running tasks, and closes the minion a little later, so
+// that tasks that were sent before the sidecar knew are refused, not cut off. Connections
 // to listener count towards Options.Connections. Connections to control, which
 // may be nil, do not.
 func (m *Minion) Serve(ctx context.Context, listener, control net.Listener) error {
@@ -80,8 +84,8 @@
 	return err
 }
 
-// drain refuses new tasks, announces that the minion is leaving, and waits up to
-// drainTimeout for running tasks.
+// drain refuses new tasks, announces that the minion is leaving, waits up to
+// drainTimeout for running tasks, and goes on refusing for closeDelay.
 func (m *Minion) drain(announcer *announcer, address string) {
 	m.options.Logger.Info().Msg("leaving")
 	drained := m.slots.leave()
@@ -95,6 +99,7 @@
 	case <-ctx.Done():
 		m.options.Logger.Warn().Msg("tasks are still running after the drain timeout")
 	}
+	time.Sleep(closeDelay)
 }
 
 func (m *Minion) announcement(address string, state store.AnnouncementState) store.Announcement {
--- a/minion/serve_test.go
+++ b/minion/serve_test.go
@@ -104,6 +104,35 @@
 	must.Error(t, err)
 }
 
+// TestServe_RefusesTasksThatWereSentBeforeTheSidecarKnew guards against a minion that closes
+// its connections as soon as its sidecar knows that it leaves: a task sent before that is
+// cut off, and nobody can tell whether it has run.
+func TestServe_RefusesTasksThatWereSentBeforeTheSidecarKnew(t *testing.T) {
+	const underway = 20 * time.Millisecond
+	receiver := announce.NewReceiver()
+	sidecar := httptest.NewServer(receiver)
+	t.Cleanup(sidecar.Close)
+	opts := options()
+	opts.AnnounceURL = sidecar.URL
+	s := serve(t, opts)
+	client := &http.Client{}
+	t.Cleanup(client.CloseIdleConnections)
+	status, _, err := post(client, s.address, `{"runMs":1}`)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, status)
+	s.stop()
+	for announced := store.MinionReady; announced != store.MinionLeaving; {
+		announcement, err := receiver.Next(t.Context())
+		must.NoError(t, err)
+		announced = announcement.State
+	}
+	time.Sleep(underway)
+	status, _, err = post(client, s.address, `{"runMs":1}`)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusServiceUnavailable, status)
+	must.NoError(t, <-s.done)
+}
+
 func TestServe_TaskOutlivesClientConnection(t *testing.T) {
 	s := serve(t, options())
 	conn, err := net.Dial("tcp", s.address)
