Expect a stall of the queue to last as long as it has lasted, not its backlog times that

What callers saw: 10 of 355 jobs refused as overloaded within 0.23 s, with an expected wait of 20 to 26 s, while an entry dequeued nothing for a second (e2e TestPlannedStopCutsNothingOff, known red).

Cause: the measured rate was capped by that of the unfinished sample, at least one task in its time, so that 25 tasks that waited were expected to take 25 times the stall. After 3 s the measurement counted as old, and a queue that stood still for 20 s was expected to drain at the router's rate.

Change: the rate stays, and a time without any task is added to the wait. Both new tests failed before: a job that can wait 5 s was refused after a stall of 1 s, and admitted after one of 5 s.

--- a/decision/admission/admit.go
+++ b/decision/admission/admit.go
@@ -146,7 +146,7 @@
 // tasks of a caller would be dequeued. Fair queueing bounds it by the caller's
 // own backlog at its share of the rate, and also by the whole backlog at the
 // whole rate. Later jobs of the same caller may overtake the job, which adds up
-// to delayPerTask for each of its tasks but one.
+// to delayPerTask for each of its tasks but one. A stall adds as long as it has lasted.
 func (q *Queue) expectedWait(c *caller, tasks int, now time.Time) time.Duration {
 	rate := q.drainRate.current(q.capacity.TasksPerSecond, now)
 	if rate <= 0 || !q.backlogged(now) {
@@ -155,7 +155,7 @@
 	own := float64(c.waiting+tasks) * q.activeWeightWith(c) / c.weight
 	all := float64(q.waiting + tasks)
 	overtaken := time.Duration(tasks-1) * delayPerTask
-	return secondsToDuration(min(own, all)/rate) + overtaken
+	return secondsToDuration(min(own, all)/rate) + overtaken + q.drainRate.stall(now)
 }
 
 // backlogged reports whether a new job would have to wait because the tasks
@@ -176,7 +176,7 @@
 	if rate <= 0 {
 		return defaultRetryAfter
 	}
-	return clampRetryAfter(secondsToDuration(float64(tasks) / rate))
+	return clampRetryAfter(secondsToDuration(float64(tasks)/rate) + q.drainRate.stall(now))
 }
 
 // secondsToDuration converts seconds to a duration of at most 24 hours, which
--- a/decision/admission/admit_test.go
+++ b/decision/admission/admit_test.go
@@ -195,3 +195,43 @@
 	must.Eq(t, 1000, queue.drainRate.current(1000, now.Add(maxRateAge+1)))
 	must.NotNil(t, queue.Admit(spec("a", 2, 400), now))
 }
+
+// drain dequeues one task of the queue in each interval until the time.
+func drain(queue *Queue, now, until time.Time, interval time.Duration) time.Time {
+	for now.Before(until) {
+		now = now.Add(interval)
+		queue.Next(now)
+	}
+	return now
+}
+
+// TestShortStallRefusesNothing guards against refusing jobs for lack of throughput because
+// no task was dequeued for a second, as while a target is replaced: the tasks that wait are
+// then divided by a rate of one in that second.
+func TestShortStallRefusesNothing(t *testing.T) {
+	for drained := time.Second; drained < 1500*time.Millisecond; drained += 10 * time.Millisecond {
+		queue := NewQueue()
+		queue.SetCapacity(Capacity{Targets: 2, TasksPerSecond: 100})
+		must.Nil(t, submit(queue, "a", 1, 200, testStart))
+		now := drain(queue, testStart, testStart.Add(drained), 10*time.Millisecond)
+		for _, stall := range []time.Duration{600 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+			job := spec("a", 2, 5)
+			job.Timeout = 5 * time.Second
+			must.Nil(t, queue.checkExpectedCompletion(queue.caller("a"), job, now.Add(stall)), must.Sprint(drained, stall))
+		}
+	}
+}
+
+// TestLongStallRefusesJobsThatCannotWait guards against admitting jobs to a queue from which
+// nothing has been dequeued for longer than they can wait.
+func TestLongStallRefusesJobsThatCannotWait(t *testing.T) {
+	queue := NewQueue()
+	queue.SetCapacity(Capacity{Targets: 2, TasksPerSecond: 100})
+	must.Nil(t, submit(queue, "a", 1, 200, testStart))
+	now := drain(queue, testStart, testStart.Add(1500*time.Millisecond), 10*time.Millisecond)
+	job := spec("a", 2, 5)
+	job.Timeout = 5 * time.Second
+	for _, stall := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		must.NotNil(t, queue.checkExpectedCompletion(queue.caller("a"), job, now.Add(stall)), must.Sprint(stall))
+	}
+}
--- a/decision/admission/ratemeter.go
+++ b/decision/admission/ratemeter.go
@@ -18,8 +18,10 @@
 	sampleStart time.Time
 	dequeued    int
 	active      bool
-	rate        float64
-	measuredAt  time.Time
+	// dequeuedAt is when a task was last dequeued.
+	dequeuedAt time.Time
+	rate       float64
+	measuredAt time.Time
 	// resetPending starts a new sample when the next task is dequeued.
 	resetPending bool
 }
@@ -54,6 +56,7 @@
 		m.dequeued = 0
 	}
 	m.dequeued++
+	m.dequeuedAt = now
 	elapsed := now.Sub(m.sampleStart)
 	if !m.active || elapsed < rateSampleInterval {
 		return
@@ -82,15 +85,27 @@
 	return !m.measuredAt.IsZero() && now.Sub(m.measuredAt) <= maxRateAge
 }
 
-// current returns the measured rate, or hint without a recent measurement. When
-// a sample has been running for more than two intervals, the rate is limited to
-// that of the unfinished sample, so that it falls when the backlog stops draining.
+// current returns the measured rate, or hint without a recent measurement.
 func (m *rateMeter) current(hint float64, now time.Time) float64 {
 	if !m.isFresh(now) {
 		return hint
 	}
-	if elapsed := now.Sub(m.sampleStart); m.active && elapsed > 2*rateSampleInterval {
-		return min(m.rate, float64(max(1, m.dequeued))/elapsed.Seconds())
-	}
 	return m.rate
 }
+
+// stall returns for how long nothing has been dequeued although there is a backlog; 0 up
+// to two sample intervals. It predicts how long that will go on: the rate says nothing of
+// it, neither the one before nor that of the few tasks since.
+func (m *rateMeter) stall(now time.Time) time.Duration {
+	if !m.active || m.resetPending {
+		return 0
+	}
+	since := now.Sub(m.sampleStart)
+	if m.dequeuedAt.After(m.sampleStart) {
+		since = now.Sub(m.dequeuedAt)
+	}
+	if since <= 2*rateSampleInterval {
+		return 0
+	}
+	return since
+}
