Log when a job leaves the room of its confined route to new jobs

A job that waited so was told of only when its caller's time was over, with the reason deadline. The test of the wait checks that it is told once.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -36,6 +36,7 @@
 	KindDisowned           Kind = "disowned"
 	KindEndUncertain       Kind = "end_doubtful"
 	KindPoison             Kind = "poison"
+	KindYields             Kind = "yields"
 	KindRouteConfined      Kind = "route_confined"
 	KindRouteReleased      Kind = "route_released"
 )
--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -73,11 +73,20 @@
 }
 
 // yieldsRoom reports whether a best-effort job waits with an unplaced task that leaves the
-// room of its route to new jobs.
+// room of its route to new jobs. It records when that begins.
 func (c *Core) yieldsRoom(now time.Time, job *job) bool {
-	return slices.ContainsFunc(job.tasks, func(task *task) bool {
-		return task.phase == phaseUnplaced && c.quarantine.YieldsRoom(now, task.key, job.route.Name)
-	})
+	for _, task := range job.tasks {
+		if task.phase != phaseUnplaced || !c.quarantine.YieldsRoom(now, task.key, job.route.Name) {
+			continue
+		}
+		if !job.yields {
+			c.recordDecision(Decision{Kind: DecidedYields, Job: job.id, Task: task.key.Index, Route: job.route.Name, Crashes: c.quarantine.Crashes(task.key)})
+		}
+		job.yields = true
+		return true
+	}
+	job.yields = false
+	return false
 }
 
 // limitPlacement restricts a plan to the sidecars that the job may use: confined routes
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -148,7 +148,11 @@
 		f.crashUnder(started[0], session.CrashedRun{Task: work.TaskKey{Job: "deadly"}, Route: "r", Age: 15 * time.Millisecond, Confirmed: true})
 		if full {
 			must.Len(t, 0, f.starts)
-			f.tick(1100 * time.Millisecond)
+			f.core.Decisions()
+			f.tick(500 * time.Millisecond)
+			must.Len(t, 0, f.starts)
+			must.SliceEmpty(t, f.core.Decisions(), must.Sprint("the wait is told once"))
+			f.tick(600 * time.Millisecond)
 		}
 		again := f.replyToStarts(session.RefusedNone)
 		must.Len(t, 1, again)
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -41,6 +41,9 @@
 	DecidedDisowned  DecisionKind = "disowned"
 	// DecidedPoison means that a task is given up because minions crash under it.
 	DecidedPoison DecisionKind = "poison"
+	// DecidedYields means that a job waits because one of its tasks, which may have
+	// crashed a minion, leaves the room of its route to new jobs.
+	DecidedYields DecisionKind = "yields"
 	// DecidedRouteConfined and DecidedRouteReleased mean that a route gets only a few
 	// sidecars of its service, and all of them again.
 	DecidedRouteConfined DecisionKind = "route_confined"
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -61,6 +61,8 @@
 	nextPlacement time.Time
 	// refusedReplies is the number of replies that refused tasks of the job.
 	refusedReplies int
+	// yields is true while a task of the job leaves the room of its route to new jobs.
+	yields bool
 	// stored is set for a stored job, for whose end no caller waits.
 	stored *storedState
 }
--- a/dispatcher/logging.go
+++ b/dispatcher/logging.go
@@ -36,6 +36,9 @@
 	case heldjob.DecidedPoison:
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindPoison), decision).
 			Int(eventlog.FieldTask, decision.Task).Str(eventlog.FieldPeer, decision.Sidecar).Int(eventlog.FieldCount, decision.Crashes).Msg("")
+	case heldjob.DecidedYields:
+		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindYields), decision).
+			Int(eventlog.FieldTask, decision.Task).Int(eventlog.FieldCount, decision.Crashes).Msg("")
 	case heldjob.DecidedRouteConfined, heldjob.DecidedRouteReleased:
 		d.logConfinement(decision)
 	case heldjob.DecidedRepeated:
