--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -28,6 +28,11 @@
 	completed map[string]bool
 	// asked counts the submissions.
 	asked int
+	// deadlyEvery makes one in that many jobs one whose first task crashes each minion
+	// that starts it; 0 for none. deadly holds these jobs, failed the jobs that were
+	// answered as failed.
+	deadlyEvery    int
+	deadly, failed map[string]bool
 	// accepted lists the stored jobs that were answered as accepted. Such a job
 	// is stored before it is accepted, unlike a best-effort job.
 	accepted []string
@@ -41,7 +46,21 @@
 )
 
 func newCallers(w *cluster) *callers {
-	return &callers{w: w, every: 25 * time.Millisecond, need: 1500, refused: make(map[string]bool), completed: make(map[string]bool)}
+	return &callers{w: w, every: 25 * time.Millisecond, need: 1500, refused: make(map[string]bool), completed: make(map[string]bool), deadly: make(map[string]bool), failed: make(map[string]bool)}
+}
+
+// start submits jobs in the background until the returned function is called, which waits
+// for the pending answers.
+func (c *callers) start(random *rand.Rand) (stop func()) {
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		c.run(random, stopped)
+		close(ended)
+	}()
+	return func() {
+		close(stopped)
+		<-ended
+	}
 }
 
 // run submits jobs at a steady rate until stop is closed, then waits for the
@@ -52,6 +71,9 @@
 	for number := 0; ; number++ {
 		id := fmt.Sprintf("%08x%08x", random.Uint32(), number)
 		entry, tasks, work := random.IntN(entries), 1+random.IntN(4), 20+random.IntN(200)
+		if c.deadlyEvery > 0 && number%c.deadlyEvery == 0 {
+			c.markDeadly(id)
+		}
 		wait.Go(func() {
 			if number%storedEvery == 0 {
 				c.submitUntilAccepted(id, entry, tasks, work)
@@ -67,6 +89,13 @@
 	}
 }
 
+// markDeadly makes a job deadly that is submitted later.
+func (c *callers) markDeadly(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadly[id] = true
+}
+
 // storedEvery makes one in that many jobs a stored job.
 const storedEvery = 5
 
@@ -122,12 +151,15 @@
 	}
 }
 
-// recordAnswer records the job as completed if the answer says so.
+// recordAnswer records the job as completed or failed if the answer says so.
 func (c *callers) recordAnswer(id, state string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == "completed" {
+	switch state {
+	case "completed":
 		c.completed[id] = true
+	case "failed":
+		c.failed[id] = true
 	}
 }
 
@@ -148,8 +180,9 @@
 func (c *callers) send(id string, entry, tasks, work int, bestEffort bool) (int, string) {
 	c.mu.Lock()
 	c.asked++
+	crash := c.deadly[id]
 	c.mu.Unlock()
-	spec, _ := json.Marshal(standin.Spec{WorkMillis: work, MilliCPU: c.need, CheckpointMillis: checkpointMillis})
+	spec, _ := json.Marshal(standin.Spec{Crash: crash, WorkMillis: work, MilliCPU: c.need, CheckpointMillis: checkpointMillis})
 	body, _ := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": bestEffort,
 		"steps": []map[string]any{{"count": tasks, "cpu": c.need, "mem_mb": 8, "est_ms": work}},
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -47,6 +48,10 @@
 	minions []*standin.Minion
 	proxies []*proxy
 
+	// life ends with the run.
+	life    context.Context
+	endLife context.CancelFunc
+
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
 	ended     bool
@@ -64,6 +69,7 @@
 		more: more, t: t, dir: t.TempDir(), binary: binary, network: network, table: standin.NewTable(),
 		ledger: &standin.Ledger{}, processes: make(map[string]*exec.Cmd), port: freePort(t),
 	}
+	w.life, w.endLife = context.WithCancel(context.Background())
 	w.store = httptest.NewServer(w.table.Handler())
 	w.configure(1)
 	for i := range sidecars {
@@ -116,24 +122,56 @@
 }
 
 func (w *cluster) startMinion(i int) {
-	minion := standin.NewMinion(fmt.Sprintf("i-%d", i), w.ledger, uint64(i))
-	w.minions = append(w.minions, minion)
-	listener, err := net.Listen("tcp", w.address(100+i, 0))
-	must.NoError(w.t, err)
-	server := &http.Server{Handler: minion.Handler()}
-	go func() { _ = server.Serve(listener) }()
 	between, err := newProxy(w.address(150+i, 0), w.address(50+i, 0))
 	must.NoError(w.t, err)
 	w.proxies = append(w.proxies, between)
-	w.t.Cleanup(func() { minion.Close(); _ = server.Close(); _ = between.listener.Close() })
-	go w.beat(i, minion)
+	w.t.Cleanup(func() { _ = between.listener.Close() })
+	w.minions = append(w.minions, nil)
+	w.runMinion(i)
+}
+
+// crashPause is the time from the crash of a minion until it is back.
+const crashPause = 600 * time.Millisecond
+
+// runMinion runs a minion until the run ends, or until a task crashes it; then another
+// takes its place after crashPause.
+func (w *cluster) runMinion(i int) {
+	listener, err := net.Listen("tcp", w.address(100+i, 0))
+	if err != nil {
+		w.t.Errorf("minion %d can't listen: %v", i, err)
+		return
+	}
+	minion := standin.NewMinion(fmt.Sprintf("i-%d", i), w.ledger, uint64(i))
+	server := &http.Server{Handler: minion.Handler()}
+	life, end := context.WithCancel(w.life)
+	context.AfterFunc(life, func() { minion.Crash(); _ = server.Close() })
+	minion.OnCrash(func() {
+		end()
+		time.AfterFunc(crashPause, func() {
+			if !w.over() {
+				w.runMinion(i)
+			}
+		})
+	})
+	w.mu.Lock()
+	w.minions[i] = minion
+	w.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	go w.beat(life, i, minion)
+}
+
+// minion returns the minion that runs now or ran last at a place.
+func (w *cluster) minion(i int) *standin.Minion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.minions[i]
 }
 
-// beat sends the heartbeats of a minion to its sidecar until the run ends.
-func (w *cluster) beat(i int, minion *standin.Minion) {
+// beat sends the heartbeats of a minion to its sidecar until its life ends.
+func (w *cluster) beat(life context.Context, i int, minion *standin.Minion) {
 	url := fmt.Sprintf("http://%s/-/instances/i-%d/heartbeat", w.address(50+i, 1), i)
 	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; !w.over(); sequence++ {
+	for sequence := 1; life.Err() == nil; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": "desk", "state": "ready", "seq": sequence, "born": minion.Born(),
 			"capacity": map[string]any{"cpu": capacity, "mem_mb": 1024},
@@ -223,6 +261,7 @@
 func (w *cluster) end() {
 	w.mu.Lock()
 	w.ended = true
+	w.endLife()
 	for _, command := range w.processes {
 		if command.Process != nil {
 			_ = command.Process.Kill()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -81,17 +81,17 @@
 		return func() { w.table.Delete("op", zone) }
 	}},
 	{"minion requests delayed", func(w *cluster, random *rand.Rand) func() {
-		one := w.minions[random.IntN(sidecars)]
+		one := w.minion(random.IntN(sidecars))
 		one.SetFaults(standin.Faults{Delayed: 0.2, MinDelay: time.Second, Unanswered: 0.1})
 		return func() { one.SetFaults(standin.Faults{}) }
 	}},
 	{"tasks hang", func(w *cluster, random *rand.Rand) func() {
-		one := w.minions[random.IntN(sidecars)]
+		one := w.minion(random.IntN(sidecars))
 		one.SetFaults(standin.Faults{Hang: true})
 		return func() { one.SetFaults(standin.Faults{}) }
 	}},
 	{"tasks fail", func(w *cluster, random *rand.Rand) func() {
-		one := w.minions[random.IntN(sidecars)]
+		one := w.minion(random.IntN(sidecars))
 		one.SetFaults(standin.Faults{Fail: 1})
 		return func() { one.SetFaults(standin.Faults{}) }
 	}},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,8 +55,11 @@
 	return binary
 }
 
+// seedsAsked returns the seeds that the environment names; empty for none.
+func seedsAsked() string { return os.Getenv(seedsVariable) }
+
 func seeds(t *testing.T) []uint64 {
-	asked := os.Getenv(seedsVariable)
+	asked := seedsAsked()
 	if asked == "" {
 		chosen := []uint64{1, 2}
 		for _, one := range regressions {
@@ -96,16 +99,10 @@
 	told := newCallers(w)
 	awaitService(t, told, "at the start")
 
-	stop := make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		told.run(rand.New(rand.NewPCG(seed, 0)), stop)
-		close(ended)
-	}()
+	stop := told.start(rand.New(rand.NewPCG(seed, 0)))
 	play(w, random, soakTime(t))
 	awaitService(t, told, "after the faults")
-	close(stop)
-	<-ended
+	stop()
 	checkAccepted(t, w, told)
 	check(t, w, told)
 	if t.Failed() {
@@ -137,6 +134,24 @@
 // checkAccepted waits until the accepted jobs have ended and checks that none of
 // their tasks was done twice.
 func checkAccepted(t *testing.T, w *cluster, told *callers) {
+	kept := awaitAccepted(t, told)
+	done := make(map[string]int)
+	for _, entry := range w.ledger.Entries() {
+		id, _, _ := strings.Cut(entry.Task, ".")
+		if kept[id] && entry.Outcome == "done" {
+			done[entry.Task]++
+		}
+	}
+	for task, count := range done {
+		if count > 1 {
+			t.Errorf("task %s was done %d times", task, count)
+		}
+	}
+	t.Logf("%d jobs were accepted, %d tasks done", len(told.accepted), len(done))
+}
+
+// awaitAccepted waits until the accepted jobs have ended, and returns them.
+func awaitAccepted(t *testing.T, told *callers) map[string]bool {
 	until := time.Now().Add(endAfter)
 	kept := make(map[string]bool)
 	for _, id := range told.accepted {
@@ -152,19 +167,7 @@
 			t.Errorf("job %s was accepted but its state is %q", id, state)
 		}
 	}
-	done := make(map[string]int)
-	for _, entry := range w.ledger.Entries() {
-		id, _, _ := strings.Cut(entry.Task, ".")
-		if kept[id] && entry.Outcome == "done" {
-			done[entry.Task]++
-		}
-	}
-	for task, count := range done {
-		if count > 1 {
-			t.Errorf("task %s was done %d times", task, count)
-		}
-	}
-	t.Logf("%d jobs were accepted, %d tasks done", len(told.accepted), len(done))
+	return kept
 }
 
 // check compares the answers to callers with the runs at the minions.
--- a/soak/stories_test.go
+++ b/soak/stories_test.go
@@ -45,12 +45,14 @@
 	})
 	time.Sleep(time.Second)
 	t.Run("failed after attempts", func(t *testing.T) {
-		for _, minion := range w.minions {
+		for i := range sidecars {
+			minion := w.minion(i)
 			minion.SetFaults(standin.Faults{Fail: 1})
 		}
 		const id = "00000000000000f1"
 		status, state := told.submit(id, 0, 1, 20)
-		for _, minion := range w.minions {
+		for i := range sidecars {
+			minion := w.minion(i)
 			minion.SetFaults(standin.Faults{})
 		}
 		must.EqOp(t, http.StatusOK, status)
