--- a/client/client.go
+++ b/client/client.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/figring/figring/api"
+	"github.com/figring/figring/common/jsonrequest"
 )
 
 const (
@@ -118,7 +118,7 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body any) (*api.JobResponse, error) {
-	request, err := c.request(ctx, method, path, body)
+	request, err := jsonrequest.New(ctx, method, c.baseURL()+path, c.options.Token, body)
 	if err != nil {
 		return nil, err
 	}
@@ -141,26 +141,6 @@
 	return &answer, nil
 }
 
-func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
-	var reader io.Reader
-	if body != nil {
-		content, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		reader = bytes.NewReader(content)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.baseURL()+path, reader)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer "+c.options.Token)
-	if body != nil {
-		request.Header.Set("Content-Type", "application/json")
-	}
-	return request, nil
-}
-
 func (c *Client) baseURL() string {
 	index := (c.next.Add(1) - 1) % uint64(len(c.options.BaseURLs))
 	return strings.TrimSuffix(c.options.BaseURLs[index], "/")
--- a/loadgen/measure/bench.go
+++ b/loadgen/measure/bench.go
@@ -32,20 +32,33 @@
 // during is called while a run is played; it may change the fleet.
 type during func(ctx context.Context, running *fleet.Fleet, started time.Time) error
 
+// startFleet starts a fleet in a directory of its own. stop stops it and removes the
+// directory.
+func startFleet(ctx context.Context, settings fleet.Settings) (running *fleet.Fleet, stop func(), err error) {
+	settings.Dir, err = os.MkdirTemp("", "figring-measure")
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	running, err = fleet.Start(ctx, settings)
+	stop = func() {
+		running.Stop()
+		_ = os.RemoveAll(settings.Dir)
+	}
+	if err != nil {
+		stop()
+		return nil, nil, err
+	}
+	return running, stop, nil
+}
+
 // play starts a fleet, plays the trace over it and stops it.
 func (b *bench) play(ctx context.Context, label string, settings fleet.Settings, jobs trace.Trace, options runner.Options, beside during) (*played, error) {
 	b.say("%s: %d jobs, %d tasks", label, len(jobs.Jobs), jobs.Tasks())
-	dir, err := os.MkdirTemp("", "figring-measure")
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	settings.Dir = dir
-	running, err := fleet.Start(ctx, settings)
-	defer running.Stop()
+	running, stop, err := startFleet(ctx, settings)
 	if err != nil {
 		return nil, err
 	}
+	defer stop()
 	return b.playOver(ctx, running, jobs, options, beside)
 }
 
--- a/loadgen/measure/control.go
+++ b/loadgen/measure/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"time"
 
 	"github.com/figring/figring/loadgen/fleet"
@@ -28,17 +27,11 @@
 func (b *bench) control(ctx context.Context) ([]Row, error) {
 	shape := trace.Nomination()
 	settings := b.desk(shape.Caller)
-	dir, err := os.MkdirTemp("", "figring-measure")
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	settings.Dir = dir
-	running, err := fleet.Start(ctx, settings)
-	defer running.Stop()
+	running, stop, err := startFleet(ctx, settings)
 	if err != nil {
 		return nil, err
 	}
+	defer stop()
 	b.say("control, idle")
 	before, err := running.Snapshot(ctx)
 	if err != nil {
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -1,7 +1,6 @@
 package operatorclient
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/figring/figring/common/jsonrequest"
 )
 
 const (
@@ -64,7 +65,7 @@
 }
 
 func (c *Client) send(ctx context.Context, method, url string, body, into any) error {
-	request, err := c.newRequest(ctx, method, url, body)
+	request, err := jsonrequest.New(ctx, method, url, c.token, body)
 	if err != nil {
 		return err
 	}
@@ -86,24 +87,6 @@
 	return nil
 }
 
-func (c *Client) newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
-	var reader io.Reader
-	if body != nil {
-		content, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		reader = bytes.NewReader(content)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, url, reader)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer "+c.token)
-	request.Header.Set("Content-Type", "application/json")
-	return request, nil
-}
-
 func responseError(status int, content []byte) error {
 	var refusal Problem
 	if err := json.Unmarshal(content, &refusal.Details); err != nil || refusal.Code == "" {
