--- a/soak/doc.go
+++ b/soak/doc.go
@@ -2,6 +2,7 @@
 // and checks its guarantees from what callers and minions observe. The faults
 // are drawn from seeds:
 //
-//	go test ./soak -run TestSoak -count 1                          # a short seeded run
-//	FIGRING_SOAK=1-50 FIGRING_SOAK_TIME=20s go test ./soak -timeout 1h -run TestSoak
+//	go test ./soak -run 'TestSoak$' -count 1               # a short seeded run
+//	go test ./soak -run TestSoakWithDeadlyTasks -count 1   # with tasks that crash their minions
+//	FIGRING_SOAK=1-50 FIGRING_SOAK_TIME=20s go test ./soak -timeout 1h -run 'TestSoak$'
 package soak
