--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,7 +19,6 @@
 	"github.com/figring/figring/client"
 	"github.com/figring/figring/common/identity"
 	"github.com/figring/figring/decision/bundle"
-	"github.com/figring/figring/minion"
 	"github.com/figring/figring/model"
 	"github.com/figring/figring/rollout"
 	"github.com/figring/figring/store/remote"
@@ -245,62 +243,6 @@
 	return path
 }
 
-// entryStatus is the part of an entry's status that the tests look at.
-type entryStatus struct {
-	Ready         bool
-	BundleVersion int64
-	Partitions    int
-	Owner         struct {
-		Jobs    int
-		Targets []struct {
-			Sidecar string
-			State   string
-			Open    bool
-		}
-	}
-}
-
-// readyTargets counts the sidecars that take work.
-func (s *entryStatus) readyTargets() int {
-	ready := 0
-	for _, target := range s.Owner.Targets {
-		if target.State == "ready" {
-			ready++
-		}
-	}
-	return ready
-}
-
-func (c *cluster) status(entry int) (entryStatus, error) {
-	var status entryStatus
-	response, err := http.Get("http://" + c.entryList()[entry].addresses["status"] + "/status")
-	if err != nil {
-		return status, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	return status, json.NewDecoder(response.Body).Decode(&status)
-}
-
-// awaitTargets waits until an entry is ready and that many sidecars are.
-func (c *cluster) awaitTargets(entry, targets int) {
-	c.t.Helper()
-	c.await(fmt.Sprintf("entry %d to know %d targets", entry, targets), func() bool {
-		status, err := c.status(entry)
-		return err == nil && status.Ready && status.readyTargets() >= targets
-	})
-}
-
-func (c *cluster) await(what string, condition func() bool) {
-	c.t.Helper()
-	deadline := time.Now().Add(readyLimit)
-	for !condition() {
-		if time.Now().After(deadline) {
-			c.t.Fatalf("waited in vain for %s", what)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // client returns a client of one entry, or of all when entry is negative.
 func (c *cluster) client(entry int) *client.Client {
 	c.t.Helper()
@@ -316,36 +258,6 @@
 	return one
 }
 
-// ledger returns every start that the minions recorded.
-func (c *cluster) ledger() []minion.Start {
-	c.t.Helper()
-	var all []minion.Start
-	for _, one := range c.minions {
-		response, err := http.Get("http://" + one.addresses["address"] + "/ledger")
-		must.NoError(c.t, err)
-		lines := json.NewDecoder(response.Body)
-		for lines.More() {
-			var start minion.Start
-			must.NoError(c.t, lines.Decode(&start))
-			all = append(all, start)
-		}
-		must.NoError(c.t, response.Body.Close())
-	}
-	return all
-}
-
-// startsOf counts the starts of each task of a job.
-func (c *cluster) startsOf(key string) map[int]int {
-	c.t.Helper()
-	counts := make(map[int]int)
-	for _, start := range c.ledger() {
-		if strings.HasSuffix(start.Job, key) {
-			counts[start.Task]++
-		}
-	}
-	return counts
-}
-
 // fault sets the faults of the platform's stand-in.
 func (c *cluster) fault(body string) {
 	c.t.Helper()
