--- /dev/null
+++ b/review/_harness/store.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The figures of the platform's store in the settings of the small deployments.
+const (
+	storeAnswer      = 4 * time.Millisecond
+	storeTransaction = 8 * time.Millisecond
+	partWritesPerSec = 150
+	maxEntries       = 100
+	maxCallBytes     = 1 << 20
+	maxRowBytes      = 65536
+	maxPageRows      = 500
+	maxPartWait      = time.Second
+)
+
+// storeRow is a row of the store.
+type storeRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type rowKey struct{ table, part, key string }
+
+func (r storeRow) id() rowKey { return rowKey{r.Table, r.Part, r.Key} }
+
+// store is a stand-in for the platform's store: rows, conditional transactions and the
+// feed, with the limits and times of PROTOCOL.md.
+type store struct {
+	record *record
+
+	mu       sync.Mutex
+	rows     map[rowKey]storeRow
+	version  int64
+	changed  chan struct{}
+	partBusy map[string]time.Time
+	began    time.Time
+	// slow is the factor on the time of every answer.
+	slow float64
+	// rejected counts the calls beyond the limits of a row or a call.
+	rejected int
+}
+
+func newStore(record *record) *store {
+	return &store{record: record, rows: make(map[rowKey]storeRow), changed: make(chan struct{}), partBusy: make(map[string]time.Time), began: time.Now(), slow: 1}
+}
+
+// serve serves the store at the address until the program ends.
+func (s *store) serve(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/rows-get", s.get)
+	mux.HandleFunc("GET /-/rows-feed", s.feed)
+	mux.HandleFunc("POST /-/rows-tx", s.transact)
+	go func() { _ = http.Serve(listener, mux) }()
+	return nil
+}
+
+// setSlow makes each answer take factor times as long.
+func (s *store) setSlow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = factor
+}
+
+func (s *store) wait(base time.Duration) {
+	s.mu.Lock()
+	factor := s.slow
+	s.mu.Unlock()
+	time.Sleep(time.Duration(float64(base) * factor))
+}
+
+// put writes a row as the operator does.
+func (s *store) put(table, key string, value any) {
+	encoded, _ := json.Marshal(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(storeRow{Table: table, Key: key, Value: encoded})
+}
+
+// set stores a row with the current version. The caller holds the lock.
+func (s *store) set(row storeRow) {
+	row.Version = s.version
+	s.rows[row.id()] = row
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// find returns the rows of a table that match, in the order of their keys. The caller
+// holds the lock.
+func (s *store) find(table string, match func(storeRow) bool) []storeRow {
+	found := []storeRow{}
+	for id, row := range s.rows {
+		if id.table == table && match(row) {
+			found = append(found, row)
+		}
+	}
+	slices.SortFunc(found, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
+	return found
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	s.wait(storeAnswer)
+	query := r.URL.Query()
+	part, from, to := query.Get("part"), query.Get("from"), query.Get("to")
+	limit := maxPageRows
+	if asked, err := strconv.Atoi(query.Get("limit")); err == nil && asked > 0 {
+		limit = min(asked, maxPageRows)
+	}
+	s.mu.Lock()
+	found := s.find(query.Get("table"), func(row storeRow) bool {
+		return !row.Deleted && row.Part == part && row.Key >= from && (to == "" || row.Key < to)
+	})
+	page := s.page(found[:min(len(found), limit)], len(found) > limit)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, page)
+}
+
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	millis, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(millis) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		found := s.find(query.Get("table"), func(row storeRow) bool { return row.Version > after })
+		slices.SortFunc(found, func(a, b storeRow) int { return int(a.Version - b.Version) })
+		found = found[:min(len(found), maxPageRows)]
+		page, changed := s.page(found, false), s.changed
+		s.mu.Unlock()
+		if len(found) > 0 {
+			s.wait(storeAnswer)
+			reply(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			s.wait(storeAnswer)
+			reply(w, http.StatusOK, page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// page returns the body of a reply with rows. The caller holds the lock.
+func (s *store) page(rows []storeRow, more bool) map[string]any {
+	return map[string]any{"rows": rows, "has_more": more, "ver": s.version, "now_ms": time.Since(s.began).Milliseconds()}
+}
+
+type transaction struct {
+	Expect []storeRow `json:"expect"`
+	Writes []storeRow `json:"writes"`
+	Remove []storeRow `json:"remove"`
+}
+
+// entries returns all entries of the transaction.
+func (t transaction) entries() []storeRow { return slices.Concat(t.Expect, t.Writes, t.Remove) }
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	raw, err := readAll(r)
+	var asked transaction
+	if err != nil || json.Unmarshal(raw, &asked) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if problem := asked.problem(len(raw)); problem != "" {
+		s.mu.Lock()
+		s.rejected++
+		first := s.rejected == 1
+		s.mu.Unlock()
+		if first {
+			s.record.say("store: a call is rejected with 400: %s", problem)
+		}
+		s.wait(storeAnswer)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !s.awaitPart(asked.entries()) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	s.mu.Lock()
+	status, current := s.apply(asked)
+	body := s.page(current, false)
+	s.mu.Unlock()
+	s.wait(storeTransaction)
+	reply(w, status, body)
+}
+
+// problem returns which limit of a call or a row the transaction exceeds; "" for none.
+func (t transaction) problem(size int) string {
+	entries := t.entries()
+	if len(entries) > maxEntries {
+		return strconv.Itoa(len(entries)) + " entries"
+	}
+	if size > maxCallBytes {
+		return "a call of " + strconv.Itoa(size) + " bytes"
+	}
+	for _, row := range t.Writes {
+		if len(row.Value) > maxRowBytes {
+			return "the value of row " + row.Key + " has " + strconv.Itoa(len(row.Value)) + " bytes, row_bytes is " + strconv.Itoa(maxRowBytes)
+		}
+	}
+	for _, row := range entries {
+		if row.Part != entries[0].Part {
+			return "several parts"
+		}
+		if row.Table == "op" || row.Table == "servers" {
+			return "a table of the operator"
+		}
+	}
+	return ""
+}
+
+// awaitPart waits for the turn of a transaction at its part. It returns false if too
+// many wait there.
+func (s *store) awaitPart(entries []storeRow) bool {
+	if len(entries) == 0 {
+		return true
+	}
+	part := entries[0].Part
+	s.mu.Lock()
+	now := time.Now()
+	turn := s.partBusy[part]
+	if turn.Before(now) {
+		turn = now
+	}
+	if turn.Sub(now) > maxPartWait {
+		s.mu.Unlock()
+		return false
+	}
+	s.partBusy[part] = turn.Add(time.Second / partWritesPerSec)
+	s.mu.Unlock()
+	time.Sleep(time.Until(turn))
+	return true
+}
+
+// apply applies a transaction. The caller holds the lock.
+func (s *store) apply(asked transaction) (int, []storeRow) {
+	current := []storeRow{}
+	conflict := false
+	for _, expected := range asked.Expect {
+		stored, ok := s.rows[expected.id()]
+		if !ok || stored.Deleted {
+			stored = storeRow{}
+		} else {
+			current = append(current, stored)
+		}
+		conflict = conflict || stored.Version != expected.Version
+	}
+	if conflict {
+		return http.StatusPreconditionFailed, current
+	}
+	s.version++
+	for _, row := range asked.Writes {
+		row.Deleted = false
+		s.set(row)
+	}
+	for _, row := range asked.Remove {
+		row.Deleted, row.Value = true, nil
+		s.set(row)
+	}
+	return http.StatusOK, []storeRow{}
+}
