--- a/review/_harness/cluster.go
+++ b/review/_harness/cluster.go
@@ -9,14 +9,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// The size of the deployment, and the names of its zones.
+// The size of the deployment, the spare machines for entries, and the names of the zones.
 const (
 	entryCount   = 3
+	spareEntries = 2
 	sidecarCount = 11
 )
 
@@ -60,8 +62,10 @@
 	if err := c.findNetwork(); err != nil {
 		return nil, err
 	}
-	if err := c.store.serve(c.address(storeHost, rpcPort)); err != nil {
-		return nil, err
+	for _, name := range allNames() {
+		if err := c.store.serve(name, c.storeAddress(name)); err != nil {
+			return nil, err
+		}
 	}
 	c.store.put("op", "config", manifest(1, routes))
 	for i := range sidecarCount {
@@ -82,9 +86,26 @@
 	return c, c.awaitReady()
 }
 
-func entryName(i int) string   { return fmt.Sprintf("edge-%s-1", zones[i]) }
+func entryName(i int) string   { return fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1) }
 func sidecarName(i int) string { return fmt.Sprintf("side-%s-%d", zones[i%len(zones)], i/len(zones)+1) }
 
+// allNames returns the names of all processes, those on spare machines included.
+func allNames() []string {
+	var names []string
+	for i := range entryCount + spareEntries {
+		names = append(names, entryName(i))
+	}
+	for i := range sidecarCount {
+		names = append(names, sidecarName(i))
+	}
+	return names
+}
+
+// storeAddress returns the address at which a process reaches the store.
+func (c *cluster) storeAddress(name string) string {
+	return c.address(storeHost+slices.Index(allNames(), name), rpcPort)
+}
+
 // route is a queue in the manifest.
 type route struct {
 	name, prefix       string
@@ -144,10 +165,12 @@
 func (c *cluster) settings(name string) (string, map[string]any) {
 	role, number, zone := "", 0, ""
 	seeds := []string{}
-	for i := range entryCount {
-		seeds = append(seeds, c.address(entryHost+i, controlPort))
+	for i := range entryCount + spareEntries {
+		if i < entryCount {
+			seeds = append(seeds, c.address(entryHost+i, controlPort))
+		}
 		if entryName(i) == name {
-			role, number, zone = "dispatcher", entryHost+i, zones[i]
+			role, number, zone = "dispatcher", entryHost+i, zones[i%len(zones)]
 		}
 	}
 	for i := range sidecarCount {
@@ -157,7 +180,7 @@
 	}
 	filled := map[string]any{
 		"name": name, "zone": zone, "rpcListen": c.address(number, rpcPort), "statusListen": c.address(number, statusPort),
-		"seeds": seeds, "table": c.address(storeHost, rpcPort), "secret": "figring-internal-link", "stopGrace": "6s",
+		"seeds": seeds, "table": c.storeAddress(name), "secret": "figring-internal-link", "stopGrace": "6s",
 	}
 	if role == "dispatcher" {
 		filled["callersListen"], filled["readyListen"] = c.address(number, frontPort), c.address(number, readyPort)
@@ -214,7 +237,11 @@
 }
 
 // kill ends a process with SIGKILL and starts it again after the pause.
-func (c *cluster) kill(name string, pause time.Duration) {
+func (c *cluster) kill(name string, pause time.Duration) { c.replace(name, name, pause) }
+
+// replace ends a process with SIGKILL, and starts another, or the same again, after the
+// pause.
+func (c *cluster) replace(name, successor string, pause time.Duration) {
 	c.mu.Lock()
 	command := c.processes[name]
 	delete(c.processes, name)
@@ -225,9 +252,9 @@
 	c.record.say("%s is killed (SIGKILL)", name)
 	_ = command.Process.Signal(syscall.SIGKILL)
 	time.AfterFunc(pause, func() {
-		c.record.say("%s starts again", name)
-		if err := c.start(name); err != nil {
-			c.record.say("%s can't start: %v", name, err)
+		c.record.say("%s starts", successor)
+		if err := c.start(successor); err != nil {
+			c.record.say("%s can't start: %v", successor, err)
 		}
 	})
 }
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -31,6 +31,7 @@
 	"counted-twice":   {standardRoutes, runCountedTwice},
 	"cancel-not-told": {standardRoutes, runCancelNotTold},
 	"pending-lost":    {standardRoutes, runPendingLost},
+	"two-losses":      {standardRoutes, runTwoLosses},
 }
 
 // The routes of cjpa-figring: renewal checks, gift enrolments and address confirmations.
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -50,6 +50,8 @@
 	began    time.Time
 	// slow is the factor on the time of every answer.
 	slow float64
+	// written is told of each transaction that was applied, and by which process.
+	written func(process string, applied transaction)
 	// rejected counts the calls beyond the limits of a row or a call.
 	rejected int
 }
@@ -58,8 +60,8 @@
 	return &store{record: record, rows: make(map[rowKey]storeRow), changed: make(chan struct{}), partBusy: make(map[string]time.Time), began: time.Now(), slow: 1}
 }
 
-// serve serves the store at the address until the program ends.
-func (s *store) serve(address string) error {
+// serve serves the store to one process at the address until the program ends.
+func (s *store) serve(process, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -67,11 +69,18 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
-	mux.HandleFunc("POST /-/rows-tx", s.transact)
+	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(process, w, r) })
 	go func() { _ = http.Serve(listener, mux) }()
 	return nil
 }
 
+// onWritten sets what is told of each transaction that was applied.
+func (s *store) onWritten(written func(process string, applied transaction)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = written
+}
+
 // setSlow makes each answer take factor times as long.
 func (s *store) setSlow(factor float64) {
 	s.mu.Lock()
@@ -176,7 +185,7 @@
 // entries returns all entries of the transaction.
 func (t transaction) entries() []storeRow { return slices.Concat(t.Expect, t.Writes, t.Remove) }
 
-func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+func (s *store) transact(process string, w http.ResponseWriter, r *http.Request) {
 	raw, err := readAll(r)
 	var asked transaction
 	if err != nil || json.Unmarshal(raw, &asked) != nil {
@@ -201,8 +210,11 @@
 	}
 	s.mu.Lock()
 	status, current := s.apply(asked)
-	body := s.page(current, false)
+	body, written := s.page(current, false), s.written
 	s.mu.Unlock()
+	if status == http.StatusOK && written != nil {
+		written(process, asked)
+	}
 	s.wait(storeTransaction)
 	reply(w, status, body)
 }
