--- a/review/_harness/countedtwice.go
+++ b/review/_harness/countedtwice.go
@@ -8,7 +8,7 @@
 const (
 	// The process is killed killCount times, killEvery apart, and starts again after
 	// killPause.
-	killCount = 3
+	killCount = 4
 	killEvery = 8 * time.Second
 	killPause = time.Second
 	// attempts is that of the route.
--- a/review/_harness/largejob.go
+++ b/review/_harness/largejob.go
@@ -10,6 +10,7 @@
 const (
 	largeSteps = 460
 	largeSpec  = 4000
+	giftSteps  = 7
 	// finishTime is finish_s of the deployments, and idleTime the 3 s of the rule.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
@@ -34,7 +35,7 @@
 	began := time.Now()
 	status, _ := caller.call(0, http.MethodPost, large.path(), large.body)
 	c.record.say("job %s of %d steps sent once, at %s; answer %d after %s", large.id, len(large.body.Steps), entryName(0), status, time.Since(began).Round(time.Millisecond))
-	time.Sleep(27 * time.Second)
+	time.Sleep(36 * time.Second)
 	end()
 	sent.sayTotals(c.record)
 	c.record.say("the traffic ends; %d runs at work", c.ledger.atWork())
@@ -49,12 +50,17 @@
 	return broken, nil
 }
 
-// giftEnrol returns a job of three steps, each of two tasks.
+// giftEnrol returns a job of several steps, one after the other.
 func giftEnrol() jobBody {
-	one := step{Count: 2, MilliCPU: 1000, MemMB: 64, Estimate: 900}
-	second, third := one, one
-	second.After, third.After = []int{0}, []int{1}
-	return jobBody{Spec: specOf(taskPlan{Millis: []int{900}}), Steps: []step{one, second, third}}
+	body := jobBody{Spec: specOf(taskPlan{Millis: []int{900}})}
+	for number := range giftSteps {
+		one := step{Count: 1, MilliCPU: 1000, MemMB: 64, Estimate: 900}
+		if number > 0 {
+			one.After = []int{number - 1}
+		}
+		body.Steps = append(body.Steps, one)
+	}
+	return body
 }
 
 // largeJob returns the job in question. Without trouble it has as many tasks in one step.
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -30,7 +30,7 @@
 	"large-job":       {standardRoutes, runLargeJob},
 	"counted-twice":   {standardRoutes, runCountedTwice},
 	"cancel-not-told": {standardRoutes, runCancelNotTold},
-	"pending-lost":    {standardRoutes, runPendingLost},
+	"planned-stop":    {standardRoutes, runPlannedStop},
 	"two-losses":      {standardRoutes, runTwoLosses},
 }
 
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -33,9 +33,10 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-type rowKey struct{ table, part, key string }
+// partKey identifies a part of a table.
+type partKey struct{ table, part string }
 
-func (r storeRow) id() rowKey { return rowKey{r.Table, r.Part, r.Key} }
+func (r storeRow) partKey() partKey { return partKey{r.Table, r.Part} }
 
 // store is a stand-in for the platform's store: rows, conditional transactions and the
 // feed, with the limits and times of PROTOCOL.md.
@@ -43,7 +44,7 @@
 	record *record
 
 	mu       sync.Mutex
-	rows     map[rowKey]storeRow
+	rows     map[partKey]map[string]storeRow
 	version  int64
 	changed  chan struct{}
 	partBusy map[string]time.Time
@@ -57,7 +58,7 @@
 }
 
 func newStore(record *record) *store {
-	return &store{record: record, rows: make(map[rowKey]storeRow), changed: make(chan struct{}), partBusy: make(map[string]time.Time), began: time.Now(), slow: 1}
+	return &store{record: record, rows: make(map[partKey]map[string]storeRow), changed: make(chan struct{}), partBusy: make(map[string]time.Time), began: time.Now(), slow: 1}
 }
 
 // serve serves the store to one process at the address until the program ends.
@@ -107,17 +108,28 @@
 // set stores a row with the current version. The caller holds the lock.
 func (s *store) set(row storeRow) {
 	row.Version = s.version
-	s.rows[row.id()] = row
+	part := s.rows[row.partKey()]
+	if part == nil {
+		part = make(map[string]storeRow)
+		s.rows[row.partKey()] = part
+	}
+	part[row.Key] = row
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// find returns the rows of a table that match, in the order of their keys. The caller
-// holds the lock.
-func (s *store) find(table string, match func(storeRow) bool) []storeRow {
-	found := []storeRow{}
-	for id, row := range s.rows {
-		if id.table == table && match(row) {
+// inRange returns the rows of a part with from <= key < to, in the order of their keys. The
+// caller holds the lock.
+func (s *store) inRange(part partKey, from, to string) []storeRow {
+	rows, found := s.rows[part], []storeRow{}
+	if from != "" && to == from+"\x00" {
+		if row, ok := rows[from]; ok && !row.Deleted {
+			found = append(found, row)
+		}
+		return found
+	}
+	for key, row := range rows {
+		if !row.Deleted && key >= from && (to == "" || key < to) {
 			found = append(found, row)
 		}
 	}
@@ -125,6 +137,24 @@
 	return found
 }
 
+// changedAfter returns the rows of a table with a higher version, in the order of their
+// versions. The caller holds the lock.
+func (s *store) changedAfter(table string, version int64) []storeRow {
+	found := []storeRow{}
+	for part, rows := range s.rows {
+		if part.table != table {
+			continue
+		}
+		for _, row := range rows {
+			if row.Version > version {
+				found = append(found, row)
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b storeRow) int { return int(a.Version - b.Version) })
+	return found
+}
+
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	s.wait(storeAnswer)
 	query := r.URL.Query()
@@ -134,9 +164,7 @@
 		limit = min(asked, maxPageRows)
 	}
 	s.mu.Lock()
-	found := s.find(query.Get("table"), func(row storeRow) bool {
-		return !row.Deleted && row.Part == part && row.Key >= from && (to == "" || row.Key < to)
-	})
+	found := s.inRange(partKey{query.Get("table"), part}, from, to)
 	page := s.page(found[:min(len(found), limit)], len(found) > limit)
 	s.mu.Unlock()
 	reply(w, http.StatusOK, page)
@@ -149,8 +177,7 @@
 	timeout := time.After(time.Duration(millis) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		found := s.find(query.Get("table"), func(row storeRow) bool { return row.Version > after })
-		slices.SortFunc(found, func(a, b storeRow) int { return int(a.Version - b.Version) })
+		found := s.changedAfter(query.Get("table"), after)
 		found = found[:min(len(found), maxPageRows)]
 		page, changed := s.page(found, false), s.changed
 		s.mu.Unlock()
@@ -272,7 +299,7 @@
 	current := []storeRow{}
 	conflict := false
 	for _, expected := range asked.Expect {
-		stored, ok := s.rows[expected.id()]
+		stored, ok := s.rows[expected.partKey()][expected.Key]
 		if !ok || stored.Deleted {
 			stored = storeRow{}
 		} else {
