--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-exec target/review-harness cancel-not-told "$folder/record.txt"
+exec target/review-harness own-crash "$folder/record.txt"
--- a/review/_harness/cluster.go
+++ b/review/_harness/cluster.go
@@ -50,6 +50,8 @@
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
 	ending    bool
+	// endedItself is told of each process that has ended by itself.
+	endedItself func(name string)
 }
 
 // newCluster starts a deployment whose manifest has the routes.
@@ -233,9 +235,19 @@
 	if !c.ending && c.processes[name] == command {
 		c.record.say("%s has ended by itself: %s", name, command.ProcessState)
 		delete(c.processes, name)
+		if c.endedItself != nil {
+			go c.endedItself(name)
+		}
 	}
 }
 
+// onEnded sets what is told of each process that has ended by itself.
+func (c *cluster) onEnded(told func(name string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endedItself = told
+}
+
 // kill ends a process with SIGKILL and starts it again after the pause.
 func (c *cluster) kill(name string, pause time.Duration) { c.replace(name, name, pause) }
 
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -30,7 +30,7 @@
 	"large-job":       {standardRoutes, runLargeJob},
 	"counted-twice":   {standardRoutes, runCountedTwice},
 	"cancel-not-told": {standardRoutes, runCancelNotTold},
-	"planned-stop":    {standardRoutes, runPlannedStop},
+	"own-crash":       {standardRoutes, runOwnCrash},
 	"two-losses":      {standardRoutes, runTwoLosses},
 }
 
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -49,6 +49,8 @@
 	changed  chan struct{}
 	partBusy map[string]time.Time
 	began    time.Time
+	// down means that every call is answered 503 and does nothing.
+	down bool
 	// slow is the factor on the time of every answer.
 	slow float64
 	// written is told of each transaction that was applied, and by which process.
@@ -71,10 +73,31 @@
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
 	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(process, w, r) })
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, s.unlessDown(mux)) }()
 	return nil
 }
 
+// unlessDown answers 503 while the store is down.
+func (s *store) unlessDown(serving http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serving.ServeHTTP(w, r)
+	})
+}
+
+// setDown takes the store down or brings it back.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // onWritten sets what is told of each transaction that was applied.
 func (s *store) onWritten(written func(process string, applied transaction)) {
 	s.mu.Lock()
