--- a/review/_harness/owncrash.go
+++ b/review/_harness/owncrash.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	crashRounds = 4
+	crashRounds = 7
 	// The store is down for outage in each round; lostSidecars of the sidecars are killed
 	// meanwhile and back after sidecarPause.
 	outage       = 4500 * time.Millisecond
