--- a/review/_harness2/takeover.go
+++ b/review/_harness2/takeover.go
@@ -12,19 +12,22 @@
 func init() { cases["takeover"] = playTakeover }
 
 const (
-	// chains is the number of kept jobs, each of three steps that take two seconds.
+	// chains is the number of kept jobs before a stop, each of three steps that take two seconds.
 	chains = 12
 	// chainTasks is the number of tasks of each.
 	chainTasks = 6
 	workerCPU  = 32000
 	taskCPU    = 3100
-	// settleTime is how long the jobs are watched after the stop.
-	settleTime = 80 * time.Second
+	// stops is how often all entries are stopped, stopInterval the time between two stops, and
+	// settleTime the time for which the jobs are watched after the last interval.
+	stops        = 2
+	stopInterval = 28 * time.Second
+	settleTime   = 8 * time.Second
 )
 
 // playTakeover hands in kept jobs at all entries. With trouble, the machine of a worker that
 // the jobs don't need has been taken away for good before, and all entries are stopped with
-// SIGTERM, and started again, while the jobs run.
+// SIGTERM, and started again, while the jobs run; and once more.
 func playTakeover(r *record, trouble bool) int {
 	c, err := newCluster(r, zoneNames, fleet(4))
 	if err != nil {
@@ -53,25 +56,29 @@
 	}
 	time.Sleep(2 * time.Second)
 	var accepted []string
-	for i := range chains {
-		one := step{Count: 2, CPU: taskCPU, MemMB: 64, Estimate: 2000, Label: "b"}
-		second, third := one, one
-		second.After, third.After = []int{0}, []int{1}
-		id := jobID(100 + i)
-		if client.submit(id, i%len(c.zones), jobBody(standin.Spec{WorkMillis: 2000, MilliCPU: taskCPU}, one, second, third)) {
-			accepted = append(accepted, id)
+	var handedIn time.Time
+	for round := range stops {
+		for i := range chains {
+			one := step{Count: 2, CPU: taskCPU, MemMB: 64, Estimate: 2000, Label: "b"}
+			second, third := one, one
+			second.After, third.After = []int{0}, []int{1}
+			id := jobID(100*(round+1) + i)
+			if client.submit(id, i%len(c.zones), jobBody(standin.Spec{WorkMillis: 2000, MilliCPU: taskCPU}, one, second, third)) {
+				accepted = append(accepted, id)
+			}
+		}
+		handedIn = time.Now()
+		time.Sleep(time.Second)
+		if trouble {
+			for i := range c.zones {
+				c.signal(entryName(i), syscall.SIGTERM)
+			}
 		}
+		time.Sleep(stopInterval)
 	}
 	if len(accepted) == 0 {
 		return failed
 	}
-	handedIn := time.Now()
-	time.Sleep(time.Second)
-	if trouble {
-		for i := range c.zones {
-			c.signal(entryName(i), syscall.SIGTERM)
-		}
-	}
 	time.Sleep(settleTime)
 	for i, id := range accepted {
 		client.state(id, i%len(c.zones))
