--- a/review/_harness2/takeover.go
+++ b/review/_harness2/takeover.go
@@ -36,6 +36,7 @@
 	}
 	defer c.end()
 	c.wrapTable = slowTable
+	c.restartDelay = time.Second
 	if err := c.start(manifestOf(1)); err != nil {
 		r.note("%v", err)
 		return failed
@@ -86,7 +87,7 @@
 	idle := c.idleJobs(accepted, handedIn.Add(graceSeconds*time.Second+finishTime))
 	r.runs(c.ledger)
 	for _, one := range idle {
-		r.note("job %s was accepted and nothing of it ran from %.1f to %.1f s, though it was not at its end and its worker had room for it twice over",
+		r.note("job %s was accepted and nothing of it ran from %.1f to %.1f s, though it never ended and its worker had room for it twice over all the while",
 			one.id, one.from.Sub(r.start).Seconds(), one.to.Sub(r.start).Seconds())
 	}
 	if len(idle) > 0 {
@@ -129,8 +130,8 @@
 		slices.SortFunc(spans, func(a, b span) int { return a.from.Compare(b.from) })
 		covered := after
 		for _, one := range spans {
-			if one.from.Sub(covered) > stuckTime && c.peakUse(covered, one.from) <= workerCPU-2*taskCPU {
-				found = append(found, idleJob{id, covered, one.from})
+			if from, to, idle := c.idleSpan(covered, one.from); idle {
+				found = append(found, idleJob{id, from, to})
 				break
 			}
 			if one.to.After(covered) {
@@ -141,17 +142,25 @@
 	return found
 }
 
+// idleSpan returns the first span of a little more than stuckTime in a time in which the
+// worker had room for twice a task all the while.
+func (c *cluster) idleSpan(from, to time.Time) (time.Time, time.Time, bool) {
+	const length, step = stuckTime + 100*time.Millisecond, 100 * time.Millisecond
+	for ; !from.Add(length).After(to); from = from.Add(step) {
+		if c.peakUse(from, from.Add(length)) <= workerCPU-2*taskCPU {
+			return from, from.Add(length), true
+		}
+	}
+	return from, to, false
+}
+
 // peakUse returns an upper bound of the processor use of all workers together in a time.
 func (c *cluster) peakUse(from, to time.Time) int64 {
-	active := make(map[int]int64)
 	var use int64
-	for i, run := range c.ledger.Entries() {
+	for _, run := range c.ledger.Entries() {
 		if run.Started.Before(to) && (run.Ended.IsZero() || run.Ended.After(from)) {
-			active[i] = run.MilliCPU
+			use += run.MilliCPU
 		}
 	}
-	for _, cpu := range active {
-		use += cpu
-	}
 	return use
 }
