A task starts where the minion has seen a later attempt of it

Callers see a kept job that never goes on (LOST): its task failed on one minion, the next attempt began on another, and the entry and the first minion were lost before the failed run was stored. Whoever takes the job over orders the first attempt again. Where a label leaves only the second minion, it refuses all numbers of that attempt, now and later, for its whole life.

Cause: a run number is bound to the attempt that the entry knows of, though the minion's memory shows that a run of that attempt has failed elsewhere.

Change: after the numbers of the ordered attempt the sidecar tries those of the next attempts, ten at most, and remembers them. The end is told with the attempt that it was, so that the stored count becomes the true one.

TestTaskStartsWhereLaterAttemptWasSeen fails on the code before (no start is sent after the 15th refusal); TestRefusedNumbersEnd guards the bound.

--- a/decision/execution/answered.go
+++ b/decision/execution/answered.go
@@ -16,7 +16,7 @@
 	case Started:
 		run.phase = running
 		run.answeredAt = now
-		if run.number != firstRunNumber(attemptOf(run.number)) {
+		if run.number != firstRunNumber(run.orderedAttempt) {
 			c.recordUsedNumber(now, run)
 		}
 		run.firstPoll = c.polls + 1
@@ -55,12 +55,18 @@
 	c.reschedule(now)
 }
 
-// resendRenumbered sends the start of a run again with a higher number. The run ends if
-// its attempt has none left.
+// resendRenumbered sends the start of a run again with a higher number. A minion that
+// refuses all numbers of an attempt has seen a later one, of an entry that knew of more
+// failed runs: it was lost before it could store them. The run becomes one of the next
+// attempt then.
 func (c *Core) resendRenumbered(now time.Time, run *run) {
 	run.runNumberRetries++
 	next := run.number + 1<<max(run.runNumberRetries-linearRunNumberRetries, 0)
 	if attemptOf(next) != attemptOf(run.number) {
+		run.runNumberRetries = 0
+		next = firstRunNumber(attemptOf(run.number) + 1)
+	}
+	if attemptOf(next) > run.orderedAttempt+maxSkippedAttempts {
 		c.finishNotRun(now, run)
 		return
 	}
--- a/decision/execution/bounds.go
+++ b/decision/execution/bounds.go
@@ -38,6 +38,9 @@
 	// other when the minion answers that a number was used before. Each try after that
 	// skips twice as many as the one before.
 	linearRunNumberRetries = 6
+	// maxSkippedAttempts bounds by how many attempts the number of a run may be ahead of the
+	// attempt that was ordered: no route allows more failed runs of a task.
+	maxSkippedAttempts = 10
 	// usedNumberRetention is how long the highest run number of a task is remembered.
 	usedNumberRetention = 5 * time.Minute
 	// fenceStep is added to the fence when the minion has seen a higher one. Fences
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -93,6 +93,9 @@
 		isolation:  task.Isolation,
 		checkpoint: task.Checkpoint,
 		number:     c.nextRunNumber(task.Task, task.Attempt),
+
+		orderedAttempt: max(task.Attempt, 1),
+
 		orderedAt:  now,
 		queuedBy:   now.Add(task.QueueSlack()),
 		queueUntil: now.Add(task.MaxWait),
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -50,8 +50,12 @@
 	// lost.
 	jobStored bool
 
-	phase            phase
-	number           int
+	phase  phase
+	number int
+	// orderedAttempt is the attempt that the entry ordered, or 0 for a run that was found at
+	// the minion. The number may be one of a later attempt.
+	orderedAttempt int
+	// runNumberRetries counts the refused numbers of the present attempt.
 	runNumberRetries int
 	// queuedBy is the run's latest start time plus its queue delay; the queue is in
 	// this order.
--- a/decision/execution/runnumber.go
+++ b/decision/execution/runnumber.go
@@ -33,14 +33,14 @@
 }
 
 // nextRunNumber returns the number of a new run of an attempt: the lowest one that the
-// minion is not known to have seen, or the attempt's last one if there is none.
+// minion is not known to have seen, which is one of a later attempt if it has seen such.
 func (c *Core) nextRunNumber(task work.TaskKey, attempt int) int {
 	first := firstRunNumber(attempt)
 	used, ok := c.usedNumbers[task]
-	if !ok || attemptOf(used.number) != attemptOf(first) {
+	if !ok {
 		return first
 	}
-	return min(used.number+1, first+numbersPerAttempt-1)
+	return max(used.number+1, first)
 }
 
 // attemptOf returns the attempt that a run belongs to.
--- a/decision/execution/runnumber_test.go
+++ b/decision/execution/runnumber_test.go
@@ -49,3 +49,37 @@
 		f.list(nil, []FinishedRun{{Sequence: sequence + 1, Task: task, Number: used, End: work.EndStopped}})
 	}
 }
+
+// TestTaskStartsWhereLaterAttemptWasSeen guards against a task that a minion never starts
+// again: it has seen a later attempt, of an entry that was lost before it could store the
+// failed run before that, together with the minion that had it.
+func TestTaskStartsWhereLaterAttemptWasSeen(t *testing.T) {
+	const maxTries = 36
+	f := newFixture(t)
+	task := key("a", 0)
+	seen := firstRunNumber(3)
+	start, sent := f.startAbove(task, 1, seen)
+	must.LessEq(t, maxTries, sent)
+	must.EqOp(t, seen+1, start.Number)
+	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: start.Number, End: work.EndStopped}})
+	start, sent = f.startAbove(task, 1, start.Number)
+	must.EqOp(t, 1, sent, must.Sprint("the numbers are remembered"))
+	f.list(nil, []FinishedRun{{Sequence: 2, Task: task, Number: start.Number, End: work.EndFailed}})
+	f.silenceEntry()
+	must.EqOp(t, 3, f.core.Adopt(f.now, adoptRequest("a")).Ends[0].Attempt)
+}
+
+// TestRefusedNumbersEnd guards against a minion that refuses every run number and is called
+// without end.
+func TestRefusedNumbersEnd(t *testing.T) {
+	const maxCalls = 200
+	f := newFixture(t)
+	f.orderAttempt(key("a", 0), 2)
+	calls := 0
+	for starts := f.starts(); len(starts) > 0; starts = f.starts() {
+		calls++
+		must.LessEq(t, maxCalls, calls)
+		f.core.StartAnswered(f.now, starts[0], StartNumberUsed)
+	}
+	must.EqOp(t, work.EndNotRun, f.core.EventsFor(testEntry)[0].End)
+}
