A job of several tasks gives a suspect minion its trial

Cause: a suspect minion gets one trial task at a time, and a job that need not be kept is placed whole or not at all. With more tasks than suspect minions, and no other minion that may run them, no job ever gives a trial, and nothing but a trial makes the minion trusted.

Change: if the other tasks of a job find no place only for suspect minions, the job is admitted with the one trial task; the others follow when it is done. A job whose other tasks would find no place on a trusted minion either is refused at once as before (Choice.AwaitsTrial).

TestJobOfSeveralTasksIsTrialOfSuspectMinion fails on the code before (the job is refused, no start); TestUnfitJobIsNoTrial guards the refusal.

--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -341,3 +341,43 @@
 		must.Len(t, 0, f.stops)
 	}
 }
+
+// TestJobOfSeveralTasksIsTrialOfSuspectMinion guards against a suspect minion that never gets
+// a trial, because every job that needs it has several tasks: one of them has to be the
+// trial task, and the others follow when it is done.
+func TestJobOfSeveralTasksIsTrialOfSuspectMinion(t *testing.T) {
+	f := newFixture(t, 1)
+	suspect := f.state(10000)
+	suspect.Suspect = true
+	f.core.Updated(f.now, "s0", suspect)
+	refused := f.submit("early", 2)
+	must.EqOp(t, ReasonNoTargets, f.replies[refused].Reason)
+	suspect.TrialDue = true
+	f.core.Updated(f.now, "s0", suspect)
+	waiter := f.submit("j", 2)
+	must.MapNotContainsKey(t, f.replies, waiter)
+	must.Len(t, 1, f.starts)
+	must.Len(t, 1, f.starts[0].Request.Tasks)
+	f.submit("next", 2)
+	must.Len(t, 1, f.starts, must.Sprint("one trial at a time"))
+	trial := f.replyToStarts(session.RefusedNone)[0]
+	f.endRuns(trial, work.EndDone)
+	f.tick(placementRetryInterval)
+	must.Len(t, 1, f.starts)
+	f.endRuns(f.replyToStarts(session.RefusedNone)[0], work.EndDone)
+	must.EqOp(t, Completed, f.replies[waiter].Outcome)
+}
+
+// TestUnfitJobIsNoTrial guards against a job that is admitted as the trial of a suspect
+// minion although its other tasks would find no place there either.
+func TestUnfitJobIsNoTrial(t *testing.T) {
+	f := newFixture(t, 1)
+	suspect := f.state(10000)
+	suspect.Suspect, suspect.TrialDue = true, true
+	f.core.Updated(f.now, "s0", suspect)
+	waiter := f.submitTo("/p/", "j", 10*time.Second, work.Step{
+		Count: 2, MaxPerMinion: 1, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond,
+	})
+	must.EqOp(t, ReasonNoTargets, f.replies[waiter].Reason)
+	must.Len(t, 0, f.starts)
+}
--- a/decision/heldjob/explain.go
+++ b/decision/heldjob/explain.go
@@ -47,7 +47,7 @@
 	explained.Answer = c.hopeless(now, job)
 	explained.Shed = explained.Answer.Outcome == 0 && c.wouldShed(now, job)
 	planned := c.plan(now, job, c.wouldConfine(now, job))
-	if planned.complete {
+	if planned.complete || planned.trial {
 		c.undoChoices(planned)
 	}
 	explained.WaitFactor, explained.Wait, explained.Age = planned.waitFactor, planned.wait, planned.age
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -1,6 +1,7 @@
 package heldjob
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figring/figring/decision/placement"
@@ -13,6 +14,10 @@
 	// otherwise reason says why not. Both are unused for a stored job.
 	complete bool
 	reason   Reason
+	// trial is true if an incomplete plan of a best-effort job has a single choice, the
+	// trial task of a suspect minion. The other tasks get places there when the minion is
+	// trusted again.
+	trial bool
 	// wait is the longest expected wait of a task for room.
 	wait time.Duration
 	// age is the age of the oldest sidecar state that was used.
@@ -40,7 +45,9 @@
 
 // plan chooses a place for each unplaced task. Each choice is counted as sent at
 // once, so that the choices for the next tasks of the job allow for it. An incomplete
-// plan is undone. confined are the confined routes of the job's service.
+// plan is undone, but for the trial task of a suspect minion if it is only for suspect
+// minions that other tasks have no place: otherwise jobs with more tasks than such minions
+// would never give one a trial. confined are the confined routes of the job's service.
 func (c *Core) plan(now time.Time, job *job, confined map[string]bool) plan {
 	planned := plan{complete: true, chosenSidecars: make(map[string]bool), waitFactor: c.waitFactor(job)}
 	c.limitPlacement(now, job, confined, &planned)
@@ -51,14 +58,28 @@
 			continue
 		}
 		if !c.planTask(now, job, task, limit, &planned, numbers) {
-			c.undoChoices(planned)
 			planned.complete = false
+			c.undoIncomplete(&planned)
 			return planned
 		}
 	}
 	return planned
 }
 
+// undoIncomplete undoes the choices of an incomplete plan, all but a trial.
+func (c *Core) undoIncomplete(planned *plan) {
+	at := slices.IndexFunc(planned.choices, func(chosen plannedTask) bool { return chosen.choice.Candidate.State.Suspect })
+	planned.trial = at >= 0 && planned.unplaced[len(planned.unplaced)-1].choice.AwaitsTrial
+	if !planned.trial {
+		c.undoChoices(*planned)
+		return
+	}
+	trial := planned.choices[at]
+	planned.choices = slices.Delete(planned.choices, at, at+1)
+	c.undoChoices(*planned)
+	planned.choices = []plannedTask{trial}
+}
+
 // planTask adds a place for the task to the plan, or sets the plan's reason and
 // returns false if the task can't start within the limit.
 func (c *Core) planTask(now time.Time, job *job, task *task, limit time.Duration, planned *plan, numbers map[*sidecar]uint64) bool {
@@ -239,11 +260,12 @@
 		return
 	}
 	planned := c.plan(now, job, c.confinedRoutes(now, job.route.Service))
-	if planned.complete && (job.mayHaveRun || job.refusedReplies <= maxRefusedReplies) {
+	placeable := planned.complete || planned.trial
+	if placeable && (job.mayHaveRun || job.refusedReplies <= maxRefusedReplies) {
 		c.sendStarts(now, job, planned)
 		return
 	}
-	if planned.complete {
+	if placeable {
 		c.undoChoices(planned)
 		planned.reason = ReasonOverload
 	}
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -180,7 +180,7 @@
 	c.classLoad.Confirm(admission)
 	c.jobs[job.id] = job
 	c.recordDecision(Decision{Kind: DecidedAdmitted, Job: job.id, Request: submission.Request, Route: job.route.Name, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
-	if plan.complete {
+	if plan.complete || plan.trial {
 		c.sendStarts(now, job, plan)
 	}
 }
@@ -199,7 +199,7 @@
 
 // lacksRoom reports whether a new best-effort job with the plan is refused.
 func (c *Core) lacksRoom(now time.Time, job *job, planned *plan) bool {
-	return !planned.complete && !c.waitsForSettling(now, job)
+	return !planned.complete && !planned.trial && !c.waitsForSettling(now, job)
 }
 
 // exitingAnswer returns the answer to a submission to a process that is about to exit. A
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -90,6 +90,9 @@
 	// KeptApart means that another candidate would have been chosen if kinds of tasks did
 	// not slow each other down.
 	KeptApart bool
+	// AwaitsTrial means that no candidate may get the task, but that one could if its minion
+	// were not suspect.
+	AwaitsTrial bool
 	// Assessed holds the candidates that were compared if Chooser.Explained was above 0.
 	Assessed []Assessed
 }
@@ -140,6 +143,7 @@
 func (c *Chooser) chooseAmong(candidates []*Candidate, task *Task, avoided map[string]bool) (Choice, bool) {
 	best, bestRank, found := Choice{}, rank{}, false
 	var compared []Assessed
+	suspect := false
 	unseparated, unseparatedRank := (*Candidate)(nil), rank{}
 	for _, candidate := range candidates {
 		assessed := c.Assess(candidate, task, avoided[candidate.Name])
@@ -147,6 +151,7 @@
 			compared = append(compared, Assessed{candidate, assessed})
 		}
 		if assessed.Exclusion != NotExcluded {
+			suspect = suspect || assessed.Exclusion == ExcludedSuspect
 			continue
 		}
 		cost := assessed.Costs.Total()
@@ -158,6 +163,7 @@
 		}
 	}
 	best.Assessed = compared
+	best.AwaitsTrial = !found && suspect
 	best.KeptApart = best.Candidate != unseparated
 	return best, found
 }
