A job of a confined route gets the only minions that fit

While jobs of a route crash minions, the route gets three in ten of the service's minions. A job of it that none of these can run, for its label or size, found no place for as long as the crashes went on: refused (503), or kept and not started, while its minion stood idle. Jobs of other routes already had the exception.

Change: a job for which no allowed minion fits may use all of them, whichever side it is on.

TestConfinedJobGetsTheOnlyMinionThatFits fails on the code before (no start).

--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -90,7 +90,8 @@
 }
 
 // limitPlacement restricts a plan to the sidecars that the job may use: confined routes
-// get some of the service's sidecars, and other routes the rest.
+// get some of the service's sidecars, and other routes the rest. A job that needs a minion
+// of the other part may use both.
 func (c *Core) limitPlacement(now time.Time, job *job, confined map[string]bool, planned *plan) {
 	if len(confined) == 0 {
 		return
@@ -98,10 +99,11 @@
 	names := c.sidecarsOf(job.route.Service)
 	set := c.quarantine.ConfinedSidecars(now, names)
 	inSet := confined[job.route.Name]
-	if len(set) == 0 || (!inSet && c.needsConfined(job, set)) {
+	allowed := func(name string) bool { return set[name] == inSet }
+	if len(set) == 0 || c.needsOthers(job, allowed) {
 		return
 	}
-	planned.allowed = func(name string) bool { return set[name] == inSet }
+	planned.allowed = allowed
 }
 
 // confinedRoutes returns the confined routes of a service. It records which confinements
@@ -117,13 +119,13 @@
 	return max(len(c.sidecarsOf(service)), c.knownSidecars)
 }
 
-// needsConfined reports whether no sidecar but the confined ones has a minion that can run
-// some task of the job.
-func (c *Core) needsConfined(job *job, confined map[string]bool) bool {
+// needsOthers reports whether none of the allowed sidecars has a minion that can run some
+// task of the job.
+func (c *Core) needsOthers(job *job, allowed func(name string) bool) bool {
 	for _, step := range job.steps {
 		runnable := slices.ContainsFunc(c.candidates, func(candidate *placement.Candidate) bool {
 			minion := &candidate.State.Minion
-			return !confined[candidate.Name] && minion.Service == job.route.Service && minion.HasLabel(step.Label) && minion.Capacity.Fits(step.Need)
+			return allowed(candidate.Name) && minion.Service == job.route.Service && minion.HasLabel(step.Label) && minion.Capacity.Fits(step.Need)
 		})
 		if !runnable {
 			return true
--- a/decision/heldjob/crash_test.go
+++ b/decision/heldjob/crash_test.go
@@ -201,3 +201,27 @@
 	proofs, _ := f.core.PoisonAfter(f.now, 0)
 	must.SliceEmpty(t, proofs)
 }
+
+// TestConfinedJobGetsTheOnlyMinionThatFits guards against a job of a confined route that finds
+// no place for as long as other jobs of the route crash minions, because the only minion
+// with the label that it requires is not among those of confined routes.
+func TestConfinedJobGetsTheOnlyMinionThatFits(t *testing.T) {
+	names := []string{"s0", "s1", "s2", "s3"}
+	f := newFixture(t, len(names))
+	confined := f.confine(names)
+	only := ""
+	for _, name := range names {
+		if !confined[name] {
+			only = name
+		}
+	}
+	state := f.state(10000)
+	state.Minion.Labels = []string{"kind"}
+	f.core.Updated(f.now, only, state)
+	f.submitTo("/p/", "a", 10*time.Second, work.Step{
+		Count: 2, Need: work.Resources{MilliCPU: 4000, MemMB: 10}, Estimate: 200 * time.Millisecond, Label: "kind",
+	})
+	starts := f.replyToStarts(session.RefusedNone)
+	must.Len(t, 1, starts)
+	must.EqOp(t, only, starts[0].Sidecar)
+}
