More trial tasks while those of a suspect minion run for long

Cause: a suspect minion gets the next trial task only after the end of the one before, however long that takes; and its first one only after the end of whatever was in progress when it became suspect.

Change: after each 2 s in which no run of the minion fails or stalls it may have twice as many trial tasks; a failure begins that anew. Nothing changes for tasks of less than 2 s, as those of the sites are.

--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -66,7 +66,7 @@
 	if _, taken := c.runs[task.Task]; taken {
 		return session.RefusedOtherEntry
 	}
-	if c.health.Suspect() && (len(c.runs) > 0 || !c.health.TrialDue(now)) {
+	if c.health.Suspect() && !c.trialDue(now) {
 		return session.RefusedSuspect
 	}
 	if !c.minion.HasLabel(task.Label) {
@@ -165,21 +165,7 @@
 // suits reports whether the minion may start the run now, regardless of room and of
 // isolated runs.
 func (c *Core) suits(now time.Time, waiting *run) bool {
-	return c.minion.HasLabel(waiting.label) && !c.trialRunning() && !c.silent(now, waiting.entry)
-}
-
-// trialRunning reports whether the minion is suspect and its trial task is in
-// progress.
-func (c *Core) trialRunning() bool {
-	if !c.health.Suspect() {
-		return false
-	}
-	for _, run := range c.runs {
-		if run.holdsCapacity() {
-			return true
-		}
-	}
-	return false
+	return c.minion.HasLabel(waiting.label) && !c.trialsRunning(now) && !c.silent(now, waiting.entry)
 }
 
 func (c *Core) start(now time.Time, run *run) {
--- a/decision/execution/room.go
+++ b/decision/execution/room.go
@@ -101,7 +101,7 @@
 		Accepting: reason == session.RefusedNone,
 		Reason:    reason,
 		Suspect:   c.health.Suspect(),
-		TrialDue:  len(c.runs) == 0 && c.health.TrialDue(now),
+		TrialDue:  c.trialDue(now),
 		Free:      c.free(),
 		Queued:    c.backlog(now),
 		Turnover:  c.turnover(now),
--- a/decision/workerhealth/tracker.go
+++ b/decision/workerhealth/tracker.go
@@ -16,6 +16,11 @@
 	suspectStalls = 2
 	// trialDelay is the time after a failed trial before the next one.
 	trialDelay = time.Second
+	// trialPatience is how long trial tasks run until as many more may run beside them.
+	// Nothing is known of a long run before it ends, and others can't wait that long.
+	trialPatience = 2 * time.Second
+	// maxTrialDoublings bounds how often the number of trial tasks doubles.
+	maxTrialDoublings = 10
 	// maxPaceWeight bounds the estimated work that weighs in the moving mean of the
 	// pace. Weighting runs by their estimated work keeps the many wrong estimates
 	// of short tasks from making the minion look slow.
@@ -32,6 +37,8 @@
 	failedJobs map[string]bool
 	stalls     int
 	suspect    bool
+	// failedAt is when the newest run failed or stalled that kept or made the minion suspect.
+	failedAt time.Time
 	// nextTrial is the time before which a suspect minion gets no task.
 	nextTrial     time.Time
 	pace          float64
@@ -78,12 +85,25 @@
 
 func (t *Tracker) markSuspect(now time.Time) {
 	t.suspect = true
+	t.failedAt = now
 	t.nextTrial = now.Add(trialDelay)
 }
 
 // TrialDue reports whether a suspect minion may get its next trial task.
 func (t *Tracker) TrialDue(now time.Time) bool { return !now.Before(t.nextTrial) }
 
+// Trials returns how many trial tasks a suspect minion may run at a time, if the oldest of
+// its runs was started at that time: one, and twice as many after each trialPatience in
+// which no run has failed.
+func (t *Tracker) Trials(now, oldest time.Time) int {
+	since := oldest
+	if t.failedAt.After(since) {
+		since = t.failedAt
+	}
+	doublings := int(now.Sub(since) / trialPatience)
+	return 1 << min(max(doublings, 0), maxTrialDoublings)
+}
+
 func (t *Tracker) updatePace(now time.Time, took, estimate time.Duration) {
 	if estimate <= 0 {
 		return
--- a/session/start.go
+++ b/session/start.go
@@ -88,7 +88,7 @@
 	// too long.
 	RefusedStale Refusal = "stale"
 	// RefusedSuspect means that the minion is suspect and already runs its trial
-	// task.
+	// tasks, or that the next trial is not due yet.
 	RefusedSuspect Refusal = "suspect"
 	// RefusedTooManyEntries means that the sidecar has sessions with enough other
 	// entries; this entry should close its session once none of its tasks is
--- a/session/state.go
+++ b/session/state.go
@@ -14,7 +14,7 @@
 	Accepting bool
 	Reason    Refusal
 	// Suspect means that the minion fails, stalls or slows down most of its
-	// runs; it gets no more than one trial task at a time.
+	// runs; it gets one trial task at a time, and more only while these run for long.
 	Suspect bool
 	// TrialDue means that a suspect minion may get its next trial task now.
 	TrialDue bool
