A takeover waits once for a sidecar that is gone, not once an owner

Cause: an entry that takes jobs over waits until the leases of a silent sidecar have expired, and counted that from when it began with each owner, though the sidecar had not answered since before. The row of a removed machine stays in the table, so that each takeover met it.

Change: the takeover remembers since when a sidecar has not answered its calls, and goes on as soon as the owner and all silent sidecars have been gone for 3 s. It never waits longer than before. The time since which an owner's jobs wait is noted for all owners that a scan finds, not when their turn comes.

--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -146,8 +146,8 @@
 }
 
 // collectRuns asks all sidecars for their ends and runs of the jobs until no run
-// is active. For adoptPatience it also waits for sidecars that do not answer. It
-// returns false when ctx ends, when this entry leaves its own jobs to others, when a
+// is active. It also waits for sidecars that do not answer, until they and the owner have
+// been gone for adoptPatience. It returns false when ctx ends, when this entry leaves its own jobs to others, when a
 // sidecar reports that the owner is alive, or when runs are still active after
 // adoptPatience: they may be those of an entry that has taken over the jobs meanwhile.
 // The checkpoints are the newest that were reported in any round.
@@ -159,14 +159,17 @@
 	began := boottime.Now()
 	var checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
 	for ctx.Err() == nil && !t.dispatcher.releasing.Load() {
+		calledAt := boottime.Now()
 		found := t.callSidecars(ctx, &request)
+		now := boottime.Now()
+		t.unanswered = t.unanswered.record(calledAt, now, found.missing)
 		if found.ownerAlive {
 			return adoptReplies{}, false
 		}
 		found.addOlderCheckpoints(checkpoints)
 		checkpoints = found.checkpoints
-		withinPatience := boottime.Now().Sub(began) < adoptPatience
-		if !found.busy && (found.missing == 0 || !withinPatience) {
+		withinPatience := now.Sub(began) < adoptPatience
+		if !found.busy && (!withinPatience || t.leasesExpired(now, owner)) {
 			return found, true
 		}
 		if !withinPatience {
@@ -180,12 +183,26 @@
 	return adoptReplies{}, false
 }
 
+// leasesExpired reports whether the sidecars that did not answer can have no active run of
+// the owner: they and the owner have been gone for adoptPatience. After the loss of several
+// owners only the first one waits for a sidecar that is gone for good.
+func (t *takeover) leasesExpired(now time.Time, owner jobstore.Owner) bool {
+	if len(t.unanswered) == 0 {
+		return true
+	}
+	gone := t.unanswered.since()
+	if orphan := t.orphanSince[owner]; orphan.After(gone) {
+		gone = orphan
+	}
+	return now.Sub(gone) >= adoptPatience
+}
+
 // adoptReplies combines the replies of the sidecars to an AdoptRequest.
 type adoptReplies struct {
 	ownerAlive, busy bool
-	// missing counts the sidecars that did not answer or whose replies were
+	// missing has the names of the sidecars that did not answer or whose replies were
 	// incomplete.
-	missing int
+	missing []string
 	ends    map[work.JobID][]foundEnd
 	// checkpoints are the checkpoints of tasks that are not known to be done.
 	checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
@@ -242,7 +259,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || reply.Incomplete {
-				replies.missing++
+				replies.missing = append(replies.missing, sidecar.Name)
 				return
 			}
 			replies.add(sidecar.Name, &reply)
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -84,6 +85,8 @@
 	// orphanSince has the time since when scans have found jobs of an owner that is
 	// gone.
 	orphanSince map[jobstore.Owner]time.Time
+	// unanswered are the sidecars that did not answer the latest calls.
+	unanswered unansweredCalls
 }
 
 // runRound reads the owner rows and scans the open jobs if that is due. It reports whether
@@ -193,18 +196,11 @@
 		}
 	}
 	t.newestScan.Store(newJobScan(t.monitor.Owners(), orphans))
-	for owner := range t.orphanSince {
-		if len(orphans[owner]) == 0 {
-			delete(t.orphanSince, owner)
-		}
-	}
+	t.recordOrphans(boottime.Now(), orphans)
 	for owner, jobs := range orphans {
 		if t.dispatcher.releasing.Load() {
 			return false
 		}
-		if _, ok := t.orphanSince[owner]; !ok {
-			t.orphanSince[owner] = now
-		}
 		assigned := t.assignedHere(now, owner, jobs)
 		if len(assigned) > 0 && t.adopt(ctx, now, owner, assigned) {
 			return true
@@ -213,6 +209,16 @@
 	return false
 }
 
+// recordOrphans records since when scans have found jobs of each owner that is gone.
+func (t *takeover) recordOrphans(now time.Time, orphans map[jobstore.Owner][]jobstore.OpenJob) {
+	maps.DeleteFunc(t.orphanSince, func(owner jobstore.Owner, _ time.Time) bool { return len(orphans[owner]) == 0 })
+	for owner := range orphans {
+		if _, ok := t.orphanSince[owner]; !ok {
+			t.orphanSince[owner] = now
+		}
+	}
+}
+
 // assignedHere returns the jobs that this entry is to take over: those that
 // rendezvous hashing over the live owners and this entry assigns to it, and all of
 // them after openToAllAfter.
