Soak: all entries at once, jobs for one minion, the row of a removed machine

Change: two faults, all entries killed and all terminated at once; one kept job in three needs the one minion with a label; the table has the row of a sidecar that is gone for good; after the faults each minion has to serve a job of two tasks that need not be kept and that only it may run.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -95,6 +95,9 @@
 func sidecarName(i int) string { return fmt.Sprintf("side-%d", i) }
 func entryName(i int) string   { return fmt.Sprintf("entry-%d", i) }
 
+// minionLabel returns the label that one minion alone has.
+func minionLabel(i int) string { return fmt.Sprintf("only-%d", i) }
+
 // unusedRoutes is the number of routes of a manifest in addition to the one that callers
 // use, so that a manifest is as large as those of large deployments.
 const unusedRoutes = 1400
@@ -177,7 +180,7 @@
 	for sequence := 1; life.Err() == nil; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": "desk", "state": "ready", "seq": sequence, "born": minion.Born(),
-			"capacity": map[string]any{"cpu": capacity, "mem_mb": 1024},
+			"capacity": map[string]any{"cpu": capacity, "mem_mb": 1024}, "labels": []string{minionLabel(i)},
 		})
 		if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
 			_ = response.Body.Close()
@@ -261,6 +264,20 @@
 	}
 }
 
+// signalEntries sends a signal to all entries at once.
+func (w *cluster) signalEntries(what syscall.Signal) {
+	for i := range entries {
+		w.signal(entryName(i), what)
+	}
+}
+
+// addRemovedSidecar adds the row of a sidecar whose machine was removed for good.
+func (w *cluster) addRemovedSidecar() {
+	must.NoError(w.t, w.table.Put("members", "side-removed", map[string]any{
+		"name": "side-removed", "role": "sidecar", "zone": "a", "address": w.address(99, 0), "boot": "1",
+	}))
+}
+
 // end kills the processes of the run and stops the table.
 func (w *cluster) end() {
 	w.mu.Lock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -35,6 +35,14 @@
 		w.signal(anyProcess(random), syscall.SIGTERM)
 		return nil
 	}},
+	{"all entries killed", func(w *cluster, _ *rand.Rand) func() {
+		w.signalEntries(syscall.SIGKILL)
+		return nil
+	}},
+	{"all entries terminated", func(w *cluster, _ *rand.Rand) func() {
+		w.signalEntries(syscall.SIGTERM)
+		return nil
+	}},
 	{"pause", func(w *cluster, random *rand.Rand) func() {
 		name := anyProcess(random)
 		w.signal(name, syscall.SIGSTOP)
--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -42,6 +42,7 @@
 }
 
 func soakWithStoredJobs(t *testing.T, w *cluster, seed uint64) {
+	w.addRemovedSidecar()
 	told := newCallers(w)
 	told.need = 800
 	awaitService(t, told, "at the start")
@@ -52,6 +53,7 @@
 	awaitService(t, told, "after the faults")
 	clients.submitCalm(t)
 	kept := clients.awaitEnds(t)
+	awaitEachMinion(t, told)
 	for _, task := range w.ledger.RepeatedTasks() {
 		if id, _, _ := strings.Cut(task, "."); kept[id] {
 			t.Errorf("task %s was started again after its end was acknowledged", task)
@@ -102,15 +104,19 @@
 }
 
 // chain returns the body of a job of one to seven steps, each after the one before. One in
-// twenty is larger than a row of the table.
+// twenty is larger than a row of the table, and one in three needs a certain minion.
 func chain(random *rand.Rand) []byte {
 	count, text := 1+random.IntN(7), ""
 	if random.IntN(20) == 0 {
 		count, text = 460, strings.Repeat("x", 3800)
 	}
+	label := ""
+	if random.IntN(3) == 0 {
+		label = minionLabel(random.IntN(sidecars))
+	}
 	var steps []map[string]any
 	for i := range count {
-		step := map[string]any{"count": 1 + random.IntN(2), "cpu": 800, "mem_mb": 8, "est_ms": 30}
+		step := map[string]any{"count": 1 + random.IntN(2), "cpu": 800, "mem_mb": 8, "est_ms": 30, "required_label": label}
 		if i > 0 {
 			step["after"] = []int{i - 1}
 		}
