--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -147,10 +147,10 @@
 
 // collectRuns asks all sidecars for their ends and runs of the jobs until no run
 // is active. It also waits for sidecars that do not answer, until they and the owner have
-// been gone for adoptPatience. It returns false when ctx ends, when this entry leaves its own jobs to others, when a
-// sidecar reports that the owner is alive, or when runs are still active after
-// adoptPatience: they may be those of an entry that has taken over the jobs meanwhile.
-// The checkpoints are the newest that were reported in any round.
+// been gone for adoptPatience. It returns false when ctx ends, when this entry leaves its
+// own jobs to others, when a sidecar reports that the owner is alive, or when runs are
+// still active after adoptPatience: they may be those of an entry that has taken over the
+// jobs meanwhile. The checkpoints are the newest that were reported in any round.
 func (t *takeover) collectRuns(ctx context.Context, owner jobstore.Owner, jobs []jobstore.OpenJob, force bool) (adoptReplies, bool) {
 	request := session.AdoptRequest{Owner: owner.Name, Boot: processBoot(owner.Boot), Adopter: t.incarnation(), Force: force}
 	for _, job := range jobs {
