A waiting task of a kept job takes no memory

Cause: each kept job had an object of some 170 bytes for each of its tasks from its acceptance on, though no task had started.

Change: a task of a kept job has state from its first run until it is done; the tasks that are done are a set of bits. Tasks of a step without state are alike, so that a plan tries one of them where no minion may run it.

Measured: unit tests of heldjob and schedule pass.

--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -99,7 +99,7 @@
 		placed += len(sidecar.placed)
 	}
 	for _, job := range f.core.jobs {
-		for _, task := range job.tasks {
+		for _, task := range job.tasks.states {
 			if task.phase == phaseSent || task.phase == phaseLost {
 				must.MapContainsKey(f.t, f.core.sidecars, task.sidecar)
 				must.MapContainsKey(f.t, f.core.sidecars[task.sidecar].placed, task.key)
--- a/decision/heldjob/crash.go
+++ b/decision/heldjob/crash.go
@@ -7,6 +7,7 @@
 	"github.com/figring/figring/decision/placement"
 	"github.com/figring/figring/decision/quarantine"
 	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
 )
 
 // MinionCrashed records a crash of a sidecar's minion. Jobs of this entry with a task that
@@ -64,9 +65,11 @@
 }
 
 func (c *Core) hasPoison(job *job) bool {
-	for _, task := range job.tasks {
-		if task.phase != phaseDone && c.quarantine.Poison(task.key) {
-			return true
+	for step := range job.steps {
+		for index := range job.tasks.unfinished(job.steps, step) {
+			if c.quarantine.Poison(work.TaskKey{Job: job.id, Step: step, Index: index}) {
+				return true
+			}
 		}
 	}
 	return false
@@ -75,7 +78,7 @@
 // yieldsRoom reports whether a best-effort job waits with an unplaced task that leaves the
 // room of its route to new jobs. It records when that begins.
 func (c *Core) yieldsRoom(now time.Time, job *job) bool {
-	for _, task := range job.tasks {
+	for _, task := range job.tasks.states {
 		if task.phase != phaseUnplaced || !c.quarantine.YieldsRoom(now, task.key, job.route.Name) {
 			continue
 		}
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -53,7 +53,8 @@
 	spec            string
 	steps           []work.Step
 	route           manifest.Route
-	tasks           []*task
+	tasks           jobTasks
+	taskCount       int
 	unfinishedTasks int
 	// unfinishedByStep is the number of tasks of each step that are not done.
 	unfinishedByStep []int
@@ -98,7 +99,7 @@
 	if j.mayHaveRun {
 		return true
 	}
-	return slices.ContainsFunc(j.tasks, func(task *task) bool {
+	return slices.ContainsFunc(j.tasks.states, func(task *task) bool {
 		return !task.beginsAt.IsZero() && !now.Before(task.beginsAt)
 	})
 }
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -53,7 +53,7 @@
 	c.limitPlacement(now, job, confined, &planned)
 	limit := c.planLimit(now, job)
 	numbers := make(map[*sidecar]uint64)
-	for _, task := range job.tasks {
+	for _, task := range job.tasks.states {
 		if task.phase != phaseUnplaced {
 			continue
 		}
@@ -207,6 +207,7 @@
 		if c.chooser.Interference != nil {
 			request.Tasks[len(request.Tasks)-1].Image = step.Image
 		}
+		job.tasks.keep(chosen.task)
 		chosen.task.phase = phaseSent
 		chosen.task.sidecar = chosen.sidecar.candidate.Name
 		chosen.sidecar.placed[chosen.task.key] = chosen.task
@@ -277,4 +278,4 @@
 
 // nothingPlaced reports whether all tasks of the job are unplaced, so that no start
 // request of the job can still take effect.
-func (c *Core) nothingPlaced(job *job) bool { return job.unplacedTasks == len(job.tasks) }
+func (c *Core) nothingPlaced(job *job) bool { return job.unplacedTasks == job.taskCount }
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -170,6 +170,9 @@
 
 func (c *Core) taskDone(job *job, done *task) {
 	done.phase = phaseDone
+	if job.stored != nil {
+		job.tasks.recordDone(job.steps, done.step, done.key.Index)
+	}
 	job.unplacedTasks--
 	job.unfinishedTasks--
 	job.unfinishedByStep[done.step]--
@@ -216,7 +219,7 @@
 // that, so that a later call finds no runs.
 func (c *Core) stopRuns(job *job) {
 	stopped := make(map[string]bool)
-	for _, task := range job.tasks {
+	for _, task := range job.tasks.states {
 		if task.phase != phaseSent && task.phase != phaseLost {
 			continue
 		}
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -79,19 +79,7 @@
 	added := newUnplacedJob(now, stored.Job, stored.Route)
 	// Without its monotonic part the time compares with those read from the job store.
 	added.stored = &storedState{accepted: stored.Accepted.Round(0), cancelWaiters: make(map[uint64]bool)}
-	for _, task := range added.tasks {
-		task.failures = stored.Failures[task.key]
-		c.quarantine.Restore(now, task.key, stored.Route.Name, stored.Crashes[task.key])
-		task.checkpoint = stored.Checkpoints[task.key]
-		if stored.Done != nil && stored.Done(task.key.Step, task.key.Index) {
-			task.phase = phaseDone
-			added.mayHaveRun = true
-			added.unplacedTasks--
-			added.unfinishedTasks--
-			added.unfinishedByStep[task.step]--
-		}
-		added.mayHaveRun = added.mayHaveRun || task.failures > 0 || stored.Crashes[task.key] > 0
-	}
+	c.restoreTasks(now, added, &stored)
 	c.jobs[added.id] = added
 	othersWait := c.hasWaitingJob(added.route.Priority)
 	at, _ := slices.BinarySearchFunc(c.queue, added, compareJobs)
@@ -101,11 +89,38 @@
 	}
 }
 
+// restoreTasks gives the tasks of a job the state that was stored.
+func (c *Core) restoreTasks(now time.Time, added *job, stored *StoredJob) {
+	for step := range added.steps {
+		for index := range added.steps[step].Count {
+			key := work.TaskKey{Job: added.id, Step: step, Index: index}
+			c.quarantine.Restore(now, key, stored.Route.Name, stored.Crashes[key])
+			added.mayHaveRun = added.mayHaveRun || stored.Failures[key] > 0 || stored.Crashes[key] > 0
+			if stored.Done != nil && stored.Done(step, index) {
+				added.restoreDone(step, index)
+			} else if stored.Failures[key] > 0 || stored.Crashes[key] > 0 || stored.Checkpoints[key] != "" {
+				restored := newTask(added.id, step, index)
+				restored.failures, restored.checkpoint = stored.Failures[key], stored.Checkpoints[key]
+				added.tasks.keep(restored)
+			}
+		}
+	}
+}
+
+// restoreDone records that a task was done before the job was added.
+func (j *job) restoreDone(step, index int) {
+	j.tasks.recordDone(j.steps, step, index)
+	j.mayHaveRun = true
+	j.unplacedTasks--
+	j.unfinishedTasks--
+	j.unfinishedByStep[step]--
+}
+
 // endIfFinished ends a job that was added with all of its tasks done, or with a task
 // that had used up its attempts.
 func (c *Core) endIfFinished(job *job) bool {
-	for _, task := range job.tasks {
-		if task.phase != phaseDone && task.failures >= max(job.route.Attempts, 1) {
+	for _, task := range job.tasks.states {
+		if task.failures >= max(job.route.Attempts, 1) {
 			c.end(job, Answer{Outcome: Failed, Reason: ReasonTaskFailed})
 			return true
 		}
@@ -126,7 +141,7 @@
 	if j.stored.saving {
 		return true
 	}
-	return slices.ContainsFunc(j.tasks, func(task *task) bool { return task.phase == phaseSent || task.phase == phaseLost })
+	return slices.ContainsFunc(j.tasks.states, func(task *task) bool { return task.phase == phaseSent || task.phase == phaseLost })
 }
 
 // compareJobs orders stored jobs by priority, then by age, then by ID.
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -91,11 +91,11 @@
 	c.limitPlacement(now, job, confined, &planned)
 	numbers := make(map[*sidecar]uint64)
 	found := placedAll
-	for _, task := range job.tasks {
-		if task.phase != phaseUnplaced || !job.eligible(task.step) {
+	for step := range job.steps {
+		if job.unfinishedByStep[step] == 0 || !job.eligible(step) {
 			continue
 		}
-		switch c.planStoredTask(now, job, task, slack, &planned, numbers) {
+		switch c.planStoredStep(now, job, step, slack, &planned, numbers) {
 		case placementNoRoom:
 			return planned, placementNoRoom
 		case placementNoMinion:
@@ -105,6 +105,31 @@
 	return planned, found
 }
 
+// planStoredStep chooses places for the tasks of a step until one finds no room. Tasks
+// without state are alike, so that where one finds no minion, the others are not tried.
+func (c *Core) planStoredStep(now time.Time, job *job, step int, slack time.Duration, planned *plan, numbers map[*sidecar]uint64) placementResult {
+	found, newOnesPlaceable := placedAll, true
+	for index, state := range job.tasks.unfinished(job.steps, step) {
+		isNew := state == nil
+		switch {
+		case isNew && !newOnesPlaceable:
+			continue
+		case isNew:
+			state = newTask(job.id, step, index)
+		case state.phase != phaseUnplaced:
+			continue
+		}
+		switch c.planStoredTask(now, job, state, slack, planned, numbers) {
+		case placementNoRoom:
+			return placementNoRoom
+		case placementNoMinion:
+			found = placementNoMinion
+			newOnesPlaceable = newOnesPlaceable && !isNew
+		}
+	}
+	return found
+}
+
 // recordFirstPlacement reports to queueDelay how long a job waited until its first
 // task was placed.
 func (c *Core) recordFirstPlacement(now time.Time, job *job) {
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -30,19 +30,20 @@
 	if !ok || job.stored == nil {
 		return false, false
 	}
-	for _, task := range job.tasks {
-		if task.key == end.Task {
-			return true, task.includes(end) && !job.stored.saving && !job.stored.unsaved
-		}
-	}
-	return true, false
+	return true, job.includes(end) && !job.stored.saving && !job.stored.unsaved
 }
 
-// includes reports whether this entry has processed the end of a run of the task, or the
-// task is done, which leaves no use for the end.
-func (t *task) includes(end session.TaskEnd) bool {
-	counted := end.End == work.EndFailed && end.Attempt > 0 && t.failures >= end.Attempt
-	return t.phase == phaseDone || counted
+// includes reports whether this entry has processed the end of a run of a task of the job,
+// or the task is done, which leaves no use for the end.
+func (j *job) includes(end session.TaskEnd) bool {
+	if end.Task.Step < 0 || end.Task.Step >= len(j.steps) || end.Task.Index < 0 || end.Task.Index >= j.steps[end.Task.Step].Count {
+		return false
+	}
+	if j.tasks.isDone(end.Task.Step, end.Task.Index) {
+		return true
+	}
+	ended := j.tasks.find(end.Task.Step, end.Task.Index)
+	return ended != nil && end.End == work.EndFailed && end.Attempt > 0 && ended.failures >= end.Attempt
 }
 
 // requestSave starts a write of a stored job's progress, or leaves it to the end of
@@ -79,19 +80,24 @@
 		Crashes:     make(map[work.TaskKey]int),
 		Checkpoints: make(map[work.TaskKey]work.Checkpoint),
 	}
-	for _, task := range job.tasks {
-		switch {
-		case task.phase == phaseDone:
-			progress.Done = append(progress.Done, task.key)
-		case task.checkpoint != "":
+	for step := range job.steps {
+		for index := range job.steps[step].Count {
+			key := work.TaskKey{Job: job.id, Step: step, Index: index}
+			if job.tasks.isDone(step, index) {
+				progress.Done = append(progress.Done, key)
+			}
+			if crashes := c.quarantine.Crashes(key); crashes > 0 {
+				progress.Crashes[key] = crashes
+			}
+		}
+	}
+	for _, task := range job.tasks.states {
+		if task.checkpoint != "" {
 			progress.Checkpoints[task.key] = task.checkpoint
 		}
 		if task.failures > 0 {
 			progress.Failures[task.key] = task.failures
 		}
-		if crashes := c.quarantine.Crashes(task.key); crashes > 0 {
-			progress.Crashes[task.key] = crashes
-		}
 	}
 	return progress
 }
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -104,6 +104,11 @@
 
 func newBestEffortJob(now time.Time, submission *Submission, route manifest.Route) *job {
 	created := newUnplacedJob(now, submission.Job, route)
+	for step := range created.steps {
+		for index := range created.steps[step].Count {
+			created.tasks.states = append(created.tasks.states, newTask(created.id, step, index))
+		}
+	}
 	created.waiters = map[uint64]bool{submission.Waiter: true}
 	created.answerDeadline = answerDeadline(now, created.objectiveEnd, now, submission.CallerTimeout)
 	return created
@@ -112,17 +117,12 @@
 // newUnplacedJob returns a job of which no task has run.
 func newUnplacedJob(now time.Time, source work.Job, route manifest.Route) *job {
 	created := &job{id: source.ID, spec: source.Spec, steps: source.Steps, route: route, submitted: now}
-	for number, step := range created.steps {
+	for _, step := range created.steps {
 		created.unfinishedByStep = append(created.unfinishedByStep, step.Count)
-		for index := range step.Count {
-			created.tasks = append(created.tasks, &task{
-				key:  work.TaskKey{Job: created.id, Step: number, Index: index},
-				step: number,
-			})
-		}
+		created.taskCount += step.Count
 	}
-	created.unfinishedTasks = len(created.tasks)
-	created.unplacedTasks = len(created.tasks)
+	created.unfinishedTasks = created.taskCount
+	created.unplacedTasks = created.taskCount
 	stretch := route.Stretch
 	if stretch <= 0 {
 		stretch = defaultStretch
