Kept jobs are bounded by the memory that they take

Callers saw: an entry that accepts kept jobs of many tasks is killed by its machine; callers that wait 2 s get 504, as the placement of jobs that no minion may run takes all of the entry's time.

Cause: kept jobs were bounded by number (20,000) and not by size, and each task of each of them was tried each 100 ms.

Change: open jobs count by what they take, against maxJobBytes (an eighth of the memory). A refusal comes before anything is stored: 503, Retry-After 1, reason job_memory. Jobs that no minion may run are tried less often the more there are.

--- a/common/metrics/executor_names.go
+++ b/common/metrics/executor_names.go
@@ -39,6 +39,8 @@
 	DispatcherResponse = "dispatcher_response"
 	// DispatcherOpen is a gauge of the unanswered jobs.
 	DispatcherOpen = "dispatcher_open"
+	// DispatcherJobBytes is a gauge of the memory in bytes that open jobs take.
+	DispatcherJobBytes = "dispatcher_job_bytes"
 	// DispatcherTargets is a gauge of the sidecars that accept tasks.
 	DispatcherTargets = "dispatcher_targets"
 	// DispatcherTasksFreed counts tasks that had to be reassigned, by reason.
--- a/decision/heldjob/answer.go
+++ b/decision/heldjob/answer.go
@@ -55,6 +55,8 @@
 	ReasonDraining         Reason = "draining"
 	ReasonStoreUnavailable Reason = "store_out"
 	ReasonTooManyJobs      Reason = "too_many_jobs"
+	// ReasonJobMemory means that the jobs of the entry take too much memory.
+	ReasonJobMemory Reason = "job_memory"
 	// ReasonNotStorable means that the job store does not accept the job's size.
 	ReasonNotStorable Reason = "not_storable"
 )
--- a/decision/heldjob/bounds.go
+++ b/decision/heldjob/bounds.go
@@ -76,6 +76,9 @@
 	// noMinionRetryInterval is the time between two placement attempts for a stored
 	// job that no minion may run at present.
 	noMinionRetryInterval = 100 * time.Millisecond
+	// blockedStepInterval is the shortest time between the attempts to place two steps that
+	// no minion may run at present.
+	blockedStepInterval = 200 * time.Microsecond
 	// placementRetryInterval is the shortest time between two attempts to place tasks
 	// that found no room.
 	placementRetryInterval = 5 * time.Millisecond
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -26,6 +26,7 @@
 	candidates []*placement.Candidate
 
 	jobs    map[work.JobID]*job
+	memory  jobMemory
 	answers *answerCache
 	// pendingCreates are the jobs whose CreateJob has not been answered. queue holds
 	// the stored jobs that have not ended, in the order in which they are placed.
@@ -43,6 +44,8 @@
 	releasing bool
 	// exiting is true once the process is about to exit. New jobs are refused.
 	exiting bool
+	// blockedSteps is the number of steps of stored jobs that no minion may run at present.
+	blockedSteps int
 	// nextQueueTry is the earliest time of the next scan of the queue.
 	nextQueueTry time.Time
 	// warmupUntil is when all live sidecars should have been discovered. A job for
@@ -111,6 +114,7 @@
 	core := &Core{
 		sidecars:       make(map[string]*sidecar),
 		jobs:           make(map[work.JobID]*job),
+		memory:         jobMemory{limit: defaultJobBytes, reserved: make(map[work.JobID]int64)},
 		answers:        newAnswerCache(maxCachedAnswers),
 		pendingCreates: make(map[work.JobID]*pendingCreate),
 		queueDelay:     queuedelay.New(),
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -30,6 +30,8 @@
 	waitFactor float64
 	// allowed reports whether a sidecar may get tasks of the job; nil if each one may.
 	allowed func(sidecar string) bool
+	// blockedSteps is the number of steps of a stored job that no minion may run.
+	blockedSteps int
 	// chosenSidecars holds the names of the sidecars chosen so far.
 	chosenSidecars map[string]bool
 }
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -212,7 +212,7 @@
 // drop removes a job and stops its runs.
 func (c *Core) drop(job *job) {
 	c.stopRuns(job)
-	delete(c.jobs, job.id)
+	c.remove(job)
 }
 
 // stopRuns stops all runs of a job that has ended. Nothing of the job is placed after
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -16,8 +16,10 @@
 	// saving is true while a write is in flight. unsaved is true if there are changes
 	// for the next write.
 	saving, unsaved bool
-	// lastPlacement is the result of the last placement attempt.
+	// lastPlacement is the result of the last placement attempt, and blockedSteps the
+	// number of steps that no minion might run then.
 	lastPlacement placementResult
+	blockedSteps  int
 	// placed is true once a task of the job has been sent to a sidecar.
 	placed bool
 	// unconfirmed means that another entry may have taken over the job: this entry
@@ -74,13 +76,14 @@
 // nothing if the entry has the job already.
 func (c *Core) AddStoredJob(now time.Time, stored StoredJob) {
 	if _, known := c.jobs[stored.Job.ID]; known {
+		c.memory.release(stored.Job.ID)
 		return
 	}
 	added := newUnplacedJob(now, stored.Job, stored.Route)
 	// Without its monotonic part the time compares with those read from the job store.
 	added.stored = &storedState{accepted: stored.Accepted.Round(0), cancelWaiters: make(map[uint64]bool)}
 	c.restoreTasks(now, added, &stored)
-	c.jobs[added.id] = added
+	c.add(added, memoryOf(&stored.Job))
 	othersWait := c.hasWaitingJob(added.route.Priority)
 	at, _ := slices.BinarySearchFunc(c.queue, added, compareJobs)
 	c.queue = slices.Insert(c.queue, at, added)
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -72,9 +72,10 @@
 	}
 	planned, found := c.planStored(now, job, c.confinedRoutes(now, job.route.Service))
 	job.stored.lastPlacement = found
+	c.setBlockedSteps(job, planned.blockedSteps)
 	job.nextPlacement = now.Add(placementRetryInterval)
 	if found == placementNoMinion {
-		job.nextPlacement = now.Add(noMinionRetryInterval)
+		job.nextPlacement = now.Add(c.noMinionRetry())
 	}
 	if len(planned.choices) > 0 {
 		c.recordFirstPlacement(now, job)
@@ -83,6 +84,21 @@
 	return found
 }
 
+// setBlockedSteps records how many steps of a job no minion may run at present.
+func (c *Core) setBlockedSteps(job *job, count int) {
+	if job.stored != nil {
+		c.blockedSteps += count - job.stored.blockedSteps
+		job.stored.blockedSteps = count
+	}
+}
+
+// noMinionRetry returns the time between two placement attempts for a job that no minion
+// may run at present. It grows with the number of such steps, which would otherwise take
+// all of the entry's time.
+func (c *Core) noMinionRetry() time.Duration {
+	return max(noMinionRetryInterval, time.Duration(c.blockedSteps)*blockedStepInterval)
+}
+
 // planStored chooses places for the eligible tasks of a stored job until one finds no
 // room.
 func (c *Core) planStored(now time.Time, job *job, confined map[string]bool) (plan, placementResult) {
@@ -100,6 +116,7 @@
 			return planned, placementNoRoom
 		case placementNoMinion:
 			found = placementNoMinion
+			planned.blockedSteps++
 		}
 	}
 	return planned, found
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -125,7 +125,7 @@
 	}
 	c.answers.put(id, Answer{Outcome: stored.outcome})
 	c.answerCancels(job, Answer{Outcome: Cancelled})
-	delete(c.jobs, id)
+	c.remove(job)
 }
 
 // ReacquireJobs writes all stored jobs again after the entry has got a new owner
--- a/decision/heldjob/storedsubmit.go
+++ b/decision/heldjob/storedsubmit.go
@@ -38,6 +38,7 @@
 		c.refuse(submission, route.Name, answer, wait)
 		return
 	}
+	c.memory.reserve(id, memoryOf(&submission.Job))
 	c.pendingCreates[id] = &pendingCreate{submission: submission, route: route, waiters: map[uint64]time.Time{submission.Waiter: until}}
 	c.emit(CreateJob{Job: submission.Job, Route: route})
 }
@@ -52,6 +53,9 @@
 	if len(c.queue)+len(c.pendingCreates) >= maxStoredJobs {
 		return Answer{Outcome: Refused, Reason: ReasonTooManyJobs, RetryAfter: minRetryAfter}, 0
 	}
+	if !c.memory.fitsNew(memoryOf(&submitted)) {
+		return Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, 0
+	}
 	if wait, late := c.storedOverload(now, submitted, route); late {
 		return Answer{Outcome: Refused, Reason: ReasonOverload, RetryAfter: max(minRetryAfter, wait)}, wait
 	}
@@ -102,7 +106,7 @@
 	if !ok {
 		return
 	}
-	delete(c.pendingCreates, id)
+	c.dropCreate(id)
 	if written {
 		c.AddStoredJob(now, StoredJob{Job: create.submission.Job, Route: create.route, Accepted: accepted})
 	}
@@ -133,10 +137,16 @@
 	clear(create.waiters)
 	create.outcomeUnknown = true
 	if notSent {
-		delete(c.pendingCreates, id)
+		c.dropCreate(id)
 	}
 }
 
+// dropCreate forgets a CreateJob whose result is known.
+func (c *Core) dropCreate(id work.JobID) {
+	delete(c.pendingCreates, id)
+	c.memory.release(id)
+}
+
 // CreateRejected handles a CreateJob that the job store will never accept. The job is
 // refused, and its callers are not asked to try again.
 func (c *Core) CreateRejected(id work.JobID) {
@@ -144,7 +154,7 @@
 	if !ok {
 		return
 	}
-	delete(c.pendingCreates, id)
+	c.dropCreate(id)
 	for waiter := range create.waiters {
 		c.emit(Reply{Waiter: waiter, Answer: Answer{Outcome: Refused, Reason: ReasonNotStorable}, Route: create.route.Name})
 	}
--- a/decision/intake/limits.go
+++ b/decision/intake/limits.go
@@ -12,7 +12,7 @@
 
 // The machine that a process assumes if its settings name none.
 const (
-	defaultBytes       = 256_000_000
+	DefaultBytes       = 256_000_000
 	defaultDescriptors = 4096
 )
 
@@ -46,7 +46,7 @@
 // Complete returns the limits with each zero field derived from the machine.
 func (l Limits) Complete(machine Machine) Limits {
 	if machine.Bytes == 0 {
-		machine.Bytes = defaultBytes
+		machine.Bytes = DefaultBytes
 	}
 	if machine.Descriptors == 0 {
 		machine.Descriptors = defaultDescriptors
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -53,6 +53,8 @@
 	// ClassScheduling makes the routes of a service share scarce capacity in the order
 	// of their priorities.
 	ClassScheduling bool
+	// JobBytes is the memory in bytes that jobs may take.
+	JobBytes int64
 }
 
 // Dependencies are the services and shared state that a dispatcher uses.
@@ -140,6 +142,7 @@
 		d.core.SeparateInterference()
 	}
 	d.core.SetClassScheduling(settings.ClassScheduling)
+	d.core.SetJobMemory(settings.JobBytes)
 	d.expectedSidecars.Store(math.MaxInt64)
 	d.loop = serial.New(loopQueueSize, tickInterval, d.core.Tick, d.applyActions)
 	listener, err := deps.Listen(settings.Listen)
--- a/dispatcher/logging.go
+++ b/dispatcher/logging.go
@@ -13,6 +13,7 @@
 		d.logDecision(decision)
 	}
 	d.meters.open.Update(float64(d.core.JobCount()))
+	d.meters.jobBytes.Update(float64(d.core.JobMemory()))
 }
 
 func (d *Dispatcher) logDecision(decision heldjob.Decision) {
--- a/dispatcher/meters.go
+++ b/dispatcher/meters.go
@@ -16,6 +16,7 @@
 	scope     tally.Scope
 	manifests metrics.ManifestCounters
 	open      tally.Gauge
+	jobBytes  tally.Gauge
 	targets   tally.Gauge
 	manifest  tally.Gauge
 	malformed tally.Counter
@@ -54,6 +55,7 @@
 		scope:     scope,
 		manifests: metrics.NewManifestCounters(scope),
 		open:      scope.Gauge(metrics.DispatcherOpen),
+		jobBytes:  scope.Gauge(metrics.DispatcherJobBytes),
 		targets:   scope.Gauge(metrics.DispatcherTargets),
 		manifest:  scope.Gauge(metrics.ManifestVersion),
 		malformed: scope.Counter(metrics.DispatcherMalformed),
--- a/e2e/instances_test.go
+++ b/e2e/instances_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,8 +45,13 @@
 	dispatcher *instanceProcess
 	executor   *instanceProcess
 	jobs       int
+	// label is the label that the minion reports.
+	label atomic.Pointer[string]
 }
 
+// reportLabel makes the minion report the label from its next report on.
+func (s *instances) reportLabel(label string) { s.label.Store(&label) }
+
 // instanceProcess is a running dispatcher or executor with the addresses of its listeners
 // by the names of their settings.
 type instanceProcess struct {
@@ -81,6 +87,7 @@
 	s.dispatcher = s.start("dispatcher", map[string]any{
 		"callersListen": freeAddress(t), "readyListen": freeAddress(t),
 	}, extra)
+	s.reportLabel("r1")
 	go s.sendReports(minion)
 	s.awaitJob()
 	return s
@@ -110,7 +117,8 @@
 	maps.Copy(values, extra)
 	content, err := json.Marshal(values)
 	must.NoError(s.t, err)
-	path := filepath.Join(s.dir, role+".jsonc")
+	name := fmt.Sprint(values["name"])
+	path := filepath.Join(s.dir, name+".jsonc")
 	must.NoError(s.t, os.WriteFile(path, content, 0o600))
 	started := &instanceProcess{
 		command: exec.Command(binary, role, "--settings", path), listeners: make(map[string]string), ended: make(chan struct{}),
@@ -120,7 +128,7 @@
 			started.listeners[name] = address
 		}
 	}
-	output, err := os.Create(filepath.Join(s.dir, role+".log"))
+	output, err := os.Create(filepath.Join(s.dir, name+".log"))
 	must.NoError(s.t, err)
 	started.command.Stdout, started.command.Stderr = output, output
 	must.NoError(s.t, started.command.Start())
@@ -149,7 +157,7 @@
 	for sequence := 1; s.t.Context().Err() == nil; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": instancesService, "state": "ready", "seq": sequence, "born": minion.Born(),
-			"capacity": map[string]any{"cpu": 8000, "mem_mb": 1024}, "labels": []string{"r1"},
+			"capacity": map[string]any{"cpu": 8000, "mem_mb": 1024}, "labels": []string{*s.label.Load()},
 		})
 		if response, err := http.Post(url, "application/json", bytes.NewReader(body)); err == nil {
 			_ = response.Body.Close()
--- /dev/null
+++ b/e2e/kept_jobs_test.go
@@ -0,0 +1,166 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// The smallest machines of the pages, in millions of bytes as their settings have them.
+const (
+	smallEntryMB   = 144
+	smallSidecarMB = 128
+	megabyte       = 1_000_000
+)
+
+const (
+	// keptClients submit a kept job each, of keptSteps steps of keptTasks tasks, in each of
+	// keptWaves waves.
+	keptClients = 480
+	keptWaves   = 3
+	keptSteps   = 40
+	keptTasks   = 100
+	// absentLabel is a label that no minion has, until one reports it.
+	absentLabel = "absent"
+)
+
+// keptBody returns a kept job of steps steps with tasks tasks each. Each one runs on a
+// minion with the label; with any if it is empty.
+func keptBody(steps, tasks int, label string) string {
+	step := fmt.Sprintf(`{"count":%d,"cpu":1000,"est_ms":1,"required_label":%q}`, tasks, label)
+	return fmt.Sprintf(`{"spec":"{\"work_ms\":1}","steps":[%s]}`, strings.TrimSuffix(strings.Repeat(step+",", steps), ","))
+}
+
+// keptCrowd has the identifiers of kept jobs by what became of their submission.
+type keptCrowd struct {
+	mu               sync.Mutex
+	accepted, broken []string
+	refused, unknown int
+}
+
+// submitKept has clients submit a kept job each to an entry at the same time, with
+// identifiers from first on. A job may be refused if its client is told when to try again,
+// and its client may be told that it is unknown whether the job is kept.
+func (s *instances) submitKept(entry *instanceProcess, clients, first int, body string) *keptCrowd {
+	s.t.Helper()
+	crowd := &keptCrowd{}
+	var done sync.WaitGroup
+	for i := range clients {
+		done.Go(func() { crowd.submit(s, entry, fmt.Sprintf("%016x", first+i), body) })
+	}
+	done.Wait()
+	s.t.Logf("%d accepted, %d refused, %d unknown", len(crowd.accepted), crowd.refused, crowd.unknown)
+	must.SliceEmpty(s.t, crowd.broken)
+	return crowd
+}
+
+func (c *keptCrowd) submit(s *instances, entry *instanceProcess, id, body string) {
+	status, header, _ := s.request(entry, http.MethodPost, id, body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case status == http.StatusOK:
+		c.accepted = append(c.accepted, id)
+	case header.Get("Retry-After") != "":
+		c.refused++
+	case status == http.StatusGatewayTimeout:
+		c.unknown++
+	default:
+		c.broken = append(c.broken, fmt.Sprintf("%s: %d", id, status))
+	}
+}
+
+// request sends a request for a job on a connection of its own and returns the status, the
+// header and the job's state; 0 if there is no answer.
+func (s *instances) request(entry *instanceProcess, method, id, body string) (int, http.Header, string) {
+	url := "http://" + entry.listeners["callersListen"] + instancesPrefix + id
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, ""
+	}
+	request.Host, request.Close = instancesHost, true
+	request.Header.Set("Deadline-Ms", fmt.Sprint(crowdLimit.Milliseconds()))
+	client := http.Client{Timeout: crowdLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct{ State string }
+	raw, _ := io.ReadAll(response.Body)
+	_ = json.Unmarshal(raw, &answer)
+	return response.StatusCode, response.Header, answer.State
+}
+
+// checkWithin checks that the process is alive and has stayed within its machine.
+func (w *memoryWatch) checkWithin(t *testing.T, machineMB int64) {
+	t.Helper()
+	peak, descriptors := w.peakBytes(t), w.process.descriptors(t)
+	t.Logf("peak %d MB, %d descriptors", peak/megabyte, descriptors)
+	must.True(t, w.process.alive())
+	must.Less(t, machineMB*megabyte, peak)
+	must.Less(t, machineDescriptors, descriptors)
+}
+
+// checkKnown checks that the entry knows all the jobs.
+func (s *instances) checkKnown(entry *instanceProcess, ids []string) {
+	s.t.Helper()
+	for _, id := range ids {
+		status, _, state := s.request(entry, http.MethodGet, id, "")
+		must.EqOp(s.t, http.StatusOK, status)
+		must.StrNotContains(s.t, "failed cancelled", state)
+	}
+}
+
+// cancelAll cancels the jobs.
+func (s *instances) cancelAll(entry *instanceProcess, ids []string) {
+	s.t.Helper()
+	for _, id := range ids {
+		must.Wait(s.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			status, _, _ := s.request(entry, http.MethodDelete, id, "")
+			return status == http.StatusOK
+		}), wait.Timeout(readyLimit), wait.Gap(50*time.Millisecond)))
+	}
+}
+
+// smallEntry are the settings of the smallest machine of an entry.
+func smallEntry() map[string]any {
+	return map[string]any{"memoryMB": float64(smallEntryMB), "maxDescriptors": machineDescriptors}
+}
+
+// TestUncontrolledClientsKeptJobs guards against an entry that outgrows its machine on kept
+// jobs, which it has to remember until they have run, and against one that the placement
+// of jobs which no minion may run keeps from everything else.
+func TestUncontrolledClientsKeptJobs(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		steps, tasks int
+	}{
+		{"many tasks", keptSteps, keptTasks}, {"one step", 1, keptSteps * keptTasks}, {"many steps", 1000, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startInstances(t, legalBody, smallEntry())
+			memory := watchMemory(t, s.dispatcher)
+			var accepted []string
+			for wave := range keptWaves {
+				crowd := s.submitKept(s.dispatcher, keptClients, (wave+1)<<32, keptBody(tc.steps, tc.tasks, absentLabel))
+				accepted = append(accepted, crowd.accepted...)
+			}
+			s.dispatcher.settle(t)
+			memory.checkWithin(t, smallEntryMB)
+			s.awaitJob()
+			s.checkKnown(s.dispatcher, accepted)
+			s.cancelAll(s.dispatcher, accepted)
+			s.awaitJob()
+			memory.checkWithin(t, smallEntryMB)
+		})
+	}
+}
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -92,6 +92,7 @@
 		RunTimeEstimates:         loaded.RunTimeEstimates,
 		SeparateInterference:     loaded.SeparateInterference,
 		ClassScheduling:          loaded.ClassScheduling,
+		JobBytes:                 loaded.JobBytes(),
 	}, dispatcher.Dependencies{
 		Holder:           common.holder,
 		Directory:        common.directory,
--- a/settings/clientlimits.go
+++ b/settings/clientlimits.go
@@ -66,9 +66,17 @@
 	return &Error{Field: field, Reason: fmt.Sprintf("%v is too small, want at least %d, or 0 for the default", value, least)}
 }
 
+// machineBytes returns the memory of the machine in bytes.
+func (l *ClientLimits) machineBytes() int64 {
+	if l.MemoryMB == 0 {
+		return intake.DefaultBytes
+	}
+	return int64(l.MemoryMB * megabyte)
+}
+
 // Limits returns the limits that the settings describe.
 func (l *ClientLimits) Limits() intake.Limits {
-	machine := intake.Machine{Bytes: int64(l.MemoryMB * megabyte), Descriptors: l.MaxDescriptors}
+	machine := intake.Machine{Bytes: l.machineBytes(), Descriptors: l.MaxDescriptors}
 	return intake.Limits{
 		Bytes: l.MaxBodyBytesInFlight, Connections: l.MaxConnections, BodyTimeout: l.BodyTimeout.Std(),
 	}.Complete(machine)
--- a/settings/instance.go
+++ b/settings/instance.go
@@ -102,6 +102,28 @@
 	// ClassScheduling makes the routes of a service share scarce capacity in the order
 	// of their priorities. It has no effect on services whose routes all have the same.
 	ClassScheduling bool `json:"classScheduling"`
+	// MaxJobBytes bounds the memory of the jobs that have not ended; an eighth of the
+	// memory by default, within bounds.
+	MaxJobBytes int64 `json:"maxJobBytes" validate:"min=0,max=1099511627776"`
+}
+
+// Bounds on the memory in bytes of the jobs of a dispatcher.
+const (
+	// minJobBytes is twice what the largest job takes, of 4096 steps and all that fits into
+	// a transaction.
+	minJobBytes = 8 << 20
+	// maxDefaultJobBytes leaves room below the soft memory limit of the process.
+	maxDefaultJobBytes = 32 << 20
+	// jobShare is the part of the memory that jobs may use, as a divisor.
+	jobShare = 8
+)
+
+// JobBytes returns the memory in bytes that the jobs of the dispatcher may take.
+func (s *DispatcherSettings) JobBytes() int64 {
+	if s.MaxJobBytes != 0 {
+		return s.MaxJobBytes
+	}
+	return min(max(s.machineBytes()/jobShare, minJobBytes), maxDefaultJobBytes)
 }
 
 // defaultRowBytes is the row size that the platform documents.
@@ -114,6 +136,9 @@
 }
 
 func (s *DispatcherSettings) complete(string) error {
+	if s.MaxJobBytes != 0 && s.MaxJobBytes < minJobBytes {
+		return tooSmall("maxJobBytes", s.MaxJobBytes, minJobBytes)
+	}
 	return s.completeInstance([]listener{
 		{"callersListen", s.CallersListen},
 		{"readyListen", s.ReadyListen},
