Adopted jobs are bounded by memory; what doesn't fit waits in the store

Callers saw: the jobs that ended an entry end the one that takes them over, and then the next.

Cause: a takeover ran all jobs of a lost owner, and each scan kept the rows of all open jobs of the system.

Change: a takeover reserves memory for a job before it reads it, the smallest first; new and adopted jobs leave each other a quarter of maxJobBytes. The open row names the memory of its job.

--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -48,7 +48,9 @@
 type SaveJob struct {
 	Job work.JobID
 	// Route is the name of the job's route.
-	Route    string
+	Route string
+	// Memory is the memory in bytes that the job takes at the entry that runs it.
+	Memory   int64
 	Progress Progress
 }
 
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -114,7 +114,7 @@
 	core := &Core{
 		sidecars:       make(map[string]*sidecar),
 		jobs:           make(map[work.JobID]*job),
-		memory:         jobMemory{limit: defaultJobBytes, reserved: make(map[work.JobID]int64)},
+		memory:         jobMemory{limit: defaultJobBytes, reserved: make(map[work.JobID]memoryPart)},
 		answers:        newAnswerCache(maxCachedAnswers),
 		pendingCreates: make(map[work.JobID]*pendingCreate),
 		queueDelay:     queuedelay.New(),
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -80,8 +80,8 @@
 	refusedReplies int
 	// yields is true while a task of the job leaves the room of its route to new jobs.
 	yields bool
-	// bytes is the memory by which the job counts.
-	bytes int64
+	// memory is what the job counts for in the entry's memory.
+	memory memoryPart
 	// stored is set for a stored job, for whose end no caller waits.
 	stored *storedState
 }
--- a/decision/heldjob/jobmemory_test.go
+++ b/decision/heldjob/jobmemory_test.go
@@ -61,9 +61,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			stored := storedJobOf("j", 2, 3)
-			must.True(t, f.core.ReserveStored(&stored.Job))
+			must.True(t, f.core.ReserveStored(stored.Job.ID, MemoryOf(&stored.Job)))
 			f.core.AddStoredJob(f.now, stored)
-			must.EqOp(t, memoryOf(&stored.Job), f.core.JobMemory())
+			must.EqOp(t, MemoryOf(&stored.Job), f.core.JobMemory())
 			must.EqOp(t, len(stored.Job.Steps), f.core.blockedSteps)
 			end(stored.Job.ID)
 			must.Zero(t, f.core.JobMemory())
@@ -75,27 +75,41 @@
 
 func reserveAgain(f *fixture, id work.JobID) {
 	stored := storedJobOf(string(id), 2, 3)
-	f.core.ReserveStored(&stored.Job)
+	f.core.ReserveStored(stored.Job.ID, MemoryOf(&stored.Job))
 	f.core.AddStoredJob(f.now, stored)
 }
 
 // TestLargeJobsLeaveMemory guards against jobs of many steps that take all the memory, so
 // that ordinary ones are refused.
 func TestLargeJobsLeaveMemory(t *testing.T) {
-	large, small := memoryOf(&work.Job{Steps: make([]work.Step, 500)}), memoryOf(&work.Job{Steps: make([]work.Step, 1)})
+	large, small := MemoryOf(&work.Job{Steps: make([]work.Step, 500)}), MemoryOf(&work.Job{Steps: make([]work.Step, 1)})
 	memory := jobMemory{limit: 16 << 20}
 	must.True(t, memory.fitsNew(large))
 	for memory.fitsNew(large) {
-		memory.used += large
+		memory.own += large
 	}
-	must.Greater(t, memory.limit/2, memory.used)
-	must.Less(t, memory.limit-100*small, memory.used)
+	must.Greater(t, memory.limit/2, memory.own)
+	must.Less(t, memory.limit-100*small, memory.own)
 	must.True(t, memory.fitsNew(small))
-	must.False(t, memory.fitsAdopted(small))
 	for memory.fitsNew(small) {
-		memory.used += small
+		memory.own += small
+	}
+	must.LessEq(t, memory.limit-memory.limit/4, memory.own)
+	must.True(t, memory.fitsAdopted(large))
+}
+
+// TestAdoptedJobsLeaveMemory guards against jobs of a lost entry that keep new ones out, or
+// take more than there is.
+func TestAdoptedJobsLeaveMemory(t *testing.T) {
+	large, small := MemoryOf(&work.Job{Steps: make([]work.Step, 500)}), MemoryOf(&work.Job{Steps: make([]work.Step, 1)})
+	memory := jobMemory{limit: 16 << 20}
+	for _, size := range []int64{large, small} {
+		for memory.fitsAdopted(size) {
+			memory.adopted += size
+		}
+		must.LessEq(t, memory.limit, memory.used())
+		must.True(t, memory.fitsNew(small))
 	}
-	must.Less(t, memory.limit, memory.used)
 }
 
 // TestLargestJobFitsInCalm guards against a limit that refuses a job that the pages allow.
@@ -103,8 +117,8 @@
 	const storableBytes = 600 << 10
 	job := work.Job{Spec: string(make([]byte, storableBytes)), Steps: make([]work.Step, work.MaxTasks)}
 	memory := jobMemory{limit: 8 << 20}
-	must.True(t, memory.fitsNew(memoryOf(&job)))
-	must.True(t, memory.fitsAdopted(memoryOf(&job)))
+	must.True(t, memory.fitsNew(MemoryOf(&job)))
+	must.True(t, memory.fitsAdopted(MemoryOf(&job)))
 }
 
 // TestBlockedStepsAreTriedLessOften guards against jobs that no minion may run and that take
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -83,7 +83,7 @@
 	// Without its monotonic part the time compares with those read from the job store.
 	added.stored = &storedState{accepted: stored.Accepted.Round(0), cancelWaiters: make(map[uint64]bool)}
 	c.restoreTasks(now, added, &stored)
-	c.add(added, memoryOf(&stored.Job))
+	c.add(added, MemoryOf(&stored.Job))
 	othersWait := c.hasWaitingJob(added.route.Priority)
 	at, _ := slices.BinarySearchFunc(c.queue, added, compareJobs)
 	c.queue = slices.Insert(c.queue, at, added)
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -70,7 +70,7 @@
 		c.emit(EndJob{Job: job.id, Outcome: stored.outcome})
 		return
 	}
-	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Progress: c.progress(job)})
+	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Memory: job.memory.bytes, Progress: c.progress(job)})
 }
 
 // progress returns the persistent state of the job.
--- a/decision/heldjob/storedsubmit.go
+++ b/decision/heldjob/storedsubmit.go
@@ -38,7 +38,7 @@
 		c.refuse(submission, route.Name, answer, wait)
 		return
 	}
-	c.memory.reserve(id, memoryOf(&submission.Job))
+	c.memory.reserve(id, memoryPart{bytes: MemoryOf(&submission.Job)})
 	c.pendingCreates[id] = &pendingCreate{submission: submission, route: route, waiters: map[uint64]time.Time{submission.Waiter: until}}
 	c.emit(CreateJob{Job: submission.Job, Route: route})
 }
@@ -53,7 +53,7 @@
 	if len(c.queue)+len(c.pendingCreates) >= maxStoredJobs {
 		return Answer{Outcome: Refused, Reason: ReasonTooManyJobs, RetryAfter: minRetryAfter}, 0
 	}
-	if !c.memory.fitsNew(memoryOf(&submitted)) {
+	if !c.memory.fitsNew(MemoryOf(&submitted)) {
 		return Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, 0
 	}
 	if wait, late := c.storedOverload(now, submitted, route); late {
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -178,7 +178,7 @@
 		return
 	}
 	c.classLoad.Confirm(admission)
-	c.add(job, memoryOf(&submission.Job)+taskStateBytes*int64(job.taskCount))
+	c.add(job, MemoryOf(&submission.Job)+taskStateBytes*int64(job.taskCount))
 	c.recordDecision(Decision{Kind: DecidedAdmitted, Job: job.id, Request: submission.Request, Route: job.route.Name, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
 	if plan.complete || plan.trial {
 		c.sendStarts(now, job, plan)
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -1,8 +1,10 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,10 +36,11 @@
 	}
 	results := make(chan adoptResult, len(jobs))
 	asked := 0
-	for _, job := range jobs {
+	for _, job := range t.reserveMemory(jobs) {
 		record, err := t.store.AcceptedJob(ctx, job.ID)
 		if err != nil {
 			t.writeFailed(err)
+			t.releaseMemory(job.ID)
 			continue
 		}
 		asked++
@@ -66,6 +69,37 @@
 	return false
 }
 
+// reserveMemory reserves memory for as many of the jobs as there is room for, the smallest
+// first, and returns these. The others stay in the job store.
+func (t *takeover) reserveMemory(jobs []jobstore.OpenJob) []jobstore.OpenJob {
+	bySize := slices.Clone(jobs)
+	slices.SortStableFunc(bySize, func(a, b jobstore.OpenJob) int { return cmp.Compare(memoryOf(&a), memoryOf(&b)) })
+	count := 0
+	t.dispatcher.loop.Do(func(time.Time) {
+		for count < len(bySize) && t.dispatcher.core.ReserveStored(bySize[count].ID, memoryOf(&bySize[count])) {
+			count++
+		}
+	})
+	t.waiting += len(jobs) - count
+	return bySize[:count]
+}
+
+// unknownBytes is the memory that is reserved for a job whose row doesn't tell its size.
+const unknownBytes = 64 << 10
+
+// memoryOf returns the memory in bytes that a job will take.
+func memoryOf(job *jobstore.OpenJob) int64 {
+	if job.Progress.Memory <= 0 {
+		return unknownBytes
+	}
+	return job.Progress.Memory
+}
+
+// releaseMemory gives up the memory of a job that is not taken over.
+func (t *takeover) releaseMemory(id work.JobID) {
+	t.dispatcher.loop.Post(func(time.Time) { t.dispatcher.core.ReleaseStored(id) })
+}
+
 // confirmStored tells each sidecar which of the ends that it has told are in the job
 // store. A sidecar that can't be reached asks about them again.
 func (t *takeover) confirmStored(ctx context.Context, owner jobstore.Owner, stored map[string][]session.TaskEnd) {
@@ -113,6 +147,7 @@
 // runs the job.
 func (t *takeover) takeOver(record jobstore.AcceptedJob, job jobstore.OpenJob, found adoptReplies, done func(written bool)) {
 	progress := job.Progress
+	progress.Memory = heldjob.MemoryOf(&record.Job)
 	for _, one := range found.ends[job.ID] {
 		if record.Job.Has(one.Task) {
 			progress.AddEnd(one.Task, one.End, one.Attempt)
@@ -127,21 +162,24 @@
 	})
 	change := jobstore.SaveProgress(job.ID, job.Version, progress, func(result jobstore.WriteResult) {
 		done(result.Written)
-		if result.Written {
-			t.dispatcher.loop.Post(func(now time.Time) {
-				t.versions[job.ID] = result.Version
-				if progress.Parts > 0 {
-					t.parts[job.ID] = progress.Parts
-				}
-				t.dispatcher.core.AddStoredJob(now, heldjob.StoredJob{
-					Job: record.Job, Route: record.Route, Accepted: record.Accepted,
-					Done: progress.Done.Has, Failures: progress.Failures.ByTask(&record.Job), Crashes: progress.Crashes.ByTask(&record.Job), Checkpoints: checkpoints,
-				})
-			})
+		if !result.Written {
+			t.releaseMemory(job.ID)
+			return
 		}
+		t.dispatcher.loop.Post(func(now time.Time) {
+			t.versions[job.ID] = result.Version
+			if progress.Parts > 0 {
+				t.parts[job.ID] = progress.Parts
+			}
+			t.dispatcher.core.AddStoredJob(now, heldjob.StoredJob{
+				Job: record.Job, Route: record.Route, Accepted: record.Accepted,
+				Done: progress.Done.Has, Failures: progress.Failures.ByTask(&record.Job), Crashes: progress.Crashes.ByTask(&record.Job), Checkpoints: checkpoints,
+			})
+		})
 	})
 	if !t.writer.Enqueue(change) {
 		done(false)
+		t.releaseMemory(job.ID)
 	}
 }
 
--- a/dispatcher/ownjobs.go
+++ b/dispatcher/ownjobs.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/figring/figring/common/eventlog"
-	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/work"
 )
 
@@ -25,17 +24,10 @@
 	return ids
 }
 
-// disownEnded disowns those of the owned jobs that are not among the open ones, which were
-// read later, because another entry has ended them: it was lost before it could tell.
-func (s *storedJobs) disownEnded(ctx context.Context, owned []work.JobID, open []jobstore.OpenJob) {
-	isOpen := make(map[work.JobID]bool, len(open))
-	for _, job := range open {
-		isOpen[job.ID] = true
-	}
-	for _, id := range owned {
-		if isOpen[id] {
-			continue
-		}
+// disownEnded disowns owned jobs that a later scan has not found open, because another
+// entry has ended them: it was lost before it could tell.
+func (s *storedJobs) disownEnded(ctx context.Context, ended []work.JobID) {
+	for _, id := range ended {
 		// The row may only be unreadable.
 		found, err := s.store.Find(ctx, id)
 		if err != nil {
--- a/dispatcher/pending.go
+++ b/dispatcher/pending.go
@@ -61,16 +61,15 @@
 func (d *Dispatcher) storedPending(ctx context.Context, route string, counted *pendingCount) int {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	open, _, err := d.deps.Jobs.ListOpen(ctx)
-	if err != nil {
-		d.storedJobs.writeFailed(err)
-		return 0
-	}
 	count := 0
-	for _, job := range open {
+	_, err := d.deps.Jobs.EachOpen(ctx, func(job *jobstore.OpenJob, _ int) {
 		if job.Progress.Route == route && !job.Progress.Begun() && !counted.includes(job.Progress.Owner) {
 			count++
 		}
+	})
+	if err != nil {
+		d.storedJobs.writeFailed(err)
+		return 0
 	}
 	return count
 }
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -10,6 +10,7 @@
 	"github.com/figring/figring/common/boottime"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/rendezvous"
+	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/decision/joblease"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/work"
@@ -85,6 +86,9 @@
 	// orphanSince has the time since when scans have found jobs of an owner that is
 	// gone.
 	orphanSince map[jobstore.Owner]time.Time
+	// waiting is the number of orphans that the latest scan has left in the job store,
+	// since this entry has no memory for them.
+	waiting int
 	// unanswered are the sidecars that did not answer the latest calls.
 	unanswered unansweredCalls
 }
@@ -171,32 +175,32 @@
 func (t *takeover) scan(ctx context.Context, now time.Time) bool {
 	scanCtx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
-	owned := t.unendedJobs()
-	open, unreadable, err := t.store.ListOpen(scanCtx)
+	found := newOpenJobs(t.unendedJobs(), t.mayBeOrphan)
+	unreadable, err := t.store.EachOpen(scanCtx, found.add)
 	if err != nil {
 		t.writeFailed(err)
 		return false
 	}
-	t.disownEnded(scanCtx, owned, open)
+	t.disownEnded(scanCtx, found.ended())
 	if unreadable > 0 {
 		t.dispatcher.deps.Log.Failure(eventlog.KindMalformed).Int(eventlog.FieldCount, unreadable).Str(eventlog.FieldReason, "stored jobs").Msg("")
 	}
-	var self jobstore.Owner
-	own := make(map[work.JobID]bool)
-	t.dispatcher.loop.Do(func(time.Time) {
-		self = t.self()
-		for _, id := range t.dispatcher.core.StoredJobs() {
-			own[id] = true
-		}
-	})
-	orphans := make(map[jobstore.Owner][]jobstore.OpenJob)
-	for _, one := range open {
-		if owner := one.Progress.Owner; owner != self && !own[one.ID] && !t.monitor.MayOwnJobs(owner.Name, owner.Boot) {
-			orphans[owner] = append(orphans[owner], one)
-		}
+	found.dropOwn(t.ownJobs())
+	t.newestScan.Store(found.jobScan(t.monitor.Owners()))
+	t.recordOrphans(boottime.Now(), found.orphans)
+	t.waiting = found.overflow.jobs()
+	outdated := t.adoptAll(ctx, now, found.orphans)
+	if t.waiting > 0 {
+		t.scanUntil = now.Add(scanAfterChange)
+		t.dispatcher.deps.Log.Routine(eventlog.KindDependencyLost).Str(eventlog.FieldDependency, "jobs").
+			Int(eventlog.FieldCount, t.waiting).Str(eventlog.FieldReason, string(heldjob.ReasonJobMemory)).Msg("")
 	}
-	t.newestScan.Store(newJobScan(t.monitor.Owners(), orphans))
-	t.recordOrphans(boottime.Now(), orphans)
+	return outdated
+}
+
+// adoptAll takes over the orphans that are assigned to this entry. It reports whether the
+// list of them is outdated.
+func (t *takeover) adoptAll(ctx context.Context, now time.Time, orphans map[jobstore.Owner][]jobstore.OpenJob) bool {
 	for owner, jobs := range orphans {
 		if t.dispatcher.releasing.Load() {
 			return false
@@ -209,6 +213,23 @@
 	return false
 }
 
+// mayBeOrphan reports whether a job of the owner may be one that nobody runs.
+func (t *takeover) mayBeOrphan(owner jobstore.Owner) bool {
+	return !t.monitor.MayOwnJobs(owner.Name, owner.Boot)
+}
+
+// ownJobs returns the current identity of this entry and its stored jobs.
+func (t *takeover) ownJobs() (self jobstore.Owner, own map[work.JobID]bool) {
+	own = make(map[work.JobID]bool)
+	t.dispatcher.loop.Do(func(time.Time) {
+		self = t.self()
+		for _, id := range t.dispatcher.core.StoredJobs() {
+			own[id] = true
+		}
+	})
+	return self, own
+}
+
 // recordOrphans records since when scans have found jobs of each owner that is gone.
 func (t *takeover) recordOrphans(now time.Time, orphans map[jobstore.Owner][]jobstore.OpenJob) {
 	maps.DeleteFunc(t.orphanSince, func(owner jobstore.Owner, _ time.Time) bool { return len(orphans[owner]) == 0 })
--- a/e2e/kept_jobs_test.go
+++ b/e2e/kept_jobs_test.go
@@ -30,6 +30,10 @@
 	keptTasks   = 100
 	// absentLabel is a label that no minion has, until one reports it.
 	absentLabel = "absent"
+	// ordinaryJobs are the kept jobs of one task that ordinary callers submit before a crowd.
+	ordinaryJobs = 10
+	// adoptionLimit bounds the wait for the jobs of an entry that has ended.
+	adoptionLimit = time.Minute
 )
 
 // keptBody returns a kept job of steps steps with tasks tasks each. Each one runs on a
@@ -164,3 +168,52 @@
 		})
 	}
 }
+
+// TestUncontrolledClientsAdoptedJobs guards against kept jobs that end the entry that
+// adopts them, or are lost because it has no room for them.
+func TestUncontrolledClientsAdoptedJobs(t *testing.T) {
+	takeProcesses(t, 1)
+	s := startInstances(t, legalBody, smallEntry())
+	lost := s.dispatcher
+	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(t), "readyListen": freeAddress(t)}
+	s.dispatcher = s.start("dispatcher", addresses, smallEntry())
+	s.awaitJob()
+	memory := watchMemory(t, s.dispatcher)
+	owed := s.submitKept(lost, ordinaryJobs, 1<<40, keptBody(1, 1, absentLabel))
+	must.Len(t, ordinaryJobs, owed.accepted)
+	var left []string
+	for wave := range keptWaves {
+		crowd := s.submitKept(lost, keptClients, (wave+1)<<41, keptBody(keptSteps, keptTasks, absentLabel))
+		left = append(left, crowd.accepted...)
+	}
+	must.NoError(t, lost.command.Process.Kill())
+	s.checkServesBeside(memory, left)
+	own := s.submitKept(s.dispatcher, keptClients, 1<<50, keptBody(keptSteps, keptTasks, absentLabel))
+	s.checkServesBeside(memory, left)
+
+	s.cancelAll(s.dispatcher, own.accepted)
+	s.cancelAll(s.dispatcher, left)
+	s.reportLabel(absentLabel)
+	for _, id := range owed.accepted {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			_, _, state := s.request(s.dispatcher, http.MethodGet, id, "")
+			return state == "completed"
+		}), wait.Timeout(adoptionLimit), wait.Gap(200*time.Millisecond)))
+	}
+	memory.checkWithin(t, smallEntryMB)
+}
+
+// checkServesBeside checks that an entry stays within its machine while it adopts jobs of
+// another one, and that the jobs are known and an ordinary request is answered.
+func (s *instances) checkServesBeside(memory *memoryWatch, adopted []string) {
+	s.t.Helper()
+	time.Sleep(adoptionTime)
+	memory.process.settle(s.t)
+	memory.checkWithin(s.t, smallEntryMB)
+	s.checkKnown(memory.process, adopted)
+	s.awaitJob()
+}
+
+// adoptionTime is how long the entry is watched while it adopts jobs: longer than it takes
+// the lease of the lost entry to lapse and the jobs to be found.
+const adoptionTime = 15 * time.Second
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -33,6 +33,9 @@
 	// Write is the sequence number of the owner's write, so that the owner can
 	// recognise its own writes.
 	Write uint64 `json:"write"`
+	// Memory is the memory in bytes that the job takes at the entry that runs it; 0 if an
+	// earlier build has written the row.
+	Memory int64 `json:"memory,omitempty"`
 	// Parts is the number of rows into which the job as accepted is split; 0 for none.
 	Parts int `json:"parts,omitempty"`
 	// Done is the set of finished tasks.
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -114,14 +114,15 @@
 	return end, nil
 }
 
-// ListOpen returns all open jobs, and the number of rows that it skipped because
-// they don't decode.
-func (s *Store) ListOpen(ctx context.Context) (found []OpenJob, unreadable int, err error) {
+// EachOpen calls visit with each open job, and with the size of its row in bytes. It
+// returns the number of rows that it skipped because they don't decode. There may be many
+// jobs, so that visit should keep only what it needs.
+func (s *Store) EachOpen(ctx context.Context, visit func(job *OpenJob, rowBytes int)) (unreadable int, err error) {
 	for _, table := range s.tables {
 		for from := ""; ; {
 			page, err := table.List(ctx, openPrefix, from, listLimit)
 			if err != nil {
-				return nil, 0, Error.Wrap(err)
+				return 0, Error.Wrap(err)
 			}
 			for _, row := range page.Rows {
 				job, err := decodeOpen(work.JobID(row.Key[len(openPrefix):]), row)
@@ -129,7 +130,7 @@
 					unreadable++
 					continue
 				}
-				found = append(found, *job)
+				visit(job, len(row.Value))
 			}
 			if page.Next == "" {
 				break
@@ -137,5 +138,5 @@
 			from = page.Next
 		}
 	}
-	return found, unreadable, nil
+	return unreadable, nil
 }
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -221,7 +221,8 @@
 		}
 		wait.Wait()
 		f.injector.Set(fault.Settings{})
-		jobs, unreadable, err := f.store.ListOpen(t.Context())
+		var jobs []OpenJob
+		unreadable, err := f.store.EachOpen(t.Context(), func(job *OpenJob, _ int) { jobs = append(jobs, *job) })
 		must.NoError(t, err)
 		must.EqOp(t, 0, unreadable)
 		must.Len(t, 80, jobs)
