Bytes that nobody has read are bounded by smaller receive buffers

Callers saw: nothing yet; found by a test of crowds at all listeners at once.

Cause: a connection began with the system's receive buffer of 128 KB, also while it waited to be accepted, and 4,096 of them may wait at each listener.

Change: HTTP listeners ask for 16 KiB before they listen, and bound their queue by the connections that the guard admits. The test of a body after a pipelined request compares with that size, as its buffer is the first one.

--- a/common/connguard/httpconn.go
+++ b/common/connguard/httpconn.go
@@ -21,9 +21,6 @@
 	// pipelineBuffer is the size in bytes of the kernel's receive buffer for a client that
 	// sends a request before it has the answer to the one before.
 	pipelineBuffer = 4 << 10
-	// bodyBuffer is the size of that buffer after the answer. The kernel doubles it, which
-	// makes it as large as Linux has it at first. A body is read as it arrives.
-	bodyBuffer = 64 << 10
 	// headerTooLarge is the answer to a header that is too large.
 	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -130,7 +127,7 @@
 	c.headerBytes = 0
 	if c.pipelined {
 		c.pipelined = false
-		_ = c.SetReadBuffer(bodyBuffer)
+		_ = c.SetReadBuffer(receiveBuffer)
 	}
 	c.mu.Unlock()
 	c.endRequest()
--- a/common/connguard/httpconn_test.go
+++ b/common/connguard/httpconn_test.go
@@ -115,7 +115,7 @@
 		must.EqOp(t, http.StatusOK, answer.StatusCode)
 	}
 	<-sizes
-	must.GreaterEq(t, 2*bodyBuffer, <-sizes)
+	must.GreaterEq(t, 2*receiveBuffer, <-sizes)
 }
 
 // TestAnswerIsSentBeforeClientGivesWay guards against a finished job's answer that is lost
--- a/common/connguard/listener.go
+++ b/common/connguard/listener.go
@@ -7,11 +7,15 @@
 	"syscall"
 )
 
-// sendBuffer is the size in bytes that the kernel is asked for as the send buffer of an HTTP
-// connection, where answers stay that the client does not read. The kernel enlarges the
-// receive buffer only as fast as the process reads, so that it is only bounded for a client
-// that sends more before it has its answer (httpConn.limitReadAhead).
-const sendBuffer = 64 << 10
+// The sizes in bytes that the kernel is asked for as the buffers of an HTTP connection. It
+// doubles them. Unread bytes count as memory of the process.
+const (
+	// sendBuffer holds answers that the client does not read.
+	sendBuffer = 64 << 10
+	// receiveBuffer holds what the client sends and the process has not read, also before
+	// the connection is accepted.
+	receiveBuffer = 16 << 10
+)
 
 // listener accepts connections as clients of the guard.
 type listener struct {
@@ -25,7 +29,7 @@
 // ListenHTTP opens a listener for HTTP clients. name is its name in events. reserved means
 // that it may use the connections that are kept from callers and minions.
 func (g *Guard) ListenHTTP(address, name string, reserved bool) (net.Listener, error) {
-	return g.listen(net.ListenConfig{Control: limitSendBuffer}, address, &listener{
+	return g.listen(net.ListenConfig{Control: limitBuffers}, address, &listener{
 		name: name, reserved: reserved, wrap: func(t *tracked) net.Conn { return &httpConn{tracked: t} },
 	})
 }
@@ -42,16 +46,37 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if err := limitBacklog(open.(*net.TCPListener), g.limits.Connections); err != nil {
+		return nil, Error.Wrap(errors.Join(err, open.Close()))
+	}
 	created.Listener, created.guard = open, g
 	return created, nil
 }
 
-// limitSendBuffer sets the send buffer of a listener, which its connections inherit.
-func limitSendBuffer(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(descriptor uintptr) {
-		failure = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+// limitBuffers sets the buffers of a listener, which its connections inherit.
+func limitBuffers(_, _ string, raw syscall.RawConn) error {
+	return control(raw, func(descriptor int) error {
+		return errors.Join(
+			syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer),
+			syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+		)
 	})
+}
+
+// limitBacklog bounds the connections that wait until they are accepted. The runtime uses
+// the system's bound, and more than the guard admits would only be closed.
+func limitBacklog(open *net.TCPListener, connections int) error {
+	raw, err := open.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return control(raw, func(descriptor int) error { return syscall.Listen(descriptor, connections) })
+}
+
+// control calls set with the descriptor of a socket.
+func control(raw syscall.RawConn, set func(descriptor int) error) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) { failure = set(int(descriptor)) })
 	return errors.Join(err, failure)
 }
 
--- a/e2e/kept_jobs_test.go
+++ b/e2e/kept_jobs_test.go
@@ -85,14 +85,19 @@
 // request sends a request for a job on a connection of its own and returns the status, the
 // header and the job's state; 0 if there is no answer.
 func (s *instances) request(entry *instanceProcess, method, id, body string) (int, http.Header, string) {
+	return s.requestWithin(crowdLimit, entry, method, id, body)
+}
+
+// requestWithin is request for a client that waits for limit.
+func (s *instances) requestWithin(limit time.Duration, entry *instanceProcess, method, id, body string) (int, http.Header, string) {
 	url := "http://" + entry.listeners["callersListen"] + instancesPrefix + id
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, nil, ""
 	}
 	request.Host, request.Close = instancesHost, true
-	request.Header.Set("Deadline-Ms", fmt.Sprint(crowdLimit.Milliseconds()))
-	client := http.Client{Timeout: crowdLimit}
+	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	client := http.Client{Timeout: limit}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, ""
