Best-effort jobs that wait are bounded by memory

Callers saw: nothing yet; found by a test. An entry that has just started keeps best-effort jobs until it has met its sidecars.

Cause: each of them has an object for each of its up to 4,096 tasks, and only the connections bounded their number.

Change: a best-effort job that has to wait for a place counts against maxJobBytes and is refused without room: 503, Retry-After 1, job_memory.

--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -177,8 +177,17 @@
 		c.refuse(submission, job.route.Name, answer, plan.wait)
 		return
 	}
+	bytes := MemoryOf(&submission.Job) + taskStateBytes*int64(job.taskCount)
+	if !plan.complete && !c.memory.fitsNew(bytes) {
+		if plan.trial {
+			c.undoChoices(plan)
+		}
+		c.classLoad.Withdraw(admission)
+		c.refuse(submission, job.route.Name, Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, 0)
+		return
+	}
 	c.classLoad.Confirm(admission)
-	c.add(job, MemoryOf(&submission.Job)+taskStateBytes*int64(job.taskCount))
+	c.add(job, bytes)
 	c.recordDecision(Decision{Kind: DecidedAdmitted, Job: job.id, Request: submission.Request, Route: job.route.Name, Wait: plan.wait, Age: plan.age, Targets: len(c.candidates)})
 	if plan.complete || plan.trial {
 		c.sendStarts(now, job, plan)
