Tasks that need next to nothing are bounded by number

Callers saw: nothing yet; found by a test. After 300 jobs of 4,096 tasks of 0 CPU an entry refuses everything, as it opens no session with the sidecar.

Cause: any number of such tasks fits a minion, so that an entry sent a million of them to one sidecar; the claims of the next session were too many for the time that it may take. Plans of wide jobs took seconds beside it.

Change: a task counts for at least 1/256 of its minion's CPU, and a sidecar gets at most 768 tasks of an entry at a time. Pending starts of a request count together, with the same expected waits, and the tasks of a limited step are counted once a plan.

--- a/decision/execution/claims.go
+++ b/decision/execution/claims.go
@@ -40,7 +40,7 @@
 	if run.entry == "" {
 		run.entry = entry
 		run.route = claim.Route
-		run.need = claim.Need
+		run.need = c.minion.Occupied(claim.Need)
 		run.needKnown = true
 		run.estimate = claim.Estimate
 		run.jobStored = claim.Stored
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -84,7 +84,7 @@
 		entry:      entry,
 		route:      task.Route,
 		spec:       spec,
-		need:       task.Need,
+		need:       c.minion.Occupied(task.Need),
 		needKnown:  true,
 		estimate:   task.Estimate,
 		jobStored:  task.Stored,
@@ -114,7 +114,7 @@
 // runs that are due before it.
 func (c *Core) expectedWait(now time.Time, task *session.StartTask) time.Duration {
 	queuedBy := now.Add(task.QueueSlack())
-	shortfall := task.Need.Sub(c.free()).MilliCPU
+	shortfall := c.minion.Occupied(task.Need).Sub(c.free()).MilliCPU
 	for _, queued := range c.queue {
 		if queued.queuedBy.Before(queuedBy) {
 			shortfall += queued.need.MilliCPU
--- a/decision/heldjob/core_test.go
+++ b/decision/heldjob/core_test.go
@@ -96,6 +96,7 @@
 			must.MapContainsKey(f.t, f.core.jobs, key.Job)
 			must.EqOp(f.t, name, task.sidecar)
 		}
+		must.EqOp(f.t, len(sidecar.placed), sidecar.candidate.Tasks)
 		placed += len(sidecar.placed)
 	}
 	for _, job := range f.core.jobs {
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -32,6 +32,9 @@
 	allowed func(sidecar string) bool
 	// blockedSteps is the number of steps of a stored job that no minion may run.
 	blockedSteps int
+	// limitedSteps has the number of tasks at each sidecar for the steps of which a minion
+	// may run few.
+	limitedSteps map[int]map[string]int
 	// chosenSidecars holds the names of the sidecars chosen so far.
 	chosenSidecars map[string]bool
 }
@@ -108,6 +111,9 @@
 	if !ok {
 		planned.unplaced = append(planned.unplaced, plannedTask{task: task, choice: choice})
 		planned.reason = ReasonNoTargets
+		if choice.Full {
+			planned.reason = ReasonOverload
+		}
 		return false
 	}
 	planned.wait = max(planned.wait, choice.Wait)
@@ -144,20 +150,28 @@
 	if limit == 0 {
 		return nil
 	}
-	return func(name string) bool {
-		count := 0
-		for key := range c.sidecars[name].placed {
-			if key.Job == job.id && key.Step == step {
-				count++
-			}
-		}
-		for _, chosen := range planned.choices {
-			if chosen.task.step == step && chosen.choice.Candidate.Name == name {
-				count++
-			}
+	counts := planned.stepCounts(job, step)
+	return func(name string) bool { return counts[name] >= limit }
+}
+
+// stepCounts returns the number of tasks of a step at each sidecar, including the planned
+// ones.
+func (p *plan) stepCounts(job *job, step int) map[string]int {
+	if p.limitedSteps == nil {
+		p.limitedSteps = make(map[int]map[string]int)
+	}
+	counts, ok := p.limitedSteps[step]
+	if ok {
+		return counts
+	}
+	counts = make(map[string]int)
+	for _, task := range job.tasks.states {
+		if task.step == step && task.sidecar != "" {
+			counts[task.sidecar]++
 		}
-		return count >= limit
 	}
+	p.limitedSteps[step] = counts
+	return counts
 }
 
 // addChoice adds a choice to a plan and counts it as sent to the sidecar.
@@ -169,7 +183,11 @@
 		numbers[chosen] = number
 	}
 	chosen.candidate.AddPending(number, wanted)
+	chosen.candidate.Tasks++
 	planned.choices = append(planned.choices, plannedTask{task, choice, chosen, number})
+	if counts, limited := planned.limitedSteps[task.step]; limited {
+		counts[choice.Candidate.Name]++
+	}
 	planned.chosenSidecars[choice.Candidate.Name] = true
 }
 
@@ -178,6 +196,7 @@
 func (c *Core) undoChoices(planned plan) {
 	for _, chosen := range planned.choices {
 		chosen.sidecar.candidate.RemovePending(chosen.number)
+		chosen.sidecar.candidate.Tasks--
 	}
 }
 
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -162,6 +162,7 @@
 // unassign makes a task unplaced after its run ended or was never started.
 func (c *Core) unassign(sidecar *sidecar, job *job, placed *task) {
 	delete(sidecar.placed, placed.key)
+	sidecar.candidate.Tasks--
 	placed.phase = phaseUnplaced
 	placed.sidecar = ""
 	placed.beginsAt = time.Time{}
@@ -226,6 +227,7 @@
 		name := task.sidecar
 		sidecar := c.sidecars[name]
 		delete(sidecar.placed, task.key)
+		sidecar.candidate.Tasks--
 		task.phase = phaseStopped
 		task.sidecar = ""
 		if !stopped[name] && sidecar.connected {
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -181,6 +181,9 @@
 	choice, ok := c.chooser.Choose(c.candidates, wanted, avoided)
 	if !ok {
 		planned.unplaced = append(planned.unplaced, plannedTask{task: task, choice: choice})
+		if choice.Full {
+			return placementNoRoom
+		}
 		return placementNoMinion
 	}
 	if choice.Wait > storedMaxExpectedWait {
--- a/decision/placement/assess.go
+++ b/decision/placement/assess.go
@@ -27,6 +27,7 @@
 	ExcludedAtLimit  Exclusion = "step_limit"
 	ExcludedSuspect  Exclusion = "suspect"
 	ExcludedSize     Exclusion = "size"
+	ExcludedFull     Exclusion = "full"
 )
 
 // Assessment says how well a candidate suits a task.
@@ -80,7 +81,8 @@
 	if exclusion := c.exclusion(candidate, task); exclusion != NotExcluded {
 		return Assessment{Exclusion: exclusion}
 	}
-	assessed := Assessment{Wait: candidate.expectedWait(task.Need, task.QueueSlack())}
+	need := candidate.State.Minion.Occupied(task.Need)
+	assessed := Assessment{Wait: candidate.expectedWait(need, task.QueueSlack())}
 	if task.JobSidecars[candidate.Name] {
 		// The tasks of one job don't wait for each other's pause.
 		assessed.Wait = max(assessed.Wait-task.Pause, 0)
@@ -110,6 +112,8 @@
 		return ExcludedSuspect
 	case !state.Minion.Capacity.Fits(task.Need):
 		return ExcludedSize
+	case candidate.Tasks >= maxTasks:
+		return ExcludedFull
 	}
 	return NotExcluded
 }
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -16,6 +16,9 @@
 	State session.State
 	// StateAt is the time at which State was received.
 	StateAt time.Time
+	// Tasks is the number of tasks that the sidecar has or may have from this entry, those
+	// of plans included.
+	Tasks int
 	// trialDueSince is when State first told of the trial that is due now; zero if
 	// none is due.
 	trialDueSince time.Time
@@ -31,6 +34,9 @@
 	Interference interference.Report
 }
 
+// maxTasks bounds Tasks: a sidecar has no more that run or wait there.
+const maxTasks = 768
+
 // failedTrialDelay is how long a trial of a suspect minion has to be due, for each
 // failed run of the task, before the task may be the trial task. Tasks with fewer
 // failed runs come first, also those of other entries.
@@ -45,11 +51,13 @@
 	return c.StateAt.Sub(c.trialDueSince) >= time.Duration(failures)*failedTrialDelay
 }
 
-// pendingStart is the start of one task, sent or planned to be sent in the
+// pendingStart is the start of tasks of one kind, sent or planned to be sent in the
 // StartRequest of requestNumber.
 type pendingStart struct {
 	requestNumber uint64
-	need          work.Resources
+	// need is what each of the count tasks takes.
+	need  work.Resources
+	count int64
 	// slack is the time until the latest start time by which the task is queued.
 	slack time.Duration
 	// pause is the time for which the task keeps its minion from starting others.
@@ -58,9 +66,33 @@
 	kind int
 }
 
+// total returns what all the tasks take.
+func (s *pendingStart) total() work.Resources { return s.need.Times(s.count) }
+
+// countWithin returns how many of the tasks start while at most milliCPU is taken before
+// each of them.
+func (s *pendingStart) countWithin(milliCPU int64) int64 {
+	switch {
+	case milliCPU < 0:
+		return 0
+	case s.need.MilliCPU <= 0:
+		return s.count
+	}
+	return min(s.count, milliCPU/s.need.MilliCPU+1)
+}
+
 // AddPending records the start of the task in the StartRequest of requestNumber.
 func (c *Candidate) AddPending(requestNumber uint64, task *Task) {
-	c.pending = append(c.pending, pendingStart{requestNumber, task.Need, task.QueueSlack(), task.Pause, task.Kind})
+	added := pendingStart{requestNumber, c.State.Minion.Occupied(task.Need), 1, task.QueueSlack(), task.Pause, task.Kind}
+	if last := len(c.pending) - 1; last >= 0 {
+		added.count = c.pending[last].count
+		if added == c.pending[last] {
+			c.pending[last].count++
+			return
+		}
+		added.count = 1
+	}
+	c.pending = append(c.pending, added)
 }
 
 // Update sets a newer state and drops the pending starts that it takes account
@@ -98,7 +130,7 @@
 func (c *Candidate) freeAfterPending() work.Resources {
 	free := c.State.Free
 	for _, start := range c.pending {
-		free = free.Sub(start.need)
+		free = free.Sub(start.total())
 	}
 	return free
 }
@@ -115,9 +147,11 @@
 	missing := need.Sub(c.State.Free).MilliCPU + c.State.Queued.Ahead(slack)
 	pause := c.State.StartPause + c.pendingPause()
 	for _, start := range c.pending {
-		if start.slack <= slack || missing+c.State.Queued.Total() <= 0 {
-			missing += start.need.MilliCPU
+		count := start.count
+		if start.slack > slack {
+			count = start.countWithin(-missing - c.State.Queued.Total())
 		}
+		missing += start.need.MilliCPU * count
 	}
 	if missing <= 0 {
 		return pause
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -93,6 +93,8 @@
 	// AwaitsTrial means that no candidate may get the task, but that one could if its minion
 	// were not suspect.
 	AwaitsTrial bool
+	// Full means that no candidate may get the task, but that one could if it had fewer.
+	Full bool
 	// Assessed holds the candidates that were compared if Chooser.Explained was above 0.
 	Assessed []Assessed
 }
@@ -143,7 +145,7 @@
 func (c *Chooser) chooseAmong(candidates []*Candidate, task *Task, avoided map[string]bool) (Choice, bool) {
 	best, bestRank, found := Choice{}, rank{}, false
 	var compared []Assessed
-	suspect := false
+	suspect, full := false, false
 	unseparated, unseparatedRank := (*Candidate)(nil), rank{}
 	for _, candidate := range candidates {
 		assessed := c.Assess(candidate, task, avoided[candidate.Name])
@@ -152,6 +154,7 @@
 		}
 		if assessed.Exclusion != NotExcluded {
 			suspect = suspect || assessed.Exclusion == ExcludedSuspect
+			full = full || assessed.Exclusion == ExcludedFull
 			continue
 		}
 		cost := assessed.Costs.Total()
@@ -164,6 +167,7 @@
 	}
 	best.Assessed = compared
 	best.AwaitsTrial = !found && suspect
+	best.Full = !found && full
 	best.KeptApart = best.Candidate != unseparated
 	return best, found
 }
--- a/decision/placement/interference.go
+++ b/decision/placement/interference.go
@@ -41,7 +41,7 @@
 		add(candidate.Interference.Kind(load.Kind), load.MilliCPU)
 	}
 	for i := range candidate.pending {
-		add(candidate.pending[i].kind, candidate.pending[i].need.MilliCPU)
+		add(candidate.pending[i].kind, candidate.pending[i].total().MilliCPU)
 	}
 	if task.Kind >= 0 && seen&(1<<task.Kind) != 0 {
 		others *= furtherTaskShare
--- a/e2e/widejobs_test.go
+++ b/e2e/widejobs_test.go
@@ -5,11 +5,14 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
 
 const (
+	// crowdAnswer is how long clients wait for the end of their job.
+	crowdAnswer = 5 * time.Second
 	// wideTasks is the number of tasks of the widest job.
 	wideTasks = 4096
 )
@@ -37,3 +40,28 @@
 	s.checkBounds(s.dispatcher, 0)
 	memory.checkWithin(t, smallEntryMB)
 }
+
+// TestUncontrolledClientsTinyTasks guards against an entry and a sidecar that outgrow the
+// smallest machines on tasks that need next to nothing, of which a minion has room for many.
+func TestUncontrolledClientsTinyTasks(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		bestEffort bool
+	}{{"best-effort jobs", true}, {"kept jobs", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startInstances(t, crowdBody, smallSidecar())
+			entry, sidecar := watchMemory(t, s.dispatcher), watchMemory(t, s.executor)
+			body := fmt.Sprintf(`{"spec":"{\"work_ms\":1000}","best_effort":%t,"steps":[{"count":%d,"cpu":0,"est_ms":1000}]}`, tc.bestEffort, wideTasks)
+			var done sync.WaitGroup
+			for i := range waveClients {
+				done.Go(func() {
+					s.requestWithin(crowdAnswer, s.dispatcher, http.MethodPost, fmt.Sprintf("%016x", 1<<32+i), body)
+				})
+			}
+			done.Wait()
+			s.checkBounds(s.executor, 0)
+			sidecar.checkWithin(t, smallSidecarMB)
+			entry.checkWithin(t, smallEntryMB)
+		})
+	}
+}
--- a/work/resources.go
+++ b/work/resources.go
@@ -20,6 +20,11 @@
 	return Resources{r.MilliCPU - other.MilliCPU, r.MemMB - other.MemMB, r.GPUs - other.GPUs}
 }
 
+// Times returns r count times, field by field.
+func (r Resources) Times(count int64) Resources {
+	return Resources{r.MilliCPU * count, r.MemMB * count, r.GPUs * count}
+}
+
 // Fits reports whether r is sufficient for need.
 func (r Resources) Fits(need Resources) bool {
 	return need.MilliCPU <= r.MilliCPU && need.MemMB <= r.MemMB && need.GPUs <= r.GPUs
