--- a/e2e/kept_jobs_test.go
+++ b/e2e/kept_jobs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -222,3 +223,35 @@
 // adoptionTime is how long the entry is watched while it adopts jobs: longer than it takes
 // the lease of the lost entry to lapse and the jobs to be found.
 const adoptionTime = 15 * time.Second
+
+// TestUncontrolledClientsRunningJobs guards against an entry and a sidecar that outgrow the
+// smallest machines on kept jobs that run, are asked for and cancelled, and whose entry is
+// lost while clients stop short of the end of their bodies at its successor.
+func TestUncontrolledClientsRunningJobs(t *testing.T) {
+	takeProcesses(t, 1)
+	s := startInstances(t, crowdBody, smallSidecar())
+	lost := s.dispatcher
+	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(t), "readyListen": freeAddress(t)}
+	s.dispatcher = s.start("dispatcher", addresses, smallEntry())
+	s.awaitJob()
+	entry, sidecar := watchMemory(t, s.dispatcher), watchMemory(t, s.executor)
+	left := s.submitKept(lost, keptClients, 1<<41, keptBody(keptSteps, keptTasks, ""))
+	own := s.submitKept(s.dispatcher, keptClients, 1<<42, keptBody(keptSteps, keptTasks, ""))
+	for i, id := range own.accepted {
+		if i%completeShare == 0 {
+			s.request(s.dispatcher, http.MethodDelete, id, "")
+		}
+	}
+	must.NoError(t, lost.command.Process.Kill())
+	newCrowd(t).sendWaves(s.dispatcher.listeners["callersListen"], instancesPrefix, keptBody(keptSteps, keptTasks, ""), crowdBody)
+	time.Sleep(adoptionTime)
+	entry.checkWithin(t, smallEntryMB)
+	sidecar.checkWithin(t, smallSidecarMB)
+	for i, id := range slices.Concat(left.accepted, own.accepted) {
+		status, _, _ := s.request(s.dispatcher, http.MethodGet, id, "")
+		must.EqOp(t, http.StatusOK, status, must.Sprint(i))
+	}
+	must.Positive(t, s.submit())
+	entry.checkWithin(t, smallEntryMB)
+	sidecar.checkWithin(t, smallSidecarMB)
+}
