--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -95,9 +95,7 @@
 // TestUncontrolledClientsEachListener guards against a process that outgrows the smallest
 // machine on bytes that none of its listeners has asked for.
 func TestUncontrolledClientsEachListener(t *testing.T) {
-	for _, tc := range append(httpListeners[:len(httpListeners):len(httpListeners)], []struct{ role, listener string }{
-		{"dispatcher", "rpcListen"}, {"executor", "rpcListen"},
-	}...) {
+	for _, tc := range allListeners() {
 		t.Run(tc.role+" "+tc.listener, func(t *testing.T) {
 			s := startInstances(t, crowdBody, smallSidecar())
 			process, address := s.target(tc.role, tc.listener)
@@ -123,12 +121,8 @@
 // requests for the number of pending jobs, for which it reads all open jobs while another
 // entry doesn't answer.
 func TestUncontrolledClientsPendingCounts(t *testing.T) {
-	takeProcesses(t, 1)
 	s := startInstances(t, crowdBody, smallEntry())
-	lost := s.dispatcher
-	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(t), "readyListen": freeAddress(t)}
-	s.dispatcher = s.start("dispatcher", addresses, smallEntry())
-	s.awaitJob()
+	lost := s.startSuccessor(smallEntry())
 	memory := watchMemory(t, s.dispatcher)
 	for wave := range keptWaves {
 		s.submitKept(lost, keptClients, (wave+1)<<41, keptBody(1, keptTasks, absentLabel))
--- a/e2e/kept_jobs_test.go
+++ b/e2e/kept_jobs_test.go
@@ -141,6 +141,18 @@
 	}
 }
 
+// startSuccessor starts one more entry, which is s.dispatcher from now on, and returns the
+// one before.
+func (s *instances) startSuccessor(extra map[string]any) *instanceProcess {
+	s.t.Helper()
+	takeProcesses(s.t, 1)
+	before := s.dispatcher
+	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(s.t), "readyListen": freeAddress(s.t)}
+	s.dispatcher = s.start("dispatcher", addresses, extra)
+	s.awaitJob()
+	return before
+}
+
 // smallEntry are the settings of the smallest machine of an entry.
 func smallEntry() map[string]any {
 	return map[string]any{"memoryMB": float64(smallEntryMB), "maxDescriptors": machineDescriptors}
@@ -178,12 +190,8 @@
 // TestUncontrolledClientsAdoptedJobs guards against kept jobs that end the entry that
 // adopts them, or are lost because it has no room for them.
 func TestUncontrolledClientsAdoptedJobs(t *testing.T) {
-	takeProcesses(t, 1)
 	s := startInstances(t, legalBody, smallEntry())
-	lost := s.dispatcher
-	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(t), "readyListen": freeAddress(t)}
-	s.dispatcher = s.start("dispatcher", addresses, smallEntry())
-	s.awaitJob()
+	lost := s.startSuccessor(smallEntry())
 	memory := watchMemory(t, s.dispatcher)
 	owed := s.submitKept(lost, ordinaryJobs, 1<<40, keptBody(1, 1, absentLabel))
 	must.Len(t, ordinaryJobs, owed.accepted)
@@ -228,12 +236,8 @@
 // smallest machines on kept jobs that run, are asked for and cancelled, and whose entry is
 // lost while clients stop short of the end of their bodies at its successor.
 func TestUncontrolledClientsRunningJobs(t *testing.T) {
-	takeProcesses(t, 1)
 	s := startInstances(t, crowdBody, smallSidecar())
-	lost := s.dispatcher
-	addresses := map[string]any{"name": "successor", "callersListen": freeAddress(t), "readyListen": freeAddress(t)}
-	s.dispatcher = s.start("dispatcher", addresses, smallEntry())
-	s.awaitJob()
+	lost := s.startSuccessor(smallEntry())
 	entry, sidecar := watchMemory(t, s.dispatcher), watchMemory(t, s.executor)
 	left := s.submitKept(lost, keptClients, 1<<41, keptBody(keptSteps, keptTasks, ""))
 	own := s.submitKept(s.dispatcher, keptClients, 1<<42, keptBody(keptSteps, keptTasks, ""))
--- a/e2e/uncontrolled_clients_test.go
+++ b/e2e/uncontrolled_clients_test.go
@@ -149,12 +149,20 @@
 	return s.dispatcher, s.dispatcher.listeners[listener]
 }
 
+// roleListener is a listener of a role by the name of its setting.
+type roleListener struct{ role, listener string }
+
 // httpListeners are the listeners of HTTP that a client or a minion reaches.
-var httpListeners = []struct{ role, listener string }{
+var httpListeners = []roleListener{
 	{"dispatcher", "callersListen"}, {"dispatcher", "readyListen"}, {"dispatcher", "statusListen"},
 	{"executor", "reportsListen"}, {"executor", "statusListen"},
 }
 
+// allListeners are all that a stranger reaches.
+func allListeners() []roleListener {
+	return append(slices.Clone(httpListeners), roleListener{"dispatcher", "rpcListen"}, roleListener{"executor", "rpcListen"})
+}
+
 // TestUncontrolledClientsHeaders guards against a process that outgrows its machine on
 // headers without an end.
 func TestUncontrolledClientsHeaders(t *testing.T) {
@@ -178,9 +186,7 @@
 func TestUncontrolledClientsConnections(t *testing.T) {
 	idle := "GET /-/none HTTP/1.1\r\nHost: " + instancesHost + "\r\n\r\n"
 	unauthenticated := "figring/1\n"
-	for _, tc := range append(httpListeners[:len(httpListeners):len(httpListeners)], []struct{ role, listener string }{
-		{"dispatcher", "rpcListen"}, {"executor", "rpcListen"},
-	}...) {
+	for _, tc := range allListeners() {
 		t.Run(tc.role+" "+tc.listener, func(t *testing.T) {
 			s := startInstances(t, legalBody, nil)
 			process, address := s.target(tc.role, tc.listener)
