connguard stands beside the roles, not below the decisions

common/ is the ground floor: nothing there imports decision/. connguard goes by decision/intake, so that it moves to the root. No code changes but its path.

--- a/instance/clients.go
+++ b/instance/clients.go
@@ -7,9 +7,9 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/figring/figring/common/connguard"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/metrics"
+	"github.com/figring/figring/connguard"
 	"github.com/figring/figring/decision/intake"
 	"github.com/figring/figring/manifest"
 )
--- a/instance/dispatcher.go
+++ b/instance/dispatcher.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/figring/figring/common/connguard"
+	"github.com/figring/figring/connguard"
 	"github.com/figring/figring/dispatcher"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/platform/front"
--- a/instance/executor.go
+++ b/instance/executor.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/figring/figring/common/connguard"
+	"github.com/figring/figring/connguard"
 	"github.com/figring/figring/executor"
 	"github.com/figring/figring/platform/beats"
 	"github.com/figring/figring/platform/minions"
--- a/instance/shared.go
+++ b/instance/shared.go
@@ -13,10 +13,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/figring/figring/common/connguard"
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/metrics"
 	"github.com/figring/figring/common/pause"
+	"github.com/figring/figring/connguard"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/platform/front"
 	"github.com/figring/figring/platform/rows"
--- a/where/handler.go
+++ b/where/handler.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 
-	"github.com/figring/figring/common/connguard"
+	"github.com/figring/figring/connguard"
 	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/manifest"
 	"github.com/figring/figring/platform/front"
