Counts of pending jobs share one read of the job store

Callers saw: nothing yet; a test failed once beside a load of 30. While an entry is gone, clients that ask for the number of pending jobs keep the table so busy that no kept job is accepted.

Cause: each request read all open jobs of the system, as many at a time as clients asked.

Change: requests that come during such a read share its result.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -118,6 +118,8 @@
 	links      *links
 	manifests  *manifestFetcher
 	storedJobs *storedJobs
+	// pendingReads counts pending jobs in the job store.
+	pendingReads pendingReads
 
 	// nextClassReport is when the metrics of the classes are due. Only the loop accesses
 	// it.
--- a/dispatcher/pending.go
+++ b/dispatcher/pending.go
@@ -24,7 +24,7 @@
 		count += counted.scan.pending[route]
 	}
 	if !counted.complete() {
-		count += d.storedPending(ctx, route, &counted)
+		count += d.storedPending(route, &counted)
 	}
 	return count
 }
@@ -58,18 +58,12 @@
 
 // storedPending counts the stored jobs that are not counted yet. Some of them may have
 // started since their progress was stored.
-func (d *Dispatcher) storedPending(ctx context.Context, route string, counted *pendingCount) int {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
+func (d *Dispatcher) storedPending(route string, counted *pendingCount) int {
 	count := 0
-	_, err := d.deps.Jobs.EachOpen(ctx, func(job *jobstore.OpenJob, _ int) {
-		if job.Progress.Route == route && !job.Progress.Begun() && !counted.includes(job.Progress.Owner) {
-			count++
+	for pending, jobs := range d.pendingReads.read(d) {
+		if pending.route == route && !counted.includes(pending.owner) {
+			count += jobs
 		}
-	})
-	if err != nil {
-		d.storedJobs.writeFailed(err)
-		return 0
 	}
 	return count
 }
