--- a/settings/instance_test.go
+++ b/settings/instance_test.go
@@ -39,6 +39,7 @@
 		{"few bytes", `"maxBodyBytesInFlight": 0`, `"maxBodyBytesInFlight": 100`, "maxBodyBytesInFlight"},
 		{"fewer bytes than a submission", `"maxBodyBytesInFlight": 0`, `"maxBodyBytesInFlight": 262143`, "maxBodyBytesInFlight"},
 		{"few connections", `"maxConnections": 0`, `"maxConnections": 3`, "maxConnections"},
+		{"fewer bytes than a job", `"maxJobBytes": 0`, `"maxJobBytes": 8388607`, "maxJobBytes"},
 		{"short time", `"bodyTimeout": "10s"`, `"bodyTimeout": "1ms"`, "bodyTimeout"},
 		{"table without a port", `"127.0.0.1:8500"`, `"127.0.0.1"`, "table"},
 	}
@@ -56,6 +57,18 @@
 	must.EqOp(t, "minion", settingErr.Field)
 }
 
+// TestJobBytes guards against a memory for jobs that is not that of the machine.
+func TestJobBytes(t *testing.T) {
+	for _, tc := range []struct {
+		memoryMB float64
+		set      int64
+		want     int64
+	}{{0, 0, 32_000_000}, {144, 0, 18_000_000}, {32, 0, minJobBytes}, {4000, 0, maxDefaultJobBytes}, {144, 9 << 20, 9 << 20}} {
+		loaded := DispatcherSettings{InstanceSettings: InstanceSettings{ClientLimits: ClientLimits{MemoryMB: tc.memoryMB}}, MaxJobBytes: tc.set}
+		must.EqOp(t, tc.want, loaded.JobBytes())
+	}
+}
+
 // TestClientLimits guards against a memory that is not a whole number and is rejected, or
 // lost, against a report that can never be received, and against more connections than the
 // process may open files.
