--- a/decision/heldjob/jobmemory_test.go
+++ b/decision/heldjob/jobmemory_test.go
@@ -129,3 +129,22 @@
 	f.core.blockedSteps = 10_000
 	must.EqOp(t, 10_000*blockedStepInterval, f.core.noMinionRetry())
 }
+
+// TestWaitingBestEffortJobsAreBounded guards against best-effort jobs that fill the memory
+// while an entry that has just started meets its sidecars.
+func TestWaitingBestEffortJobsAreBounded(t *testing.T) {
+	f := newFixture(t, 0)
+	f.core.SetJobMemory(8 << 20)
+	refused := 0
+	for i := range 20 {
+		waiter := f.submit(fmt.Sprint(i), work.MaxTasks)
+		if answer, ok := f.replies[waiter]; ok {
+			must.EqOp(t, Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, answer)
+			refused++
+		}
+	}
+	must.Between(t, 10, refused, 19)
+	must.LessEq(t, 8<<20, f.core.JobMemory())
+	f.core.GiveUpAll(ReasonDraining)
+	must.Zero(t, f.core.JobMemory())
+}
--- a/decision/heldjob/storedsubmit.go
+++ b/decision/heldjob/storedsubmit.go
@@ -54,7 +54,7 @@
 		return Answer{Outcome: Refused, Reason: ReasonTooManyJobs, RetryAfter: minRetryAfter}, 0
 	}
 	if !c.memory.fitsNew(MemoryOf(&submitted)) {
-		return Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, 0
+		return jobMemoryAnswer, 0
 	}
 	if wait, late := c.storedOverload(now, submitted, route); late {
 		return Answer{Outcome: Refused, Reason: ReasonOverload, RetryAfter: max(minRetryAfter, wait)}, wait
--- a/decision/heldjob/submit.go
+++ b/decision/heldjob/submit.go
@@ -183,7 +183,7 @@
 			c.undoChoices(plan)
 		}
 		c.classLoad.Withdraw(admission)
-		c.refuse(submission, job.route.Name, Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}, 0)
+		c.refuse(submission, job.route.Name, jobMemoryAnswer, 0)
 		return
 	}
 	c.classLoad.Confirm(admission)
@@ -194,6 +194,9 @@
 	}
 }
 
+// jobMemoryAnswer is the answer to a job for which there is no memory.
+var jobMemoryAnswer = Answer{Outcome: Refused, Reason: ReasonJobMemory, RetryAfter: minRetryAfter}
+
 // hopeless returns the answer to a new best-effort job that is of no use to place; its
 // Outcome is 0 for any other.
 func (c *Core) hopeless(now time.Time, job *job) Answer {
