--- a/decision/heldjob/jobtasks.go
+++ b/decision/heldjob/jobtasks.go
@@ -9,7 +9,7 @@
 
 // jobTasks are the tasks of a job. A job may have thousands of tasks, and an entry many
 // jobs that wait, so that a task of a stored job has state only from its first run until
-// it is done.
+// it is done. All tasks of a best-effort job, which doesn't wait for long, have state.
 type jobTasks struct {
 	// states are the tasks with state, in the order of their keys.
 	states []*task
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -34,7 +34,8 @@
 	Interference interference.Report
 }
 
-// maxTasks bounds Tasks: a sidecar has no more that run or wait there.
+// maxTasks bounds Tasks. It is the sum of the 256 tasks that a minion runs at a time
+// (session.Minion.Occupied) and the 512 that wait at its sidecar (execution.maxQueued).
 const maxTasks = 768
 
 // failedTrialDelay is how long a trial of a suspect minion has to be due, for each
