--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -23,10 +23,11 @@
 type scenario func(binary string, record *record, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"old-end":    oldEnd,
-	"zone-cut":   zoneCut,
-	"notice":     notice,
-	"queue-head": queueHead,
+	"old-end":     oldEnd,
+	"zone-cut":    zoneCut,
+	"notice":      notice,
+	"queue-head":  queueHead,
+	"cancel-race": cancelRace,
 }
 
 func main() {
