--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -27,6 +27,7 @@
 	"zone-cut":    zoneCut,
 	"notice":      notice,
 	"queue-head":  queueHead,
+	"two-ends":    twoEnds,
 	"cancel-race": cancelRace,
 }
 
