An end answers only the order that it belongs to: epochs of stored jobs

Callers saw tasks run again after an end `done` that was noted later: the owner of a kept job is cut off from a sidecar that holds the end, has the task run elsewhere, where it fails, and orders it once more at that sidecar, which answers with the end that it holds.

Cause: a sidecar gave a kept end to whoever ordered or claimed the task, or took its job over, however often the task had been started since. Age can't tell: at a takeover every end is old and nearly all are good.

Change: a stored job has an epoch in its row. The owner stores the next one before a task is started again of whose former run it knows no end; so does an adopter that has not heard of all sidecars. Orders, claims and ends carry the epoch. An end of an earlier one answers nothing and is let go of after a lapse of the lease; a current one is released without a lapse at any age.

TestLostSidecarDelaysStoredTasks asks for the write of the epoch before the start: stricter, since that write is what the change adds.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -34,6 +34,7 @@
 	KindSession            Kind = "session"
 	KindResources          Kind = "room"
 	KindDisowned           Kind = "disowned"
+	KindEpochBegun         Kind = "epoch_begun"
 	KindEndUncertain       Kind = "end_doubtful"
 	KindPoison             Kind = "poison"
 	KindYields             Kind = "yields"
@@ -94,4 +95,5 @@
 	FieldRatio          = "ratio"
 	FieldSlowed         = "slowed"
 	FieldBeside         = "beside"
+	FieldEpoch          = "epoch"
 )
--- a/decision/execution/adopt.go
+++ b/decision/execution/adopt.go
@@ -22,6 +22,12 @@
 	if ok && !inTouch {
 		c.dropEnds(now, request.Owner)
 	}
+	for _, end := range request.ConfirmedEnds {
+		c.releaseConfirmedOrphan(end)
+	}
+	for _, end := range request.SupersededEnds {
+		c.releaseSupersededOrphan(end)
+	}
 	for _, end := range request.StoredEnds {
 		c.markStored(end.Task)
 		c.releaseStoredOrphan(now, end, request.Adopter)
@@ -50,7 +56,7 @@
 	for task, o := range c.orphans {
 		if wanted[task.Job] {
 			o.storedUnknown = false
-			addEnd(&reply, session.TaskEnd{Task: task, End: o.end, Attempt: o.attempt}, o.checkpoint)
+			addEnd(&reply, o.taskEnd(), o.checkpoint)
 			o.recordReport(now, request.Adopter)
 			c.orphans[task] = o
 		}
@@ -59,7 +65,7 @@
 		if wanted[pending.task.Job] && pending.entry == request.Owner && !successor {
 			pending.reportedTo = addName(pending.reportedTo, request.Adopter)
 			c.ends[sequence] = pending
-			addEnd(&reply, session.TaskEnd{Task: pending.task, End: pending.end, Attempt: pending.attempt}, pending.checkpoint)
+			addEnd(&reply, session.TaskEnd{Task: pending.task, End: pending.end, Attempt: pending.attempt, Epoch: pending.epoch}, pending.checkpoint)
 		}
 	}
 	return reply
--- a/decision/execution/claims.go
+++ b/decision/execution/claims.go
@@ -23,6 +23,11 @@
 }
 
 func (c *Core) resolveClaim(now time.Time, entry string, claim session.Claim) {
+	// An entry of an earlier build and one with a best-effort job claim without an epoch. They
+	// are told what is here.
+	if claim.Epoch != session.UnknownEpoch {
+		c.voidSuperseded(now, claim.Task, claim.Epoch)
+	}
 	if c.hasEvent(entry, claim.Task) || c.claimOrphan(entry, claim.Task, claim.Attempt) {
 		return
 	}
@@ -43,6 +48,7 @@
 		run.need = c.minion.Occupied(claim.Need)
 		run.needKnown = true
 		run.estimate = claim.Estimate
+		run.epoch = claim.Epoch
 		run.jobStored = claim.Stored
 	}
 }
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -108,6 +108,8 @@
 	end   work.End
 	// attempt is the attempt at the task that ended.
 	attempt int
+	// epoch is that of the order of the run; session.UnknownEpoch if it is not known.
+	epoch session.Epoch
 	// checkpoint is the newest checkpoint of the task; empty for none.
 	checkpoint work.Checkpoint
 	// durable means that the end is kept when its entry is forgotten.
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -80,9 +80,9 @@
 	event := c.finish(run, reported, took)
 	switch {
 	case event != 0:
-		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, attempt: attemptOf(run.number), checkpoint: run.checkpoint, durable: run.jobStored, listedAt: now}
+		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, attempt: attemptOf(run.number), epoch: run.epoch, checkpoint: run.checkpoint, durable: run.jobStored, listedAt: now}
 	case run.jobStored || !run.needKnown:
-		c.keepOrphan(now, orphan{task: run.task, end: reported, attempt: attemptOf(run.number), checkpoint: run.checkpoint, sequence: end.Sequence, endedAt: now, orphanedAt: now, storedUnknown: !run.jobStored})
+		c.keepOrphan(now, orphan{task: run.task, end: reported, attempt: attemptOf(run.number), epoch: run.epoch, checkpoint: run.checkpoint, sequence: end.Sequence, endedAt: now, orphanedAt: now, storedUnknown: !run.jobStored})
 	}
 }
 
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -52,7 +52,7 @@
 }
 
 func (c *Core) orderTask(now time.Time, entry, spec string, task *session.StartTask) session.Refusal {
-	if c.isUnknownEnd(task) {
+	if c.isUnknownEnd(task) && !c.voidSuperseded(now, task.Task, task.Epoch) {
 		c.claimOrphan(entry, task.Task, task.Attempt)
 		return session.RefusedNone
 	}
@@ -95,6 +95,7 @@
 		number:     c.nextRunNumber(task.Task, task.Attempt),
 
 		orderedAttempt: max(task.Attempt, 1),
+		epoch:          task.Epoch,
 
 		orderedAt:  now,
 		queuedBy:   now.Add(task.QueueSlack()),
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -29,6 +29,8 @@
 	end  work.End
 	// attempt is the attempt at the task that ended.
 	attempt int
+	// epoch is that of the order of the run; session.UnknownEpoch if it is not known.
+	epoch session.Epoch
 	// checkpoint is the newest checkpoint of the task; empty for none.
 	checkpoint work.Checkpoint
 	// endedAt is when the end was listed first; zero if an earlier process of the sidecar may
@@ -57,13 +59,13 @@
 
 // taskEnd returns the end as entries name it.
 func (o *orphan) taskEnd() session.TaskEnd {
-	return session.TaskEnd{Task: o.task, End: o.end, Attempt: o.attempt}
+	return session.TaskEnd{Task: o.task, End: o.end, Attempt: o.attempt, Epoch: o.epoch}
 }
 
 // asOrphan converts a pending end to an orphan.
 func (p pendingEnd) asOrphan(now time.Time, sequence uint64) orphan {
 	return orphan{
-		task: p.task, end: p.end, attempt: p.attempt, checkpoint: p.checkpoint, sequence: sequence, endedAt: p.listedAt, orphanedAt: now,
+		task: p.task, end: p.end, attempt: p.attempt, epoch: p.epoch, checkpoint: p.checkpoint, sequence: sequence, endedAt: p.listedAt, orphanedAt: now,
 		entry: p.entry, event: p.event, reportedTo: p.reportedTo,
 	}
 }
@@ -114,16 +116,29 @@
 		return
 	}
 	delete(c.orphans, task)
-	if !o.storedUnknown && c.mayHaveRunAgain(now, &o) {
+	if !o.storedUnknown && c.isOld(now, &o) {
 		c.voidEnd(o)
 	}
 }
 
-// mayHaveRunAgain reports whether the task of an end may have run again elsewhere. An end
+// mayHaveRunAgain reports whether the task of an end may have been started again elsewhere,
+// as an entry asks for it that orders or claims the task in an epoch of its job. Where the
+// epochs don't tell, an old end may.
+func (c *Core) mayHaveRunAgain(now time.Time, o *orphan, epoch session.Epoch) bool {
+	switch o.epoch.Relate(epoch) {
+	case session.Current:
+		return false
+	case session.Superseded:
+		return true
+	}
+	return c.isOld(now, o)
+}
+
+// isOld reports whether the end is so old that its task may have been started again. An end
 // of unknown age counts as old unless the entry that was told of it has stored it.
-func (c *Core) mayHaveRunAgain(now time.Time, o *orphan) bool {
+func (c *Core) isOld(now time.Time, o *orphan) bool {
 	if o.endedAt.IsZero() {
-		return !c.confirmedEnds[o.taskEnd()]
+		return !c.confirmedEnds[o.taskEnd().Untagged()]
 	}
 	return now.Sub(o.endedAt) > safeReleaseAge
 }
@@ -132,7 +147,7 @@
 // has stored.
 func (c *Core) confirmEnds(ends []session.TaskEnd) {
 	for _, end := range ends {
-		c.confirmedEnds[end] = true
+		c.confirmedEnds[end.Untagged()] = true
 	}
 }
 
@@ -152,6 +167,21 @@
 	c.releaseOrphan(now, stored.Task)
 }
 
+// releaseConfirmedOrphan drops an end that is in the job store and after which no run of its
+// task was started.
+func (c *Core) releaseConfirmedOrphan(confirmed session.TaskEnd) {
+	if o, ok := c.orphans[confirmed.Task]; ok && o.matches(confirmed) {
+		delete(c.orphans, confirmed.Task)
+	}
+}
+
+// releaseSupersededOrphan drops an end after which its task may have been started again.
+func (c *Core) releaseSupersededOrphan(superseded session.TaskEnd) {
+	if o, ok := c.orphans[superseded.Task]; ok && o.matches(superseded) {
+		c.expireOrphan(superseded.Task)
+	}
+}
+
 // markStored records that the job of a task is stored, so that another entry may have run
 // the task again.
 func (c *Core) markStored(task work.TaskKey) {
@@ -170,10 +200,11 @@
 	})
 }
 
-// matches reports whether the end is the orphan, and not that of an earlier run of the
-// task. Entries of earlier builds name only the task.
+// matches reports whether the end is the orphan, and not that of another run of the task.
+// Entries of earlier builds name only the task, or no epoch.
 func (o *orphan) matches(end session.TaskEnd) bool {
-	return end.Attempt == 0 || (end.Attempt == o.attempt && end.End == o.end)
+	sameEpoch := end.Epoch == session.UnknownEpoch || end.Epoch == o.epoch
+	return end.Attempt == 0 || (end.Attempt == o.attempt && end.End == o.end && sameEpoch)
 }
 
 // expireOrphan drops an end that no entry is known to have stored, though it may
@@ -262,6 +293,19 @@
 // received if it is at this one. A task that is done has no later attempt.
 func (o *orphan) isBefore(attempt int) bool { return o.end != work.EndDone && o.attempt < attempt }
 
+// voidSuperseded drops the end of a task, and reports that it has, if the task may have been
+// started again before an entry ordered it in an epoch of its job. The end is not that of the
+// order: the minion has to forget it, which makes it void.
+func (c *Core) voidSuperseded(now time.Time, task work.TaskKey, epoch session.Epoch) bool {
+	o, ok := c.orphans[task]
+	if !ok || !decidesJob(o.end) || !c.mayHaveRunAgain(now, &o, epoch) {
+		return false
+	}
+	c.expireOrphan(task)
+	c.reschedule(now)
+	return true
+}
+
 // claimOrphan reports the orphaned end of a claimed attempt to the entry, if there is
 // one. The entry has received the end of an earlier attempt already. An attempt of 0
 // stands for any.
@@ -273,7 +317,7 @@
 	delete(c.orphans, task)
 	event := c.report(entry, session.Event{Task: task, End: o.end, Checkpoint: o.checkpoint})
 	if o.sequence != 0 {
-		c.ends[o.sequence] = pendingEnd{entry: entry, event: event, task: task, end: o.end, attempt: o.attempt, checkpoint: o.checkpoint, durable: true, listedAt: o.endedAt}
+		c.ends[o.sequence] = pendingEnd{entry: entry, event: event, task: task, end: o.end, attempt: o.attempt, epoch: o.epoch, checkpoint: o.checkpoint, durable: true, listedAt: o.endedAt}
 	}
 	return true
 }
--- a/decision/execution/run.go
+++ b/decision/execution/run.go
@@ -55,6 +55,9 @@
 	// orderedAttempt is the attempt that the entry ordered, or 0 for a run that was found at
 	// the minion. The number may be one of a later attempt.
 	orderedAttempt int
+	// epoch is that of the order, or session.UnknownEpoch for a run that was found at the
+	// minion and that no entry has claimed.
+	epoch session.Epoch
 	// runNumberRetries counts the refused numbers of the present attempt.
 	runNumberRetries int
 	// queuedBy is the run's latest start time plus its queue delay; the queue is in
--- a/decision/heldjob/actions.go
+++ b/decision/heldjob/actions.go
@@ -51,6 +51,7 @@
 	Route string
 	// Memory is the memory in bytes that the job takes at the entry that runs it.
 	Memory   int64
+	Epoch    session.Epoch
 	Progress Progress
 }
 
@@ -58,6 +59,7 @@
 type EndJob struct {
 	Job     work.JobID
 	Outcome Outcome
+	Epoch   session.Epoch
 }
 
 // Progress is the persisted state of a stored job that has not ended.
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -266,7 +266,7 @@
 	claims := make([]session.Claim, 0, len(sidecar.placed))
 	for key, task := range sidecar.placed {
 		step := c.jobs[key.Job].steps[task.step]
-		claims = append(claims, session.Claim{Task: key, Attempt: task.attempt(), Route: c.jobs[key.Job].route.Name, Need: step.Need, Estimate: step.Estimate, Stored: c.jobs[key.Job].stored != nil})
+		claims = append(claims, session.Claim{Task: key, Attempt: task.attempt(), Epoch: task.epoch, Route: c.jobs[key.Job].route.Name, Need: step.Need, Estimate: step.Estimate, Stored: c.jobs[key.Job].stored != nil})
 	}
 	return claims
 }
@@ -324,9 +324,13 @@
 			continue
 		}
 		for _, task := range sidecar.placed {
-			if c.jobs[task.key.Job].stored != nil && (now.Before(sidecar.runsExpireAt.Add(storedExpiryMargin)) || !c.mayRerunLost(now)) {
+			job := c.jobs[task.key.Job]
+			if job.stored != nil && (now.Before(sidecar.runsExpireAt.Add(storedExpiryMargin)) || !c.mayRerunLost(now)) {
 				continue
 			}
+			if job.stored != nil {
+				c.beginEpoch(job)
+			}
 			c.finishRun(now, name, task, work.EndLapsed)
 		}
 		if len(sidecar.placed) == 0 && len(sidecar.acks) == 0 {
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -29,6 +30,8 @@
 	// Crashes is the number of minions that crashed under a task, or of the jobs for
 	// which a route is confined.
 	Crashes int
+	// Epoch is the epoch that a job has begun.
+	Epoch session.Epoch
 	// Share is the failure share of a minion above that of the others, from 0 to 1, or the
 	// share by which run times of the kind Slowed grow beside the kind Beside.
 	Share          float64
@@ -46,6 +49,8 @@
 	DecidedTaskFreed DecisionKind = "task_freed"
 	DecidedAnswered  DecisionKind = "answered"
 	DecidedDisowned  DecisionKind = "disowned"
+	// DecidedEpochBegun means that runs of a stored job are given up of which no end is known.
+	DecidedEpochBegun DecisionKind = "epoch_begun"
 	// DecidedPoison means that a task is given up because minions crash under it.
 	DecidedPoison DecisionKind = "poison"
 	// DecidedYields means that a job waits because one of its tasks, which may have
--- a/decision/heldjob/job.go
+++ b/decision/heldjob/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -31,6 +32,8 @@
 	// sidecar is the name of the sidecar that has the task among its placed ones. It is
 	// set in phaseSent and phaseLost only.
 	sidecar string
+	// epoch is that of the order by which the task was sent; stored jobs only.
+	epoch session.Epoch
 	// failures is the number of failed runs.
 	failures int
 	// checkpoint is the newest checkpoint known of a run of the task.
--- a/decision/heldjob/place.go
+++ b/decision/heldjob/place.go
@@ -222,7 +222,11 @@
 			MaxWait: job.maxWait(now, step.Estimate), ExpectedWait: max(chosen.choice.Wait, job.minExpectedWait(now)),
 		})
 		request.Tasks[len(request.Tasks)-1].QueueDelay = delay
-		request.Tasks[len(request.Tasks)-1].Stored = job.stored != nil
+		if job.stored != nil {
+			chosen.task.epoch = job.stored.epoch
+			request.Tasks[len(request.Tasks)-1].Stored = true
+			request.Tasks[len(request.Tasks)-1].Epoch = chosen.task.epoch
+		}
 		request.Tasks[len(request.Tasks)-1].Checkpoint = chosen.task.checkpoint
 		request.Tasks[len(request.Tasks)-1].Isolation = c.quarantine.Isolation(chosen.task.key)
 		if c.chooser.Interference != nil {
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -100,7 +100,7 @@
 	case c.jobs[event.Task.Job].stored != nil:
 		c.jobs[event.Task.Job].stored.ackAfterSave(ack)
 		if placed != nil {
-			sidecar.recordTold(now, session.TaskEnd{Task: event.Task, End: event.End, Attempt: placed.attempt()}, ack)
+			sidecar.recordTold(now, session.TaskEnd{Task: event.Task, End: event.End, Attempt: placed.attempt(), Epoch: placed.epoch}, ack)
 		}
 	default:
 		ack.allowed = true
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -26,6 +27,9 @@
 	// lost its ownership and has to write the job again. confirming means that the
 	// write in flight does so.
 	unconfirmed, confirming bool
+	// epoch is the epoch of the job, savedEpoch that of the newest write that has succeeded and
+	// savingEpoch that of the write in flight. Nothing is started before an epoch is saved.
+	epoch, savedEpoch, savingEpoch session.Epoch
 	// outcome is set once the job has ended. It is written to the job store before it
 	// is reported to callers.
 	outcome Outcome
@@ -41,6 +45,8 @@
 	Job      work.Job
 	Route    manifest.Route
 	Accepted time.Time
+	// Epoch is the stored epoch of the job.
+	Epoch    session.Epoch
 	Done     func(step, index int) bool
 	Failures map[work.TaskKey]int
 	// Crashes is the number of minions that have crashed under each task.
@@ -72,6 +78,19 @@
 	return c.ownsJobs(now) && now.Sub(c.ownedSince) > reconnectTime
 }
 
+// beginEpoch begins the next epoch of a stored job: a run of it is given up of which no end is
+// known. Nothing is started before the epoch is stored, so that whoever finds the end later
+// knows that the task may have been started again.
+func (c *Core) beginEpoch(job *job) {
+	if job.stored.epoch != job.stored.savedEpoch {
+		// Nothing was started in this epoch.
+		return
+	}
+	job.stored.epoch++
+	c.recordDecision(Decision{Kind: DecidedEpochBegun, Job: job.id, Epoch: job.stored.epoch})
+	c.requestSave(job)
+}
+
 // AddStoredJob adds a job of the job store that this entry owns from now on. It does
 // nothing if the entry has the job already.
 func (c *Core) AddStoredJob(now time.Time, stored StoredJob) {
@@ -81,7 +100,8 @@
 	}
 	added := newUnplacedJob(now, stored.Job, stored.Route)
 	// Without its monotonic part the time compares with those read from the job store.
-	added.stored = &storedState{accepted: stored.Accepted.Round(0), cancelWaiters: make(map[uint64]bool)}
+	epoch := stored.Epoch.OfAdopted()
+	added.stored = &storedState{accepted: stored.Accepted.Round(0), epoch: epoch, savedEpoch: epoch, cancelWaiters: make(map[uint64]bool)}
 	c.restoreTasks(now, added, &stored)
 	c.add(added, MemoryOf(&stored.Job))
 	othersWait := c.hasWaitingJob(added.route.Priority)
--- a/decision/heldjob/stored_test.go
+++ b/decision/heldjob/stored_test.go
@@ -216,6 +216,9 @@
 	start = f.replyToStarts(session.RefusedNone)[0]
 	f.core.Disconnected(start.Sidecar, f.now)
 	f.tick(RunExpiry + storedExpiryMargin + time.Millisecond)
+	must.Len(t, 0, f.starts)
+	f.answerWrites(true)
+	f.tick(placementRetryInterval)
 	must.Len(t, 1, f.starts)
 }
 
@@ -293,16 +296,16 @@
 	next.After = []int{0}
 	f.addStoredSteps(storedStep(1), next)
 	end := session.TaskEnd{Task: work.TaskKey{Job: "j"}, End: work.EndDone, Attempt: 1}
-	own, stored := f.core.TaskEndStored(end)
+	own, stored, _ := f.core.TaskEndStored(end)
 	must.True(t, own)
 	must.False(t, stored)
 	f.endRunsNumbered(f.replyToStarts(session.RefusedNone)[0], work.EndDone, 1)
-	_, stored = f.core.TaskEndStored(end)
+	_, stored, _ = f.core.TaskEndStored(end)
 	must.False(t, stored)
 	f.answerWrites(true)
-	_, stored = f.core.TaskEndStored(end)
+	_, stored, _ = f.core.TaskEndStored(end)
 	must.True(t, stored)
-	own, _ = f.core.TaskEndStored(session.TaskEnd{Task: work.TaskKey{Job: "none"}})
+	own, _, _ = f.core.TaskEndStored(session.TaskEnd{Task: work.TaskKey{Job: "none"}})
 	must.False(t, own)
 }
 
@@ -316,14 +319,14 @@
 	must.EqOp(t, 1, first.Request.Tasks[0].Attempt)
 	end := session.TaskEnd{Task: work.TaskKey{Job: "j"}, End: work.EndFailed, Attempt: 1}
 	f.endRunsNumbered(first, work.EndFailed, 1)
-	_, stored := f.core.TaskEndStored(end)
+	_, stored, _ := f.core.TaskEndStored(end)
 	must.False(t, stored)
 	f.answerWrites(true)
-	_, stored = f.core.TaskEndStored(end)
+	_, stored, _ = f.core.TaskEndStored(end)
 	must.True(t, stored)
 	must.EqOp(t, 2, f.replyToStarts(session.RefusedNone)[0].Request.Tasks[0].Attempt)
 	end.Attempt = 2
-	_, stored = f.core.TaskEndStored(end)
+	_, stored, _ = f.core.TaskEndStored(end)
 	must.False(t, stored)
 }
 
--- a/decision/heldjob/storedends_test.go
+++ b/decision/heldjob/storedends_test.go
@@ -145,7 +145,7 @@
 	f.core.SidecarRestarted("s0")
 	must.Len(t, 0, f.core.StoredEnds("s0"))
 	f.answerWrites(true)
-	must.Eq(t, []session.TaskEnd{{Task: work.TaskKey{Job: "j"}, End: work.EndFailed, Attempt: 1}}, f.core.StoredEnds("s0"))
+	must.Eq(t, []session.TaskEnd{{Task: work.TaskKey{Job: "j"}, End: work.EndFailed, Attempt: 1, Epoch: session.FirstEpoch}}, f.core.StoredEnds("s0"))
 	f.now = f.now.Add(toldEndRetention + time.Millisecond)
 	f.endRunsNumbered(f.replyToStarts(session.RefusedNone)[0], work.EndFailed, 1)
 	f.answerWrites(true)
--- a/decision/heldjob/storedplace.go
+++ b/decision/heldjob/storedplace.go
@@ -64,7 +64,10 @@
 
 // placeStored places as many eligible tasks of a stored job as have room now.
 func (c *Core) placeStored(now time.Time, job *job) placementResult {
-	if !c.ownsJobs(now) || job.stored.unconfirmed || job.stored.outcome != 0 || job.unplacedTasks == 0 {
+	if !c.ownsJobs(now) || job.stored.outcome != 0 || job.unplacedTasks == 0 {
+		return placedAll
+	}
+	if job.stored.unconfirmed || job.stored.epoch != job.stored.savedEpoch {
 		return placedAll
 	}
 	if now.Before(job.nextPlacement) {
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -24,13 +24,15 @@
 }
 
 // TaskEndStored reports whether this entry owns the stored job of the task that ended,
-// and whether the end is written to the job store.
-func (c *Core) TaskEndStored(end session.TaskEnd) (own, stored bool) {
+// whether the end is written to the job store, and whether the task may have been started
+// again since.
+func (c *Core) TaskEndStored(end session.TaskEnd) (own, stored bool, since session.Relation) {
 	job, ok := c.jobs[end.Task.Job]
 	if !ok || job.stored == nil {
-		return false, false
+		return false, false, session.Unrelated
 	}
-	return true, job.includes(end) && !job.stored.saving && !job.stored.unsaved
+	stored = job.includes(end) && !job.stored.saving && !job.stored.unsaved
+	return true, stored, end.Epoch.Relate(job.stored.epoch)
 }
 
 // includes reports whether this entry has processed the end of a run of a task of the job,
@@ -65,12 +67,13 @@
 	stored.saving = true
 	stored.unsaved = false
 	stored.confirming = stored.unconfirmed
+	stored.savingEpoch = stored.epoch
 	stored.savingAcks, stored.unsavedAcks = stored.unsavedAcks, nil
 	if stored.outcome != 0 {
-		c.emit(EndJob{Job: job.id, Outcome: stored.outcome})
+		c.emit(EndJob{Job: job.id, Outcome: stored.outcome, Epoch: stored.epoch})
 		return
 	}
-	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Memory: job.memory.bytes, Progress: c.progress(job)})
+	c.emit(SaveJob{Job: job.id, Route: job.route.Name, Memory: job.memory.bytes, Epoch: stored.epoch, Progress: c.progress(job)})
 }
 
 // progress returns the persistent state of the job.
@@ -117,6 +120,7 @@
 	allowAcks(stored.savingAcks)
 	stored.savingAcks = nil
 	stored.saving = false
+	stored.savedEpoch = stored.savingEpoch
 	stored.unconfirmed = stored.unconfirmed && !stored.confirming
 	stored.confirming = false
 	if stored.outcome == 0 || stored.unsaved {
--- a/decision/heldjob/storedsubmit.go
+++ b/decision/heldjob/storedsubmit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -108,7 +109,7 @@
 	}
 	c.dropCreate(id)
 	if written {
-		c.AddStoredJob(now, StoredJob{Job: create.submission.Job, Route: create.route, Accepted: accepted})
+		c.AddStoredJob(now, StoredJob{Job: create.submission.Job, Route: create.route, Accepted: accepted, Epoch: session.FirstEpoch})
 	}
 	c.recordDecision(Decision{Kind: DecidedAdmitted, Job: id, Request: create.submission.Request, Route: create.route.Name, Outcome: Accepted})
 	for waiter := range create.waiters {
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -34,6 +34,7 @@
 	if !ok {
 		return found.busy
 	}
+	t.dropSuperseded(&found, jobs)
 	results := make(chan adoptResult, len(jobs))
 	asked := 0
 	for _, job := range t.reserveMemory(jobs) {
@@ -69,6 +70,21 @@
 	return false
 }
 
+// dropSuperseded drops the ends after which their tasks may have been started again by an
+// earlier owner that did not know of them. The sidecars are not told that they are stored, and
+// let their lease lapse before they let go of them.
+func (t *takeover) dropSuperseded(found *adoptReplies, jobs []jobstore.OpenJob) {
+	for i := range jobs {
+		id, epoch := jobs[i].ID, jobs[i].Progress.Epoch.OfAdopted()
+		all := found.ends[id]
+		found.ends[id] = slices.DeleteFunc(all, func(one foundEnd) bool { return one.Epoch.Relate(epoch) != session.Current })
+		if dropped := len(all) - len(found.ends[id]); dropped > 0 {
+			t.dispatcher.deps.Log.Failure(eventlog.KindEndUncertain).Str(eventlog.FieldJob, string(id)).
+				Int(eventlog.FieldCount, dropped).Str(eventlog.FieldReason, "superseded").Msg("")
+		}
+	}
+}
+
 // reserveMemory reserves memory for as many of the jobs as there is room for, the smallest
 // first, and returns these. The others stay in the job store.
 func (t *takeover) reserveMemory(jobs []jobstore.OpenJob) []jobstore.OpenJob {
@@ -112,6 +128,7 @@
 		wait.Go(func() {
 			request := session.AdoptRequest{Owner: owner.Name, Boot: processBoot(owner.Boot), Adopter: t.incarnation()}
 			request.SetReleased(ends, nil)
+			request.ConfirmedEnds = ends
 			if _, err := t.callSidecar(ctx, sidecar, request); err != nil {
 				t.dispatcher.deps.Log.Failure(eventlog.KindDependencyLost).Str(eventlog.FieldDependency, name).
 					Str(eventlog.FieldReason, "not told of stored ends").Err(err).Msg("")
@@ -148,6 +165,7 @@
 func (t *takeover) takeOver(record jobstore.AcceptedJob, job jobstore.OpenJob, found adoptReplies, done func(written bool)) {
 	progress := job.Progress
 	progress.Memory = heldjob.MemoryOf(&record.Job)
+	progress.Epoch = found.epochAfter(job.Progress.Epoch)
 	for _, one := range found.ends[job.ID] {
 		if record.Job.Has(one.Task) {
 			progress.AddEnd(one.Task, one.End, one.Attempt)
@@ -172,7 +190,7 @@
 				t.parts[job.ID] = progress.Parts
 			}
 			t.dispatcher.core.AddStoredJob(now, heldjob.StoredJob{
-				Job: record.Job, Route: record.Route, Accepted: record.Accepted,
+				Job: record.Job, Route: record.Route, Accepted: record.Accepted, Epoch: progress.Epoch,
 				Done: progress.Done.Has, Failures: progress.Failures.ByTask(&record.Job), Crashes: progress.Crashes.ByTask(&record.Job), Checkpoints: checkpoints,
 			})
 		})
@@ -246,6 +264,16 @@
 	checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
 }
 
+// epochAfter returns the epoch of a job that is taken over, which was at another before. It is
+// the next one if a sidecar may have an end of the job that it has not told.
+func (a *adoptReplies) epochAfter(before session.Epoch) session.Epoch {
+	epoch := before.OfAdopted()
+	if len(a.missing) > 0 {
+		epoch++
+	}
+	return epoch
+}
+
 // foundEnd is an end and the name of the sidecar that has it.
 type foundEnd struct {
 	session.TaskEnd
--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -71,7 +71,7 @@
 	owner := open.Progress.Owner
 	var by jobstore.Owner
 	d.loop.Do(func(time.Time) { by = d.storedJobs.self() })
-	ending := jobstore.JobEnd{Outcome: jobstore.Cancelled, By: by, At: time.Now(), Owner: &owner}
+	ending := jobstore.JobEnd{Outcome: jobstore.Cancelled, By: by, At: time.Now(), Epoch: open.Progress.Epoch, Owner: &owner}
 	change := jobstore.End(open.ID, open.Version, open.Progress.Parts, ending, func(result jobstore.WriteResult) {
 		if !result.Written {
 			results <- false
--- a/dispatcher/orphans.go
+++ b/dispatcher/orphans.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
 )
 
@@ -11,25 +12,30 @@
 const releaseTimeout = 2 * time.Second
 
 // releaseStored finds out which of the ends that a sidecar keeps are no longer
-// needed, and tells the sidecar: those that are stored, and those of jobs that
-// have ended. The other ends are left to the entry that owns the job or takes it
-// over.
+// needed, and tells the sidecar: those that are stored, those of jobs that have ended, and
+// those whose tasks may have been started again. The other ends are left to the entry that
+// owns the job or takes it over.
 func (s *openSession) releaseStored(ends []session.TaskEnd) {
 	ctx, cancel := context.WithTimeout(s.link.dispatcher.tasksCtx, releaseTimeout)
 	defer cancel()
 	var stored, unknown []session.TaskEnd
+	request := session.AdoptRequest{Sidecar: s.link.name}
 	for _, end := range ends {
 		switch s.find(ctx, end) {
+		case endConfirmed:
+			stored = append(stored, end)
+			request.ConfirmedEnds = append(request.ConfirmedEnds, end)
 		case endStored:
 			stored = append(stored, end)
+		case endSuperseded:
+			request.SupersededEnds = append(request.SupersededEnds, end)
 		case jobUnknown:
 			unknown = append(unknown, end)
 		}
 	}
-	if len(stored)+len(unknown) == 0 {
+	if len(stored)+len(unknown)+len(request.SupersededEnds) == 0 {
 		return
 	}
-	request := session.AdoptRequest{Sidecar: s.link.name}
 	request.SetReleased(stored, unknown)
 	// If the call fails, the sidecar lists the ends as orphans again.
 	_ = s.client.Call(ctx, session.MethodAdopt, &request, &session.AdoptReply{}, adoptTimeout)
@@ -41,8 +47,13 @@
 const (
 	// endNeeded means that the end is not stored yet, or that nothing is known of it.
 	endNeeded endState = iota
-	// endStored means that the end is stored, or that its job has ended.
+	// endConfirmed means that the end is stored, or that its job has ended, and that its task
+	// was not started again.
+	endConfirmed
+	// endStored is endConfirmed where it is not known whether the task was started again.
 	endStored
+	// endSuperseded means that the task may have been started again.
+	endSuperseded
 	// jobUnknown means that the job is not stored.
 	jobUnknown
 )
@@ -50,26 +61,38 @@
 // find returns what the job store has of an end.
 func (s *openSession) find(ctx context.Context, end session.TaskEnd) endState {
 	d := s.link.dispatcher
-	own, stored := false, false
-	d.loop.Do(func(time.Time) { own, stored = d.core.TaskEndStored(end) })
+	own, stored, since := false, false, session.Unrelated
+	d.loop.Do(func(time.Time) { own, stored, since = d.core.TaskEndStored(end) })
 	if own {
-		return stateOf(stored)
+		return stateOf(stored, since)
 	}
 	found, err := d.deps.Jobs.Find(ctx, end.Task.Job)
 	switch {
 	case err != nil:
 		return endNeeded
 	case found.Open != nil:
-		return stateOf(found.Open.Progress.Includes(end.Task, end.End, end.Attempt))
+		return stateInOpenJob(&found.Open.Progress, end)
 	case found.End != nil:
-		return endStored
+		return stateOf(true, end.Epoch.Relate(found.End.Epoch))
 	}
 	return jobUnknown
 }
 
-func stateOf(stored bool) endState {
-	if stored {
-		return endStored
+// stateInOpenJob returns what the progress of a job has of an end.
+func stateInOpenJob(progress *jobstore.Progress, end session.TaskEnd) endState {
+	return stateOf(progress.Includes(end.Task, end.End, end.Attempt), end.Epoch.Relate(progress.Epoch))
+}
+
+// stateOf returns the state of an end that is stored or not, and that stands to its job as
+// given.
+func stateOf(stored bool, since session.Relation) endState {
+	switch {
+	case since == session.Superseded:
+		return endSuperseded
+	case !stored:
+		return endNeeded
+	case since == session.Current:
+		return endConfirmed
 	}
-	return endNeeded
+	return endStored
 }
--- a/dispatcher/storedjobs.go
+++ b/dispatcher/storedjobs.go
@@ -127,7 +127,7 @@
 	s.writes++
 	id, accepted, generation := action.Job.ID, time.Now(), s.generation
 	record := jobstore.AcceptedJob{Job: action.Job, Route: action.Route, Accepted: accepted}
-	progress := jobstore.Progress{Owner: s.self(), Write: s.writes, Route: action.Route.Name, Memory: heldjob.MemoryOf(&action.Job)}
+	progress := jobstore.Progress{Owner: s.self(), Write: s.writes, Route: action.Route.Name, Memory: heldjob.MemoryOf(&action.Job), Epoch: session.FirstEpoch}
 	change, err := jobstore.Create(record, progress, s.limits(), func(result jobstore.WriteResult) {
 		s.dispatcher.loop.Post(func(now time.Time) {
 			s.created(now, id, result, accepted, generation)
@@ -206,7 +206,7 @@
 // save stores the progress of a job. It must be called from the loop.
 func (s *storedJobs) save(action heldjob.SaveJob) {
 	s.writes++
-	progress := jobstore.Progress{Owner: s.self(), Write: s.writes, Route: action.Route, Memory: action.Memory, Parts: s.parts[action.Job]}
+	progress := jobstore.Progress{Owner: s.self(), Write: s.writes, Route: action.Route, Memory: action.Memory, Epoch: action.Epoch, Parts: s.parts[action.Job]}
 	for _, task := range action.Progress.Done {
 		progress.Done.Add(task.Step, task.Index)
 	}
@@ -229,7 +229,7 @@
 
 // end stores how a job has ended. It must be called from the loop.
 func (s *storedJobs) end(action heldjob.EndJob) {
-	ending := jobstore.JobEnd{Outcome: outcomes[action.Outcome], By: s.self(), At: time.Now()}
+	ending := jobstore.JobEnd{Outcome: outcomes[action.Outcome], By: s.self(), At: time.Now(), Epoch: action.Epoch}
 	s.write(action.Job, jobstore.End(action.Job, s.versions[action.Job], s.parts[action.Job], ending, s.onSaved(action.Job, true)))
 }
 
--- a/jobstore/record.go
+++ b/jobstore/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figring/figring/manifest"
+	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
 
@@ -36,6 +37,9 @@
 	// Memory is the memory in bytes that the job takes at the entry that runs it; 0 if an
 	// earlier build has written the row.
 	Memory int64 `json:"memory,omitempty"`
+	// Epoch is the epoch of the job; session.UnknownEpoch if an earlier build has written the
+	// row.
+	Epoch session.Epoch `json:"epoch,omitempty"`
 	// Parts is the number of rows into which the job as accepted is split; 0 for none.
 	Parts int `json:"parts,omitempty"`
 	// Done is the set of finished tasks.
@@ -90,6 +94,8 @@
 	By Owner `json:"by"`
 	// At is the wall clock time of the end.
 	At time.Time `json:"at"`
+	// Epoch is the epoch in which the job ended, as in Progress.
+	Epoch session.Epoch `json:"epoch,omitempty"`
 	// Owner is the job's owner where another entry has written the row: it has to be
 	// told of the end.
 	Owner *Owner `json:"owner,omitempty"`
--- a/session/adopt.go
+++ b/session/adopt.go
@@ -14,8 +14,15 @@
 	// its runs are stopped even if its process is still alive.
 	Force bool
 	// StoredEnds are ends, reported by the sidecar before, that are in the job store by
-	// now. The sidecar may drop them.
+	// now, though perhaps as those of other runs. The sidecar may drop them, old ones after a
+	// lapse of the lease.
 	StoredEnds []TaskEnd
+	// ConfirmedEnds are those of the StoredEnds after which no run of their tasks was
+	// started: the sidecar may drop them whatever their age.
+	ConfirmedEnds []TaskEnd
+	// SupersededEnds are ends whose tasks may have been started again since. The sidecar drops
+	// them once the lease has lapsed.
+	SupersededEnds []TaskEnd
 	// UnknownEnds are ends of jobs that are not in the job store, as best-effort jobs are.
 	// The sidecar may drop them.
 	UnknownEnds []TaskEnd
@@ -78,6 +85,15 @@
 	// Attempt is as in StartTask, for the run that ended. It tells whether a failed run
 	// is counted already.
 	Attempt int
+	// Epoch is that of the order of the run; 0 if it is not known.
+	Epoch Epoch
+}
+
+// Untagged returns the end without its epoch, which a sidecar does not know of a run that an
+// earlier process of it has started.
+func (e TaskEnd) Untagged() TaskEnd {
+	e.Epoch = 0
+	return e
 }
 
 // tasksOf returns the tasks of the ends.
--- a/session/hello.go
+++ b/session/hello.go
@@ -12,6 +12,8 @@
 	Task work.TaskKey
 	// Attempt is as in StartTask.
 	Attempt int
+	// Epoch is as in StartTask, at the time of the order.
+	Epoch Epoch
 	// Route is the name of the job's route.
 	Route    string
 	Need     work.Resources
