A notice to an owner stands until a complete scan has answered it

Callers saw tasks of a cancelled job start seconds after the cancelling was acknowledged, and after both a cut between entries and an outage of one partition were over.

Cause: the owner met the notice in its row and compared its jobs with the store once.

Change: that jobs may have ended elsewhere is a count of requests, which only a complete comparison settles. The next scan is put off only by a complete one. Telling an owner that its job has ended goes on until it succeeds; it was given up after 10 s.

--- a/dispatcher/notice.go
+++ b/dispatcher/notice.go
@@ -12,20 +12,19 @@
 	"github.com/figring/figring/work"
 )
 
+// minNotifyPause and maxNotifyPause bound the backoff between attempts to tell another entry
+// that a job that it owned has ended.
 const (
-	// notifyTimeout bounds the attempts to tell another entry that a job that it
-	// owned has ended.
-	notifyTimeout = 10 * time.Second
-	// notifyInterval is the pause between two such attempts.
-	notifyInterval = 200 * time.Millisecond
+	minNotifyPause = 200 * time.Millisecond
+	maxNotifyPause = 2 * time.Second
 )
 
 // notifyOwner tells the owner of a job that this entry has ended the job: directly, or if it
 // does not answer, by a notice in its owner row, which it meets with its next renewal.
-// It returns false if neither succeeds within notifyTimeout.
+// It returns false if this process ends before either succeeds.
 func (d *Dispatcher) notifyOwner(id work.JobID, owner jobstore.Owner) bool {
-	ctx, cancel := context.WithTimeout(d.tasksCtx, notifyTimeout)
-	defer cancel()
+	ctx := d.tasksCtx
+	wait := minNotifyPause
 	for ctx.Err() == nil {
 		if d.callOwner(ctx, id, owner.Name) {
 			return true
@@ -38,7 +37,8 @@
 		}
 		d.storedJobs.writeFailed(err)
 		// For fails only when ctx ends, which the loop condition checks.
-		_ = pause.For(ctx, notifyInterval)
+		_ = pause.For(ctx, wait)
+		wait = min(2*wait, maxNotifyPause)
 	}
 	d.deps.Log.Failure(eventlog.KindDependencyLost).Str(eventlog.FieldDependency, owner.Name).
 		Str(eventlog.FieldJob, string(id)).Str(eventlog.FieldReason, "not told of the end").Msg("")
--- a/dispatcher/ownjobs.go
+++ b/dispatcher/ownjobs.go
@@ -9,14 +9,6 @@
 	"github.com/figring/figring/work"
 )
 
-// checkOwnJobs makes takeOverLoop compare the jobs of this entry with the job store.
-func (s *storedJobs) checkOwnJobs() {
-	select {
-	case s.ownJobsSuspect <- struct{}{}:
-	default:
-	}
-}
-
 // unendedJobs returns the stored jobs that run at this entry as far as it knows.
 func (s *storedJobs) unendedJobs() []work.JobID {
 	var ids []work.JobID
@@ -25,13 +17,16 @@
 }
 
 // disownEnded disowns owned jobs that a later scan has not found open, because another
-// entry has ended them: it was lost before it could tell.
-func (s *storedJobs) disownEnded(ctx context.Context, ended []work.JobID) {
+// entry has ended them: it was lost before it could tell. It reports false if one of them
+// could not be read.
+func (s *storedJobs) disownEnded(ctx context.Context, ended []work.JobID) bool {
+	allRead := true
 	for _, id := range ended {
 		// The row may only be unreadable.
 		found, err := s.store.Find(ctx, id)
 		if err != nil {
 			s.writeFailed(err)
+			allRead = false
 			continue
 		}
 		if found.Open != nil {
@@ -45,4 +40,5 @@
 			}
 		})
 	}
+	return allRead
 }
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -69,7 +69,7 @@
 		// An earlier renewal succeeded, and only its response was lost, or another entry
 		// has left a notice.
 		if found.Notices != row.Notices {
-			s.checkOwnJobs()
+			s.ownCheck.request()
 		}
 		*row = found
 		return err
--- a/dispatcher/storedjobs.go
+++ b/dispatcher/storedjobs.go
@@ -37,9 +37,8 @@
 	// the first read of the rows, ownersExist and noOwners are both false.
 	noOwners     atomic.Bool
 	renewalStart chan struct{}
-	// ownJobsSuspect is signalled when another entry has left the notice that it has
-	// ended a job of this entry.
-	ownJobsSuspect chan struct{}
+	// ownCheck records that another entry may have ended jobs of this one.
+	ownCheck *ownJobsCheck
 	// newestScan is the result of the newest scan of the open jobs.
 	newestScan atomic.Pointer[jobScan]
 
@@ -73,10 +72,10 @@
 		owners:       owners,
 		renewalStart: make(chan struct{}, 1),
 
-		ownJobsSuspect: make(chan struct{}, 1),
-		creating:       make(map[work.JobID]*jobstore.Change),
-		versions:       make(map[work.JobID]int64),
-		parts:          make(map[work.JobID]int),
+		ownCheck: newOwnJobsCheck(),
+		creating: make(map[work.JobID]*jobstore.Change),
+		versions: make(map[work.JobID]int64),
+		parts:    make(map[work.JobID]int),
 	}
 	s.writer = jobstore.NewWriter(store, s.interval, s.writeFailed)
 	return s
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -61,15 +61,13 @@
 	}
 }
 
-// awaitRound waits for the next round. After a notice of another entry the next round
-// scans at once.
+// awaitRound waits for the next round, which begins at once after a notice of another entry.
 func (t *takeover) awaitRound(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-t.ownJobsSuspect:
-		t.nextScan = time.Time{}
+	case <-t.ownCheck.changed:
 	case <-ctx.Done():
 	}
 }
@@ -110,18 +108,37 @@
 	t.replacePreviousRow(rows)
 	t.revoke(ctx)
 	t.scheduleScan(now, rows)
-	if !t.monitor.HasRows() || now.Before(t.nextScan) {
+	if !t.monitor.HasRows() || (now.Before(t.nextScan) && !t.ownCheck.due()) {
 		return false
 	}
-	t.nextScan = now.Add(idleScanEvery)
-	if now.Before(t.scanUntil) {
-		t.nextScan = now.Add(scanEvery)
+	begun := t.ownCheck.begin()
+	result := t.scan(ctx, now)
+	if result.complete {
+		t.ownCheck.settle(begun)
+		t.nextScan = t.scanAfter(now)
 	}
-	if outdated := t.scan(ctx, now); !outdated {
-		return false
+	if result.outdated {
+		t.nextScan = now
+	}
+	return result.outdated
+}
+
+// scanAfter returns when a scan is due after a complete one that has begun now. One that was
+// not complete is repeated in the next round.
+func (t *takeover) scanAfter(now time.Time) time.Time {
+	if now.Before(t.scanUntil) {
+		return now.Add(scanEvery)
 	}
-	t.nextScan = now
-	return true
+	return now.Add(idleScanEvery)
+}
+
+// scanResult is the outcome of a scan.
+type scanResult struct {
+	// complete means that all that the scan needs was read: whatever had changed before it
+	// has been acted on.
+	complete bool
+	// outdated means that the scan has left jobs because its list of them is outdated.
+	outdated bool
 }
 
 // replacePreviousRow makes this entry write its row if there is one of an earlier
@@ -170,18 +187,17 @@
 }
 
 // scan takes over the open jobs of owners that are gone, and disowns the jobs of this
-// entry that are not open any more. It reports whether it has left jobs because its list
-// of them is outdated.
-func (t *takeover) scan(ctx context.Context, now time.Time) bool {
+// entry that are not open any more.
+func (t *takeover) scan(ctx context.Context, now time.Time) scanResult {
 	scanCtx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
 	found := newOpenJobs(t.unendedJobs(), t.mayBeOrphan)
 	unreadable, err := t.store.EachOpen(scanCtx, found.add)
 	if err != nil {
 		t.writeFailed(err)
-		return false
+		return scanResult{}
 	}
-	t.disownEnded(scanCtx, found.ended())
+	result := scanResult{complete: t.disownEnded(scanCtx, found.ended())}
 	if unreadable > 0 {
 		t.dispatcher.deps.Log.Failure(eventlog.KindMalformed).Int(eventlog.FieldCount, unreadable).Str(eventlog.FieldReason, "stored jobs").Msg("")
 	}
@@ -189,13 +205,13 @@
 	t.newestScan.Store(found.jobScan(t.monitor.Owners()))
 	t.recordOrphans(boottime.Now(), found.orphans)
 	t.waiting = found.overflow.jobs()
-	outdated := t.adoptAll(ctx, now, found.orphans)
+	result.outdated = t.adoptAll(ctx, now, found.orphans)
 	if t.waiting > 0 {
 		t.scanUntil = now.Add(scanAfterChange)
 		t.dispatcher.deps.Log.Routine(eventlog.KindDependencyLost).Str(eventlog.FieldDependency, "jobs").
 			Int(eventlog.FieldCount, t.waiting).Str(eventlog.FieldReason, string(heldjob.ReasonJobMemory)).Msg("")
 	}
-	return outdated
+	return result
 }
 
 // adoptAll takes over the orphans that are assigned to this entry. It reports whether the
