A sidecar keeps the end of each run of a task

Callers saw tasks run again after an end `done` that was noted: they had failed and were then done on one minion while the store was out, and their owner was killed.

Cause: a sidecar kept one end for each task, and a later one took its place. When an entry falls silent its ends come over from a map in random order, so that the failed one could replace the done one, which was then released.

Change: keptEnds holds an end for each run; none replaces another. One function says which answers an order or a claim. Ends come over in the order in which they were listed. A restarted sidecar also keeps the end of an earlier run of a task that is at work, which a minion that lists its ends in parts shows late.

--- a/decision/execution/adopt.go
+++ b/decision/execution/adopt.go
@@ -53,12 +53,11 @@
 			c.withdraw(now, run)
 		}
 	}
-	for task, o := range c.orphans {
-		if wanted[task.Job] {
+	for o := range c.orphans.all() {
+		if wanted[o.task.Job] {
 			o.storedUnknown = false
 			addEnd(&reply, o.taskEnd(), o.checkpoint)
 			o.recordReport(now, request.Adopter)
-			c.orphans[task] = o
 		}
 	}
 	for sequence, pending := range c.ends {
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -70,7 +70,7 @@
 	newestEnd uint64
 	// orphans holds ends and checkpoints that no entry is known to have stored and
 	// that an entry may ask for.
-	orphans map[work.TaskKey]orphan
+	orphans keptEnds
 	// confirmedEnds are ends that earlier processes of the sidecar have told an entry, which
 	// has stored them. The minion may list them still.
 	confirmedEnds map[session.TaskEnd]bool
@@ -129,7 +129,7 @@
 		runs:    make(map[work.TaskKey]*run),
 		entries: make(map[string]*entryState),
 		ends:    make(map[uint64]pendingEnd),
-		orphans: make(map[work.TaskKey]orphan),
+		orphans: make(keptEnds),
 
 		usedNumbers:   make(map[work.TaskKey]usedNumber),
 		confirmedEnds: make(map[session.TaskEnd]bool),
--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -109,10 +109,9 @@
 // received, since these were withdrawn before they reached it. Only ends that it
 // has received may be acknowledged by event number.
 func (c *Core) clearUnreceived(entry string, received uint64) {
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		if o.entry == entry && o.event > received {
 			o.event = 0
-			c.orphans[task] = o
 		}
 	}
 }
@@ -128,7 +127,8 @@
 		dropped[event.Number] = !claimed[event.Task]
 		return dropped[event.Number]
 	})
-	for sequence, end := range c.ends {
+	for _, sequence := range c.endSequences() {
+		end := c.ends[sequence]
 		if end.entry != entry || !dropped[end.event] {
 			continue
 		}
@@ -136,7 +136,7 @@
 		if end.durable {
 			unlinked := end.asOrphan(now, sequence)
 			unlinked.event = 0
-			c.keepOrphan(now, unlinked)
+			c.keepOrphan(unlinked)
 		}
 	}
 }
@@ -176,27 +176,29 @@
 	maps.DeleteFunc(c.ends, func(_ uint64, end pendingEnd) bool {
 		return end.entry == entry && end.event <= acks.Processed
 	})
-	maps.DeleteFunc(c.orphans, func(_ work.TaskKey, o orphan) bool {
-		return o.event != 0 && o.entry == entry && o.event <= acks.Processed
-	})
+	for o := range c.orphans.all() {
+		if o.event != 0 && o.entry == entry && o.event <= acks.Processed {
+			c.orphans.remove(o)
+		}
+	}
 }
 
 // orphanUnstored unlinks the ends of the entry's events from the entry, for others that
 // may ask for them.
 func (c *Core) orphanUnstored(now time.Time, entry string, events []uint64) {
-	for sequence, end := range c.ends {
+	for _, sequence := range c.endSequences() {
+		end := c.ends[sequence]
 		if end.entry != entry || !end.durable || !slices.Contains(events, end.event) {
 			continue
 		}
 		delete(c.ends, sequence)
 		unlinked := end.asOrphan(now, sequence)
 		unlinked.event = 0
-		c.keepOrphan(now, unlinked)
+		c.keepOrphan(unlinked)
 	}
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		if o.entry == entry && slices.Contains(events, o.event) {
 			o.event = 0
-			c.orphans[task] = o
 		}
 	}
 }
@@ -217,7 +219,7 @@
 	for sequence := range c.ends {
 		upTo = min(upTo, sequence-1)
 	}
-	for _, o := range c.orphans {
+	for o := range c.orphans.all() {
 		if o.sequence != 0 {
 			upTo = min(upTo, o.sequence-1)
 		}
@@ -261,17 +263,22 @@
 	}
 }
 
+// endSequences returns the minion's numbers of the ends that entries have not processed, in
+// the order of the ends.
+func (c *Core) endSequences() []uint64 { return slices.Sorted(maps.Keys(c.ends)) }
+
 // orphanStoredEnds makes the ends of a silent entry's stored jobs available to
 // other entries. If the entry reconnects, it claims them.
 func (c *Core) orphanStoredEnds(now time.Time, entry string) {
 	kept := make(map[uint64]bool)
-	for sequence, end := range c.ends {
+	for _, sequence := range c.endSequences() {
+		end := c.ends[sequence]
 		if end.entry != entry || !end.durable {
 			continue
 		}
 		kept[end.event] = true
 		delete(c.ends, sequence)
-		c.keepOrphan(now, end.asOrphan(now, sequence))
+		c.keepOrphan(end.asOrphan(now, sequence))
 	}
 	state := c.entries[entry]
 	state.events = slices.DeleteFunc(state.events, func(event session.Event) bool { return kept[event.Number] })
@@ -280,13 +287,14 @@
 // dropEnds drops the ends that wait for an entry, except those that another
 // entry may ask for.
 func (c *Core) dropEnds(now time.Time, entry string) {
-	for sequence, end := range c.ends {
+	for _, sequence := range c.endSequences() {
+		end := c.ends[sequence]
 		if end.entry != entry {
 			continue
 		}
 		delete(c.ends, sequence)
 		if end.durable {
-			c.keepOrphan(now, end.asOrphan(now, sequence))
+			c.keepOrphan(end.asOrphan(now, sequence))
 		}
 	}
 }
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -50,9 +50,10 @@
 			continue
 		}
 		c.newestEnd = end.Sequence
-		if _, known := c.runs[end.Task]; !c.caughtUp && !known {
+		run, known := c.runs[end.Task]
+		if !c.caughtUp && (!known || run.number != end.Number) {
 			// The run may have ended long before, so endedAt is not known.
-			c.keepOrphan(now, orphan{task: end.Task, end: end.End, attempt: attemptOf(end.Number), checkpoint: end.Checkpoint, sequence: end.Sequence, orphanedAt: now, storedUnknown: true})
+			c.keepOrphan(orphan{task: end.Task, end: end.End, attempt: attemptOf(end.Number), checkpoint: end.Checkpoint, sequence: end.Sequence, orphanedAt: now, storedUnknown: true})
 			continue
 		}
 		c.processEnd(now, end)
@@ -82,7 +83,7 @@
 	case event != 0:
 		c.ends[end.Sequence] = pendingEnd{entry: run.entry, event: event, task: run.task, end: reported, attempt: attemptOf(run.number), epoch: run.epoch, checkpoint: run.checkpoint, durable: run.jobStored, listedAt: now}
 	case run.jobStored || !run.needKnown:
-		c.keepOrphan(now, orphan{task: run.task, end: reported, attempt: attemptOf(run.number), epoch: run.epoch, checkpoint: run.checkpoint, sequence: end.Sequence, endedAt: now, orphanedAt: now, storedUnknown: !run.jobStored})
+		c.keepOrphan(orphan{task: run.task, end: reported, attempt: attemptOf(run.number), epoch: run.epoch, checkpoint: run.checkpoint, sequence: end.Sequence, endedAt: now, orphanedAt: now, storedUnknown: !run.jobStored})
 	}
 }
 
--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -52,7 +52,10 @@
 }
 
 func (c *Core) orderTask(now time.Time, entry, spec string, task *session.StartTask) session.Refusal {
-	if c.isUnknownEnd(task) && !c.voidSuperseded(now, task.Task, task.Epoch) {
+	if task.Stored {
+		c.voidSuperseded(now, task.Task, task.Epoch)
+	}
+	if c.isUnknownEnd(task) {
 		c.claimOrphan(entry, task.Task, task.Attempt)
 		return session.RefusedNone
 	}
@@ -107,8 +110,8 @@
 // isUnknownEnd reports whether the ordered attempt at a stored task has ended here. The
 // entry does not know that and has to be told.
 func (c *Core) isUnknownEnd(ordered *session.StartTask) bool {
-	o, ok := c.orphans[ordered.Task]
-	return ok && ordered.Stored && decidesJob(o.end) && !o.isBefore(ordered.Attempt)
+	o := c.orphans.answerTo(ordered.Task, ordered.Attempt)
+	return o != nil && ordered.Stored && decidesJob(o.end)
 }
 
 // expectedWait estimates how long the task will wait for capacity behind the
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -94,29 +94,24 @@
 // keepOrphan keeps an end for an entry that may ask for it. Only ends that
 // affect a job's outcome, and checkpoints, are kept. The minion may forget an
 // end that is kept only for its checkpoint, since the checkpoint is kept here.
-func (c *Core) keepOrphan(now time.Time, added orphan) {
+func (c *Core) keepOrphan(added orphan) {
 	if decidesJob(added.end) {
-		c.releaseOrphan(now, added.task)
-		c.orphans[added.task] = added
+		c.orphans.add(&added)
 		return
 	}
-	if added.checkpoint == "" || decidesJob(c.orphans[added.task].end) {
+	if added.checkpoint == "" || c.orphans.hasDone(added.task) {
 		return
 	}
 	added.sequence = 0
-	c.orphans[added.task] = added
+	c.orphans.add(&added)
 }
 
 // releaseOrphan drops an end that need not be kept any more because the outcome
 // of the task is in the job store, whoever wrote it. If the end is old, that may be
 // the outcome of another run, of an entry that could not reach this sidecar.
-func (c *Core) releaseOrphan(now time.Time, task work.TaskKey) {
-	o, ok := c.orphans[task]
-	if !ok {
-		return
-	}
-	delete(c.orphans, task)
-	if !o.storedUnknown && c.isOld(now, &o) {
+func (c *Core) releaseOrphan(now time.Time, o *orphan) {
+	c.orphans.remove(o)
+	if !o.storedUnknown && c.isOld(now, o) {
 		c.voidEnd(o)
 	}
 }
@@ -156,38 +151,35 @@
 // and lost before they could store it.
 func (c *Core) releaseStoredOrphan(now time.Time, stored session.TaskEnd, entry string) {
 	c.releaseStoredEnd(stored, entry)
-	o := c.orphans[stored.Task]
-	if !o.matches(stored) {
-		return
-	}
-	if slices.Contains(o.reportedTo, entry) {
-		delete(c.orphans, stored.Task)
-		return
+	for _, o := range c.orphans.matching(stored) {
+		if slices.Contains(o.reportedTo, entry) {
+			c.orphans.remove(o)
+			continue
+		}
+		c.releaseOrphan(now, o)
 	}
-	c.releaseOrphan(now, stored.Task)
 }
 
 // releaseConfirmedOrphan drops an end that is in the job store and after which no run of its
 // task was started.
 func (c *Core) releaseConfirmedOrphan(confirmed session.TaskEnd) {
-	if o, ok := c.orphans[confirmed.Task]; ok && o.matches(confirmed) {
-		delete(c.orphans, confirmed.Task)
+	for _, o := range c.orphans.matching(confirmed) {
+		c.orphans.remove(o)
 	}
 }
 
 // releaseSupersededOrphan drops an end after which its task may have been started again.
 func (c *Core) releaseSupersededOrphan(superseded session.TaskEnd) {
-	if o, ok := c.orphans[superseded.Task]; ok && o.matches(superseded) {
-		c.expireOrphan(superseded.Task)
+	for _, o := range c.orphans.matching(superseded) {
+		c.expireOrphan(o)
 	}
 }
 
 // markStored records that the job of a task is stored, so that another entry may have run
 // the task again.
 func (c *Core) markStored(task work.TaskKey) {
-	if o, ok := c.orphans[task]; ok {
+	for _, o := range c.orphans[task] {
 		o.storedUnknown = false
-		c.orphans[task] = o
 	}
 }
 
@@ -209,15 +201,14 @@
 
 // expireOrphan drops an end that no entry is known to have stored, though it may
 // belong to a stored job, which then runs the task again.
-func (c *Core) expireOrphan(task work.TaskKey) {
-	o := c.orphans[task]
-	delete(c.orphans, task)
+func (c *Core) expireOrphan(o *orphan) {
+	c.orphans.remove(o)
 	c.voidEnd(o)
 }
 
 // voidEnd makes the minion forget an end whose task may run again, or has. The end is
 // acknowledged to the minion only after the lease has lapsed, which makes it void.
-func (c *Core) voidEnd(o orphan) {
+func (c *Core) voidEnd(o *orphan) {
 	if o.sequence == 0 || o.void {
 		return
 	}
@@ -228,9 +219,8 @@
 // releaseUncertainEnds lets the minion forget uncertain ends. It is called when
 // the lease has lapsed, which makes all ends void that are kept.
 func (c *Core) releaseUncertainEnds(now time.Time) {
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		o.void = true
-		c.orphans[task] = o
 	}
 	if len(c.uncertainEnds) > 0 {
 		clear(c.uncertainEnds)
@@ -252,7 +242,7 @@
 // are stored.
 func (c *Core) OrphansToQuery(now time.Time) []session.TaskEnd {
 	var asked []session.TaskEnd
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		if !decidesJob(o.end) || now.Sub(o.orphanedAt) < orphanQueryDelay || now.Sub(o.queriedAt) < orphanQueryInterval {
 			continue
 		}
@@ -260,7 +250,6 @@
 			return asked
 		}
 		o.queriedAt = now
-		c.orphans[task] = o
 		asked = append(asked, o.taskEnd())
 	}
 	return asked
@@ -269,22 +258,21 @@
 // clearOrphanSequences clears the minion's sequence numbers, which start again
 // with a new incarnation.
 func (c *Core) clearOrphanSequences() {
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		o.sequence = 0
-		c.orphans[task] = o
 	}
 }
 
 // dropOldOrphans drops the ends that no entry has asked for in time.
 func (c *Core) dropOldOrphans(now time.Time) {
-	for task, o := range c.orphans {
+	for o := range c.orphans.all() {
 		switch {
 		case o.storedUnknown && c.noStoredJobsReported && !c.storedJobsReported:
 			if now.Sub(o.orphanedAt) > unknownOrphanRetention {
-				delete(c.orphans, task)
+				c.orphans.remove(o)
 			}
 		case now.Sub(o.orphanedAt) > orphanRetention && now.Sub(o.reportedAt) > orphanRetention:
-			c.expireOrphan(task)
+			c.expireOrphan(o)
 		}
 	}
 }
@@ -293,28 +281,44 @@
 // received if it is at this one. A task that is done has no later attempt.
 func (o *orphan) isBefore(attempt int) bool { return o.end != work.EndDone && o.attempt < attempt }
 
-// voidSuperseded drops the end of a task, and reports that it has, if the task may have been
-// started again before an entry ordered it in an epoch of its job. The end is not that of the
-// order: the minion has to forget it, which makes it void.
-func (c *Core) voidSuperseded(now time.Time, task work.TaskKey, epoch session.Epoch) bool {
-	o, ok := c.orphans[task]
-	if !ok || !decidesJob(o.end) || !c.mayHaveRunAgain(now, &o, epoch) {
+// outranks reports whether the end comes before another end of the task in the answer to an
+// entry.
+func (o *orphan) outranks(other *orphan) bool {
+	switch {
+	case other.end == work.EndDone:
 		return false
+	case o.end == work.EndDone, !decidesJob(other.end):
+		return true
 	}
-	c.expireOrphan(task)
-	c.reschedule(now)
-	return true
+	return decidesJob(o.end) && o.attempt > other.attempt
+}
+
+// voidSuperseded drops the ends of a task, and reports that it has dropped one, after which the
+// task may have been started again before an entry ordered it in an epoch of its job. They are
+// not those of the order: the minion has to forget them, which makes them void.
+func (c *Core) voidSuperseded(now time.Time, task work.TaskKey, epoch session.Epoch) bool {
+	dropped := false
+	for _, o := range c.orphans.of(task) {
+		if c.mayHaveRunAgain(now, o, epoch) {
+			c.expireOrphan(o)
+			dropped = true
+		}
+	}
+	if dropped {
+		c.reschedule(now)
+	}
+	return dropped
 }
 
 // claimOrphan reports the orphaned end of a claimed attempt to the entry, if there is
 // one. The entry has received the end of an earlier attempt already. An attempt of 0
 // stands for any.
 func (c *Core) claimOrphan(entry string, task work.TaskKey, attempt int) bool {
-	o, ok := c.orphans[task]
-	if !ok || o.isBefore(attempt) {
+	o := c.orphans.answerTo(task, attempt)
+	if o == nil {
 		return false
 	}
-	delete(c.orphans, task)
+	c.orphans.remove(o)
 	event := c.report(entry, session.Event{Task: task, End: o.end, Checkpoint: o.checkpoint})
 	if o.sequence != 0 {
 		c.ends[o.sequence] = pendingEnd{entry: entry, event: event, task: task, end: o.end, attempt: o.attempt, epoch: o.epoch, checkpoint: o.checkpoint, durable: true, listedAt: o.endedAt}
