An end tells its attempt, and the failed runs before it are counted

A run that a sidecar has to number as one of a later attempt, since its minion has seen the former, counted as the attempt that was ordered, so that its task could be started once too often.

Change: events carry the attempt of their run; a failed one counts those before it as well.

--- a/decision/execution/order.go
+++ b/decision/execution/order.go
@@ -262,5 +262,5 @@
 		Kind: LogRunEnded, Task: run.task, Entry: run.entry, Route: run.route, End: end, Took: took, Estimate: run.estimate,
 		Waited: run.waited(), Answered: run.answered(),
 	})
-	return c.report(run.entry, session.Event{Task: run.task, End: end, RunTime: took, Checkpoint: run.checkpoint})
+	return c.report(run.entry, session.Event{Task: run.task, End: end, Attempt: attemptOf(run.number), RunTime: took, Checkpoint: run.checkpoint})
 }
--- a/decision/execution/orphan.go
+++ b/decision/execution/orphan.go
@@ -319,7 +319,7 @@
 		return false
 	}
 	c.orphans.remove(o)
-	event := c.report(entry, session.Event{Task: task, End: o.end, Checkpoint: o.checkpoint})
+	event := c.report(entry, session.Event{Task: task, End: o.end, Attempt: o.attempt, Checkpoint: o.checkpoint})
 	if o.sequence != 0 {
 		c.ends[o.sequence] = pendingEnd{entry: entry, event: event, task: task, end: o.end, attempt: o.attempt, epoch: o.epoch, checkpoint: o.checkpoint, durable: true, listedAt: o.endedAt}
 	}
--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -81,11 +81,20 @@
 	if ok {
 		c.recordRunTime(now, c.jobs[event.Task.Job], placed, event.End, event.RunTime)
 		placed.checkpoint = work.NewestCheckpoint(placed.checkpoint, event.Checkpoint)
+		placed.countAttempts(&event)
 		c.finishRun(now, name, placed, event.End)
 	}
 	sidecar.advanceAck()
 }
 
+// countAttempts counts the failed runs before one that has failed of which this entry was not
+// told: they are those of an entry that was lost.
+func (t *task) countAttempts(event *session.Event) {
+	if event.End == work.EndFailed {
+		t.failures = max(t.failures, event.Attempt-1)
+	}
+}
+
 // trackEnd decides when the event may be acknowledged. Placed is the task if the run is
 // one of this entry's, otherwise nil. The end of any other may be one that another entry
 // needs, which has taken its job over.
@@ -100,7 +109,7 @@
 	case c.jobs[event.Task.Job].stored != nil:
 		c.jobs[event.Task.Job].stored.ackAfterSave(ack)
 		if placed != nil {
-			sidecar.recordTold(now, session.TaskEnd{Task: event.Task, End: event.End, Attempt: placed.attempt(), Epoch: placed.epoch}, ack)
+			sidecar.recordTold(now, session.TaskEnd{Task: event.Task, End: event.End, Attempt: max(event.Attempt, placed.attempt()), Epoch: placed.epoch}, ack)
 		}
 	default:
 		ack.allowed = true
--- a/decision/heldjob/stored_test.go
+++ b/decision/heldjob/stored_test.go
@@ -462,3 +462,19 @@
 	f.tick(time.Second)
 	must.Len(t, 1, f.starts)
 }
+
+// TestFailedRunsOfALostEntryAreCounted guards against a task that is started more often than
+// its route allows: the sidecar tells the end of a later attempt than the one that was ordered,
+// since an entry that was lost could not store the failed runs before it.
+func TestFailedRunsOfALostEntryAreCounted(t *testing.T) {
+	f := newFixture(t, 1)
+	f.own()
+	f.submitStored("j", 1)
+	f.confirmCreates()
+	start := f.replyToStarts(session.RefusedNone)[0]
+	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 1, Task: start.Request.Tasks[0].Task, End: work.EndFailed, Attempt: 2})
+	f.collect()
+	must.Len(t, 0, f.starts)
+	must.Len(t, 1, f.endings)
+	must.EqOp(t, Failed, f.endings[0].Outcome)
+}
--- a/session/poll.go
+++ b/session/poll.go
@@ -74,6 +74,10 @@
 	Number uint64
 	Task   work.TaskKey
 	End    work.End
+	// Attempt is that of the run that ended, as in StartTask; 0 if it is not known. It may be a
+	// later one than was ordered, if the minion has seen an attempt that its entry does not
+	// know of.
+	Attempt int
 	// RunTime is the duration of the run, 0 when it is not known.
 	RunTime time.Duration
 	// Checkpoint is the task's newest checkpoint that the sidecar knows; empty
