An owner withdraws runs that another entry may be about to start

Callers saw all kept tasks in a zone that was cut off run a second time in the other zones while they were still at work.

Cause: an entry that takes jobs over waits 3 s for sidecars out of its reach and then counts their leases as expired. A sidecar that the former owner still reaches renews its lease for that one, and the owner stopped nothing when its ownership had lapsed.

Change: the owner stops the runs of its kept jobs 7.3 s after its newest renewal, unless each other entry has said within 1.5 s that it does not regard the jobs as without an owner. In an outage of the table all entries say so and nothing is stopped; in a cut nobody does.

--- a/common/eventlog/kinds.go
+++ b/common/eventlog/kinds.go
@@ -35,6 +35,7 @@
 	KindResources          Kind = "room"
 	KindDisowned           Kind = "disowned"
 	KindEpochBegun         Kind = "epoch_begun"
+	KindRunsWithdrawn      Kind = "runs_withdrawn"
 	KindEndUncertain       Kind = "end_doubtful"
 	KindPoison             Kind = "poison"
 	KindYields             Kind = "yields"
--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -39,7 +39,9 @@
 	// Until ownedUntil no other entry may take over the stored jobs of this one, and none
 	// has been able to since ownedSince.
 	ownedSince, ownedUntil time.Time
-	storeUnavailable       bool
+	// runsUntil is until when runs of stored jobs may go on if that is later than ownedUntil.
+	runsUntil        time.Time
+	storeUnavailable bool
 	// releasing is true once the entry leaves its stored jobs to others.
 	releasing bool
 	// exiting is true once the process is about to exit. New jobs are refused.
@@ -246,6 +248,7 @@
 	for _, task := range sidecar.placed {
 		task.phase = phaseSent
 	}
+	c.withdrawRunsAt(name)
 	c.rebuildCandidates()
 }
 
@@ -305,6 +308,7 @@
 // late jobs and creates, and retries placement.
 func (c *Core) Tick(now time.Time) {
 	c.refreshClasses(now)
+	c.withdrawRuns(now)
 	c.freeLostTasks(now)
 	c.tickStored(now)
 	for _, job := range c.jobs {
--- a/decision/heldjob/decision.go
+++ b/decision/heldjob/decision.go
@@ -49,6 +49,9 @@
 	DecidedTaskFreed DecisionKind = "task_freed"
 	DecidedAnswered  DecisionKind = "answered"
 	DecidedDisowned  DecisionKind = "disowned"
+	// DecidedWithdrawn means that the runs of a stored job are stopped, because another entry
+	// may take the job over.
+	DecidedWithdrawn DecisionKind = "runs_withdrawn"
 	// DecidedEpochBegun means that runs of a stored job are given up of which no end is known.
 	DecidedEpochBegun DecisionKind = "epoch_begun"
 	// DecidedPoison means that a task is given up because minions crash under it.
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -27,6 +27,10 @@
 	// lost its ownership and has to write the job again. confirming means that the
 	// write in flight does so.
 	unconfirmed, confirming bool
+	// runsUntil is until when runs of an unconfirmed job may go on, and withdrawn is true once
+	// they have been stopped for that or for the runsUntil of the entry.
+	runsUntil time.Time
+	withdrawn bool
 	// epoch is the epoch of the job, savedEpoch that of the newest write that has succeeded and
 	// savingEpoch that of the write in flight. Nothing is started before an epoch is saved.
 	epoch, savedEpoch, savingEpoch session.Epoch
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -151,6 +151,9 @@
 }
 
 func (c *Core) reacquire(job *job) {
+	if !job.stored.unconfirmed {
+		job.stored.runsUntil = c.runsEnd()
+	}
 	job.stored.unconfirmed = true
 	job.stored.confirming = false
 	c.requestSave(job)
--- a/decision/joblease/monitor.go
+++ b/decision/joblease/monitor.go
@@ -104,3 +104,15 @@
 
 // HasRows reports whether any entry has a row, so that stored jobs may exist.
 func (m *Monitor) HasRows() bool { return len(m.observations) > 0 }
+
+// Gone returns the incarnations of entries whose rows were unchanged for so long that they are
+// gone for good, by name.
+func (m *Monitor) Gone() map[string]string {
+	gone := make(map[string]string)
+	for name, known := range m.observations {
+		if m.lastRead.Sub(known.since) > goneAfter {
+			gone[name] = known.row.Boot
+		}
+	}
+	return gone
+}
--- a/dispatcher/logging.go
+++ b/dispatcher/logging.go
@@ -36,6 +36,8 @@
 		d.logAnswer(decision)
 	case heldjob.DecidedDisowned:
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindDisowned), decision).Msg("")
+	case heldjob.DecidedWithdrawn:
+		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindRunsWithdrawn), decision).Msg("")
 	case heldjob.DecidedEpochBegun:
 		d.addDecisionFields(d.deps.Log.Failure(eventlog.KindEpochBegun), decision).Int(eventlog.FieldEpoch, int(decision.Epoch)).Msg("")
 	case heldjob.DecidedJoined:
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -102,7 +102,9 @@
 	s.dispatcher.loop.Do(func(now time.Time) {
 		if err == nil {
 			s.lease.Renewed(sentAt)
+			s.runGuard.Renewed(sentAt)
 		}
+		s.dispatcher.core.LetRunUntil(s.runGuard.Until(now, s.possibleAdopters()))
 		s.dispatcher.core.OwnUntil(now, s.lease.End())
 		if !s.lease.Valid(now) {
 			return
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -27,6 +27,12 @@
 	return nil
 }
 
+// Ownership tells an owner of stored jobs whether this entry may take them over.
+func (s *service) Ownership(request *session.OwnershipRequest, reply *session.OwnershipReply) error {
+	reply.Revoked = s.dispatcher.storedJobs.hasRevoked(request.Owner, request.Boot)
+	return nil
+}
+
 // Pending returns the number of jobs of a route of which no task has started.
 func (s *service) Pending(request *session.PendingRequest, reply *session.PendingReply) error {
 	reply.Boot = s.dispatcher.settings.Self.Boot
--- a/dispatcher/storedjobs.go
+++ b/dispatcher/storedjobs.go
@@ -39,6 +39,8 @@
 	renewalStart chan struct{}
 	// ownCheck records that another entry may have ended jobs of this one.
 	ownCheck *ownJobsCheck
+	// ownersSeen is what the newest read of the owner rows has shown; nil before the first.
+	ownersSeen atomic.Pointer[ownersView]
 	// newestScan is the result of the newest scan of the open jobs.
 	newestScan atomic.Pointer[jobScan]
 
@@ -48,6 +50,8 @@
 	// one begins when the row of the previous one was revoked.
 	generation int
 	lease      joblease.Lease
+	// runGuard decides how long runs go on without a valid lease.
+	runGuard joblease.RunGuard
 	// awaitingLease are the writes of new jobs that wait for a valid lease.
 	awaitingLease []*jobstore.Change
 	creating      map[work.JobID]*jobstore.Change
@@ -98,6 +102,7 @@
 	group.Go(func() error { s.writer.Run(ctx); return nil })
 	group.Go(func() error { s.renewLoop(ctx); return nil })
 	group.Go(func() error { s.takeOverLoop(ctx); return nil })
+	group.Go(func() error { s.guardRunsLoop(ctx); return nil })
 	// The goroutines end with ctx and return no errors.
 	_ = group.Wait()
 }
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -34,11 +34,12 @@
 	scanTimeout = 10 * time.Second
 	// adoptTimeout bounds one call to a sidecar. adoptPause is the pause between
 	// two rounds of calls while runs are being stopped. adoptPatience is how long a
-	// sidecar may be unreachable before the leases of its runs count as expired, and how
-	// long runs may take to stop before the list of the jobs is read again.
+	// sidecar may be unreachable before the leases of its runs count as expired, since
+	// the owner has withdrawn them by then, and how long runs may take to stop before the
+	// list of the jobs is read again.
 	adoptTimeout  = 600 * time.Millisecond
 	adoptPause    = 150 * time.Millisecond
-	adoptPatience = 3 * time.Second
+	adoptPatience = joblease.AdoptPatience
 	// openToAllAfter is how long the jobs of an owner that is gone wait for the
 	// entry that they are assigned to, or for the owner itself if it is alive but
 	// has lost the connection to the store. After that any entry takes them over.
@@ -103,6 +104,7 @@
 		return false
 	}
 	t.monitor.Observe(now, rows)
+	t.ownersSeen.Store(&ownersView{owners: t.monitor.Owners(), gone: t.monitor.Gone()})
 	t.ownersExist.Store(t.monitor.HasRows())
 	t.noOwners.Store(!t.monitor.HasRows())
 	t.replacePreviousRow(rows)
--- a/session/service.go
+++ b/session/service.go
@@ -15,4 +15,6 @@
 	MethodJob      = EntryService + ".Job"
 	MethodEnded    = EntryService + ".Ended"
 	MethodPending  = EntryService + ".Pending"
+
+	MethodOwnership = EntryService + ".Ownership"
 )
