Ends of a cancelled job are kept until its owner knows of the cancelling

Callers saw done tasks of a cancelled job start again when their owner was back from a cut.

Cause: an entry that found the job ended answered that its ends are stored, though the owner had not been told of the end; the sidecar let go of them and told the owner's claims that the runs are gone.

Change: for a job that another entry has ended, the owner is told when its ends are asked for; they are released when it has answered, or when its row shows that it owns nothing. An owner that knows acknowledges the ends of the job at once instead of leaving them to others.

--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -104,6 +104,8 @@
 	switch {
 	case !mustStore(event.End):
 		ack.allowed = true
+	case !used && c.knownEnded(event.Task.Job):
+		ack.allowed = true
 	case !used:
 		ack.leave()
 	case c.jobs[event.Task.Job].stored != nil:
@@ -116,6 +118,12 @@
 	}
 }
 
+// knownEnded reports whether this entry owned the job and knows that it has ended.
+func (c *Core) knownEnded(id work.JobID) bool {
+	_, known := c.answers.get(id)
+	return known
+}
+
 // finishRun updates a task whose run ended or must have expired, and its job.
 func (c *Core) finishRun(now time.Time, name string, placed *task, end work.End) {
 	sidecar := c.sidecars[name]
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -216,6 +216,22 @@
 	c.drop(job)
 }
 
+// EndedElsewhere removes a stored job that another entry has ended in the job store, and stops
+// its runs. Nobody starts anything of the job any more, so that the ends of its runs need not
+// be kept for anyone.
+func (c *Core) EndedElsewhere(id work.JobID) {
+	job, ok := c.jobs[id]
+	if !ok || job.stored == nil {
+		return
+	}
+	allowAcks(job.stored.savingAcks)
+	allowAcks(job.stored.unsavedAcks)
+	job.stored.savingAcks, job.stored.unsavedAcks = nil, nil
+	// Only a cancelling ends a job of another entry.
+	c.answers.put(id, Answer{Outcome: Cancelled})
+	c.Disown(id)
+}
+
 // CancelStored cancels a stored job of this entry. The waiter is answered once the
 // cancellation is written to the job store. CancelStored returns false if this entry
 // does not own the job.
--- a/decision/heldjob/storedends_test.go
+++ b/decision/heldjob/storedends_test.go
@@ -152,3 +152,28 @@
 	must.Len(t, 1, f.core.StoredEnds("s0"))
 	must.EqOp(t, 2, f.core.StoredEnds("s0")[0].Attempt)
 }
+
+// TestEndsOfAJobThatEndedElsewhereAreAcknowledged guards against a lapse of the lease, which
+// ends all runs of a minion, for the ends of a job that another entry has cancelled: its owner
+// was told and starts nothing more, so that nobody needs them.
+func TestEndsOfAJobThatEndedElsewhereAreAcknowledged(t *testing.T) {
+	f := newFixture(t, 1)
+	f.own()
+	f.submitStored("j", 3)
+	f.confirmCreates()
+	start := f.replyToStarts(session.RefusedNone)[0]
+	tasks := start.Request.Tasks
+	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 1, Task: tasks[0].Task, End: work.EndDone})
+	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 2, Task: tasks[1].Task, End: work.EndFailed})
+	f.core.EndedElsewhere("j")
+	f.collect()
+	must.Len(t, 0, f.core.StoredJobs())
+	must.Len(t, 1, f.stops)
+	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 3, Task: work.TaskKey{Job: "j", Index: 2}, End: work.EndDone})
+	must.EqOp(t, 3, f.core.AckedUpTo(start.Sidecar))
+	must.Len(t, 0, f.core.TakeUnstored(start.Sidecar))
+	answer, _, open, known := f.core.State(f.now, "j")
+	must.True(t, known)
+	must.False(t, open)
+	must.EqOp(t, Cancelled, answer.Outcome)
+}
--- a/decision/joblease/monitor.go
+++ b/decision/joblease/monitor.go
@@ -21,6 +21,9 @@
 	Version int64 `json:"-"`
 }
 
+// IsOf reports whether the incarnation may own jobs by this row.
+func (r OwnerRow) IsOf(boot string) bool { return r.Boot == boot && !r.Released }
+
 // renewedSince reports whether the owner has written the row after the earlier reading.
 // A notice of another entry is no sign of life.
 func (r OwnerRow) renewedSince(earlier OwnerRow) bool {
@@ -64,7 +67,7 @@
 // row before its first job.
 func (m *Monitor) MayOwnJobs(name, boot string) bool {
 	known, ok := m.observations[name]
-	return ok && known.row.Boot == boot && !known.row.Released
+	return ok && known.row.IsOf(boot)
 }
 
 // Owners returns the identities of the entries whose rows are not released, by name.
--- a/dispatcher/notice.go
+++ b/dispatcher/notice.go
@@ -48,7 +48,7 @@
 // callOwner tells the owner of a job of its end and reports whether it has confirmed that.
 func (d *Dispatcher) callOwner(ctx context.Context, id work.JobID, name string) bool {
 	if name == d.settings.Self.Name {
-		d.loop.Do(func(time.Time) { d.core.Disown(id) })
+		d.loop.Do(func(time.Time) { d.core.EndedElsewhere(id) })
 		return true
 	}
 	owner, ok := d.deps.Directory.Get(name)
@@ -65,7 +65,7 @@
 		if err != nil {
 			return err
 		}
-		if row.Boot != owner.Boot || row.Released {
+		if !row.IsOf(owner.Boot) {
 			return nil
 		}
 		row.Notices++
--- a/dispatcher/orphans.go
+++ b/dispatcher/orphans.go
@@ -6,6 +6,7 @@
 
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
+	"github.com/figring/figring/work"
 )
 
 // releaseTimeout bounds releaseStored.
@@ -20,8 +21,9 @@
 	defer cancel()
 	var stored, unknown []session.TaskEnd
 	request := session.AdoptRequest{Sidecar: s.link.name}
+	query := endQuery{dispatcher: s.link.dispatcher, unaware: make(map[jobstore.Owner]bool)}
 	for _, end := range ends {
-		switch s.find(ctx, end) {
+		switch query.find(ctx, end) {
 		case endConfirmed:
 			stored = append(stored, end)
 			request.ConfirmedEnds = append(request.ConfirmedEnds, end)
@@ -58,9 +60,16 @@
 	jobUnknown
 )
 
+// endQuery finds out about the ends that one sidecar keeps.
+type endQuery struct {
+	dispatcher *Dispatcher
+	// unaware are the owners that have not answered to this query and may own jobs still.
+	unaware map[jobstore.Owner]bool
+}
+
 // find returns what the job store has of an end.
-func (s *openSession) find(ctx context.Context, end session.TaskEnd) endState {
-	d := s.link.dispatcher
+func (q *endQuery) find(ctx context.Context, end session.TaskEnd) endState {
+	d := q.dispatcher
 	own, stored, since := false, false, session.Unrelated
 	d.loop.Do(func(time.Time) { own, stored, since = d.core.TaskEndStored(end) })
 	if own {
@@ -72,12 +81,39 @@
 		return endNeeded
 	case found.Open != nil:
 		return stateInOpenJob(&found.Open.Progress, end)
+	case found.End != nil && !q.ownerKnowsEnd(ctx, end.Task.Job, found.End.Owner):
+		return endNeeded
 	case found.End != nil:
 		return stateOf(true, end.Epoch.Relate(found.End.Epoch))
 	}
 	return jobUnknown
 }
 
+// ownerKnowsEnd reports whether the owner of a job that another entry has ended starts nothing
+// of it any more: it knows of the end, which it is told now, or owns nothing. Otherwise it
+// would start a task again whose end is gone. The owner is nil for a job that it has ended
+// itself.
+func (q *endQuery) ownerKnowsEnd(ctx context.Context, id work.JobID, owner *jobstore.Owner) bool {
+	if owner == nil {
+		return true
+	}
+	if q.unaware[*owner] {
+		return false
+	}
+	if q.dispatcher.callOwner(ctx, id, owner.Name) {
+		return true
+	}
+	row, err := q.dispatcher.storedJobs.owners.Get(ctx, owner.Name)
+	if err != nil {
+		q.dispatcher.storedJobs.writeFailed(err)
+	}
+	if err == nil && !row.IsOf(owner.Boot) {
+		return true
+	}
+	q.unaware[*owner] = true
+	return false
+}
+
 // stateInOpenJob returns what the progress of a job has of an end.
 func stateInOpenJob(progress *jobstore.Progress, end session.TaskEnd) endState {
 	return stateOf(progress.Includes(end.Task, end.End, end.Attempt), end.Epoch.Relate(progress.Epoch))
--- a/dispatcher/ownjobs.go
+++ b/dispatcher/ownjobs.go
@@ -36,7 +36,7 @@
 			Str(eventlog.FieldJob, string(id)).Str(eventlog.FieldReason, "ended elsewhere").Msg("")
 		s.dispatcher.loop.Post(func(time.Time) {
 			if slices.Contains(s.dispatcher.core.UnendedStoredJobs(), id) {
-				s.dispatcher.core.Disown(id)
+				s.dispatcher.core.EndedElsewhere(id)
 			}
 		})
 	}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -23,7 +23,7 @@
 
 // Ended handles the notification that another entry has ended a stored job.
 func (s *service) Ended(request *session.EndedRequest, _ *session.EndedReply) error {
-	s.dispatcher.loop.Do(func(time.Time) { s.dispatcher.core.Disown(request.Job) })
+	s.dispatcher.loop.Do(func(time.Time) { s.dispatcher.core.EndedElsewhere(request.Job) })
 	return nil
 }
 
