A scan gives a hanging partition 1.5 s, not 10

While one partition hangs, each would have taken its whole 10 s, in which the owner rows are not read and nobody's jobs are taken over.

Change: each page of open jobs has 1.5 s. TestScanIsNotHeldUpByAPartitionThatHangs takes 10 s and fails without that.

--- a/dispatcher/takeover_test.go
+++ b/dispatcher/takeover_test.go
@@ -118,3 +118,14 @@
 	check.settle(check.begin())
 	must.False(t, check.due())
 }
+
+// TestScanIsNotHeldUpByAPartitionThatHangs guards against owner rows that nobody reads, so that
+// no job is taken over, while a scan that is repeated waits for one partition.
+func TestScanIsNotHeldUpByAPartitionThatHangs(t *testing.T) {
+	f := newTakeoverFixture(t)
+	f.injectors[0].Set(fault.Settings{Hang: true})
+	began := boottime.Now()
+	f.takeover.runRound(t.Context())
+	must.Less(t, 2*time.Second, boottime.Now().Sub(began))
+	must.True(t, f.takeover.nextScan.Before(boottime.Now()))
+}
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -27,6 +28,9 @@
 	partPrefix = "part/"
 	// listLimit is the maximum number of rows that one read returns.
 	listLimit = 400
+	// pageTimeout bounds the read of one page of open jobs: one partition that hangs must
+	// not hold up who waits for them.
+	pageTimeout = 1500 * time.Millisecond
 )
 
 // Store reads stored jobs. Writer writes them.
@@ -120,7 +124,7 @@
 func (s *Store) EachOpen(ctx context.Context, visit func(job *OpenJob, rowBytes int)) (unreadable int, err error) {
 	for _, table := range s.tables {
 		for from := ""; ; {
-			page, err := table.List(ctx, openPrefix, from, listLimit)
+			page, err := listOpen(ctx, table, from)
 			if err != nil {
 				return 0, Error.Wrap(err)
 			}
@@ -140,3 +144,10 @@
 	}
 	return unreadable, nil
 }
+
+// listOpen reads one page of the open jobs of a partition.
+func listOpen(ctx context.Context, table store.Table, from string) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return table.List(ctx, openPrefix, from, listLimit)
+}
