A job that its next owner has ended is disowned, not taken for cancelled

Cause: a job that a scan finds ended may have been taken over and completed by another entry; only the message of an entry that has cancelled it goes to the owner of that moment.

Change: the end's row tells who owned the job. Only if that is this process are the ends of its runs needless; else the job is disowned as before. TestJobEndedByAnotherOwnerIsOnlyDisowned fails without that.

--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -216,9 +216,9 @@
 	c.drop(job)
 }
 
-// EndedElsewhere removes a stored job that another entry has ended in the job store, and stops
-// its runs. Nobody starts anything of the job any more, so that the ends of its runs need not
-// be kept for anyone.
+// EndedElsewhere removes a stored job of this entry that another entry has cancelled, and stops
+// its runs. This entry was the owner until then, so that nobody else has started anything of
+// the job, or will, and the ends of its runs need not be kept for anyone.
 func (c *Core) EndedElsewhere(id work.JobID) {
 	job, ok := c.jobs[id]
 	if !ok || job.stored == nil {
@@ -227,7 +227,6 @@
 	allowAcks(job.stored.savingAcks)
 	allowAcks(job.stored.unsavedAcks)
 	job.stored.savingAcks, job.stored.unsavedAcks = nil, nil
-	// Only a cancelling ends a job of another entry.
 	c.answers.put(id, Answer{Outcome: Cancelled})
 	c.Disown(id)
 }
--- a/dispatcher/orphans_test.go
+++ b/dispatcher/orphans_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/decision/joblease"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
@@ -82,3 +83,25 @@
 	must.EqOp(t, endConfirmed, f.ask("j"))
 	must.Eq(t, []work.JobID{"j"}, told.jobs)
 }
+
+// TestJobEndedByAnotherOwnerIsOnlyDisowned guards against a completed job that is shown as
+// cancelled, and against ends that are noted though their tasks were started again: another
+// entry has taken the job over and ended it while this one was cut off.
+func TestJobEndedByAnotherOwnerIsOnlyDisowned(t *testing.T) {
+	for _, tc := range []struct {
+		owner     jobstore.Owner
+		cancelled bool
+	}{{jobstore.Owner{Name: "e", Boot: "1.0"}, true}, {jobstore.Owner{Name: "e", Boot: "2.0"}, false}, {jobstore.Owner{Name: "f", Boot: "1.0"}, false}} {
+		f := newTakeoverFixture(t)
+		f.storeEnd("j", tc.owner)
+		f.addOwnJob("j")
+		f.takeover.ownCheck.request()
+		f.takeover.runRound(t.Context())
+		must.EqOp(t, 0, f.ownJobCount())
+		f.takeover.dispatcher.loop.Do(func(now time.Time) {
+			answer, _, _, known := f.takeover.dispatcher.core.State(now, "j")
+			must.EqOp(t, tc.cancelled, known)
+			must.EqOp(t, tc.cancelled, answer.Outcome == heldjob.Cancelled)
+		})
+	}
+}
