Schedules of stored jobs: entries, sidecars and a store under drawn faults

They now also simulate three entries that own stored jobs, a store, takeovers, cancels, and what a minion's client may judge: two runs at once, a start after a noted end done or after all attempts, a job that doesn't end.

--- a/decision/schedule/entry_test.go
+++ b/decision/schedule/entry_test.go
@@ -27,6 +27,9 @@
 	starts   int
 	core     *heldjob.Core
 	sessions map[string]*sidecarSession
+	// store and kept are set where jobs are stored.
+	store *keptStore
+	kept  *keptOwner
 	// frozenUntil is the end of the time in which the process is suspended or down.
 	frozenUntil time.Time
 }
@@ -42,9 +45,11 @@
 	// heardNews is the number of the last crash or poison task received from it,
 	// toldPoison that of the last poison task sent to it.
 	heardNews, toldPoison uint64
-	echo                  session.Stamp
-	lastAnswer            time.Time
-	nextDial              time.Time
+	// unstored are the acknowledged events that the entry has not stored.
+	unstored   []uint64
+	echo       session.Stamp
+	lastAnswer time.Time
+	nextDial   time.Time
 	// sessionNumber counts the sessions, so that messages of an earlier session are
 	// recognised and dropped.
 	sessionNumber int
@@ -66,6 +71,9 @@
 		e.sessions[sidecar.name] = &sidecarSession{}
 	}
 	e.frozenUntil = at
+	if e.store != nil {
+		e.kept = newKeptOwner(e, e.store)
+	}
 }
 
 func (e *entry) incarnation() string { return fmt.Sprintf("%s.%03d", e.name, e.starts) }
@@ -86,6 +94,9 @@
 			e.dial(now, conn, sidecar)
 		}
 	}
+	if e.kept != nil {
+		e.kept.step(now)
+	}
 	e.core.Tick(now)
 	e.performActions(now)
 }
@@ -106,7 +117,7 @@
 		return
 	}
 	core.Echo(e.name, conn.echo)
-	core.Acknowledge(now, e.name, execution.Acks{Received: conn.heard, Processed: conn.noted})
+	core.Acknowledge(now, e.name, execution.Acks{Received: conn.heard, Processed: conn.noted, Unstored: conn.unstored})
 	if e.sim.losesMessage() {
 		return
 	}
@@ -118,6 +129,10 @@
 		e.core.RunEnded(now, sidecar.name, event)
 	}
 	conn.noted = max(conn.noted, e.core.AckedUpTo(sidecar.name))
+	conn.unstored = e.core.TakeUnstored(sidecar.name)
+	if e.kept != nil {
+		e.kept.answerOrphans(now, sidecar, core.OrphansToQuery(now))
+	}
 }
 
 // exchangeNews exchanges crashes and poison tasks with a sidecar.
@@ -143,10 +158,12 @@
 		return
 	}
 	claims, knownMinion := e.core.BeginSession(now, sidecar.name)
-	greeting := execution.HelloParams{Entry: e.name, Boot: e.incarnation(), Claims: claims, Minion: knownMinion}
+	greeting := execution.HelloParams{Entry: e.name, Boot: e.incarnation(), Claims: claims, Minion: knownMinion, KeepsJobs: e.kept != nil}
 	restarted := conn.incarnation != sidecar.incarnation()
 	if !restarted {
-		greeting.Acked = execution.Acks{Received: conn.heard, Processed: conn.noted}
+		greeting.Acked = execution.Acks{Received: conn.heard, Processed: conn.noted, Unstored: conn.unstored}
+	} else if e.kept != nil {
+		greeting.StoredEnds = e.core.StoredEnds(sidecar.name)
 	}
 	sidecar.core.Hello(now, greeting)
 	if e.sim.losesMessage() {
@@ -155,6 +172,7 @@
 	}
 	if restarted {
 		conn.incarnation, conn.heard, conn.noted, conn.heardNews = sidecar.incarnation(), 0, 0, 0
+		conn.unstored = nil
 		e.core.SidecarRestarted(sidecar.name)
 	}
 	conn.open = true
@@ -174,6 +192,8 @@
 				e.sendStop(action)
 			case heldjob.Reply:
 				e.sim.checkReply(action)
+			case heldjob.CreateJob, heldjob.SaveJob, heldjob.EndJob:
+				e.kept.perform(action)
 			}
 		}
 	}
--- a/decision/schedule/minion_test.go
+++ b/decision/schedule/minion_test.go
@@ -36,6 +36,8 @@
 	nextReport time.Time
 	// crashAt is when the minion crashes under a deadly task; zero if it does not.
 	crashAt time.Time
+	// failShare is the share of runs that fail, from 0 to 1.
+	failShare float64
 }
 
 // roomChange is the room that a minion had until a time.
@@ -87,6 +89,9 @@
 		m.sim.taskCrashed(task, m.sim.now.Sub(run.startedAt))
 		m.sim.taskEnded(task, m, 0)
 	}
+	if m.sim.kept != nil {
+		delete(m.sim.kept.unnoted, m)
+	}
 	m.incarnation++
 	m.downUntil = until
 	m.fence, m.sequence, m.leaseUntil = 0, 0, time.Time{}
@@ -108,11 +113,17 @@
 // endDueRuns ends the runs that have completed, and all runs once the lease has
 // expired.
 func (m *minion) endDueRuns(now time.Time) {
+	if m.sim.kept != nil && now.After(m.leaseUntil) {
+		m.sim.kept.lapsed(m)
+	}
 	for task, run := range m.running {
 		switch {
 		case now.After(m.leaseUntil):
 			m.finish(task, run, work.EndLapsed)
-		case !run.endsAt.After(now):
+		case run.endsAt.After(now):
+		case m.failShare > 0 && m.sim.random.Float64() < m.failShare:
+			m.finish(task, run, work.EndFailed)
+		default:
 			m.finish(task, run, work.EndDone)
 		}
 	}
@@ -121,7 +132,11 @@
 func (m *minion) finish(task work.TaskKey, run activeRun, how work.End) {
 	delete(m.running, task)
 	m.sequence++
-	m.finished = append(m.finished, execution.FinishedRun{Sequence: m.sequence, Task: task, Number: run.number, End: how})
+	end := execution.FinishedRun{Sequence: m.sequence, Task: task, Number: run.number, End: how}
+	m.finished = append(m.finished, end)
+	if m.sim.kept != nil {
+		m.sim.kept.ended(m, end, m.sim.now)
+	}
 	m.sim.taskEnded(task, m, how)
 }
 
@@ -166,6 +181,9 @@
 		return false
 	}
 	m.fence = fence
+	if m.sim.kept != nil {
+		m.sim.kept.acknowledged(m, acked)
+	}
 	m.finished = slices.DeleteFunc(m.finished, func(end execution.FinishedRun) bool { return end.Sequence <= acked })
 	return true
 }
--- a/decision/schedule/sidecar_test.go
+++ b/decision/schedule/sidecar_test.go
@@ -14,6 +14,8 @@
 	// thousandths of a core.
 	minionCapacity = 10_000
 	taskNeed       = 3_000
+	// lapseMargin is the time after which a lapse of the lease is certain to the sidecar.
+	lapseMargin = 50 * time.Millisecond
 )
 
 // sidecar simulates the process of a sidecar, its core, and holds its minion.
@@ -63,6 +65,9 @@
 		}, false)
 	}
 	s.pollMinion(now)
+	if s.sim.kept != nil && now.After(s.minion.leaseUntil.Add(lapseMargin)) {
+		s.core.LeaseLapsed(now)
+	}
 	s.core.Tick(now)
 	s.performActions(now)
 }
--- a/decision/schedule/simulation_test.go
+++ b/decision/schedule/simulation_test.go
@@ -54,6 +54,9 @@
 	callers    []*caller
 	lastWaiter uint64
 
+	// kept follows stored tasks; nil without any.
+	kept *keptRecord
+
 	// runningAt is the minion at which a task runs.
 	runningAt map[work.TaskKey]*minion
 	started   map[work.JobID]bool
@@ -149,6 +152,9 @@
 	sim.logEvent("%v starts at %s", task, m.name)
 	sim.runningAt[task] = m
 	sim.startCount[task]++
+	if sim.kept != nil {
+		sim.kept.starts[task] = append(sim.kept.starts[task], sim.now)
+	}
 	sim.started[task.Job] = true
 	if used := int64(len(m.running) * taskNeed); used > m.allowedRoom(sim.now) {
 		sim.fail("%d of %d mCPU in use at %s", used, m.allowedRoom(sim.now), m.name)
