A start that a minion never answers ends when the minion is gone

Cause, by the logs: the minion was gone for good 50 ms after the order, before it had answered the start. A run whose start is unanswered waits for a listing that shows whether it has begun; none came, and the entry waited for the sidecar, which it reached all the while.

TestUnansweredStartEndsWithItsMinion fails on the code before.

--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -42,6 +42,9 @@
 	// the number of polls in a row without an answer.
 	unansweredAt time.Time
 	failedPolls  int
+	// refusedSince is since when each poll has found no process of a minion; zero if the
+	// newest one was answered or timed out.
+	refusedSince time.Time
 	// unresponsive is true while the minion does not answer polls.
 	unresponsive bool
 
--- a/decision/execution/listing.go
+++ b/decision/execution/listing.go
@@ -13,6 +13,7 @@
 	}
 	c.answeredAt = now
 	c.failedPolls = 0
+	c.refusedSince = time.Time{}
 	c.unresponsive = false
 	if c.FromNewIncarnation(&listing) {
 		c.resetIncarnation(now, listing.mayContain)
--- a/decision/execution/unanswered.go
+++ b/decision/execution/unanswered.go
@@ -13,9 +13,11 @@
 	if refused {
 		c.handBackQueueOfEndedMinion(now)
 		c.resetIncarnation(now, func(*run) bool { return false })
+		c.endUnconfirmedIfGone(now)
 		c.reschedule(now)
 		return
 	}
+	c.refusedSince = time.Time{}
 	c.recordUnanswered(now)
 	c.failedPolls++
 	// The minion may still receive this poll late. Raising the fence makes it have
@@ -28,6 +30,23 @@
 	}
 }
 
+// endUnconfirmedIfGone ends the runs whose starts were not answered once there has been no
+// minion for so long that none of these can still arrive at one. A minion that is replaced
+// elsewhere never comes back to decide about them.
+func (c *Core) endUnconfirmedIfGone(now time.Time) {
+	if c.refusedSince.IsZero() {
+		c.refusedSince = now
+	}
+	if now.Sub(c.refusedSince) <= lostMinionAfter {
+		return
+	}
+	for _, run := range c.runs {
+		if run.phase == unconfirmed {
+			c.finish(run, work.EndCrashed, 0)
+		}
+	}
+}
+
 // handBackQueueOfEndedMinion reports the queued runs as not run once the minion has
 // ended: it may be away for longer than they can wait.
 func (c *Core) handBackQueueOfEndedMinion(now time.Time) {
@@ -60,6 +79,11 @@
 		if run.jobStored && !c.minionLost(now) {
 			continue
 		}
+		if run.phase == unconfirmed && c.minionLost(now) {
+			// The start arrives after its deadline, if it still does.
+			c.finish(run, work.EndLapsed, 0)
+			ended = true
+		}
 		if run.phase == running || run.phase == stopping {
 			c.lapsed = append(c.lapsed, session.CrashedRun{Task: run.task, Route: run.route, Age: run.age(now), Confirmed: true})
 			c.finish(run, work.EndLapsed, 0)
