--- a/decision/execution/keptends_test.go
+++ b/decision/execution/keptends_test.go
@@ -14,7 +14,7 @@
 // does not hear of, and keeps the entry in contact.
 func (f *fixture) endRunNumbered(task work.TaskKey, attempt int, sequence uint64, end work.End) {
 	f.t.Helper()
-	must.EqOp(f.t, session.RefusedNone, f.orderAgain(task, attempt, session.FirstEpoch))
+	must.EqOp(f.t, session.RefusedNone, f.orderIn(task, attempt, session.FirstEpoch))
 	f.core.StartAnswered(f.now, f.starts()[0], Started)
 	f.list(nil, []FinishedRun{{Sequence: sequence, Task: task, Number: firstRunNumber(attempt), End: end}})
 }
--- a/decision/execution/superseded_test.go
+++ b/decision/execution/superseded_test.go
@@ -15,12 +15,7 @@
 func (f *fixture) doneAlone(task work.TaskKey) {
 	f.t.Helper()
 	f.core.Hello(f.now, HelloParams{Entry: "edge-2", Boot: "boot", KeepsJobs: true})
-	f.request++
-	refusals := f.core.Order(f.now, testEntry, &session.StartRequest{Echo: session.StampOf(f.now), Number: f.request, Tasks: []session.StartTask{{
-		Task: task, Attempt: 1, Epoch: session.FirstEpoch, Need: work.Resources{MilliCPU: 4000}, Estimate: 100 * time.Millisecond,
-		MaxWait: time.Second, ExpectedWait: time.Second, Stored: true,
-	}}})
-	must.Eq(f.t, []session.Refusal{session.RefusedNone}, refusals)
+	must.EqOp(f.t, session.RefusedNone, f.orderIn(task, 1, session.FirstEpoch))
 	f.core.StartAnswered(f.now, f.starts()[0], Started)
 	f.list(nil, []FinishedRun{{Sequence: 1, Task: task, Number: 1, End: work.EndDone}})
 	f.passAlone(SilenceLimit + time.Millisecond)
@@ -33,8 +28,8 @@
 	f.core.Tick(f.now)
 }
 
-// orderAgain orders the task once more and returns the refusal.
-func (f *fixture) orderAgain(task work.TaskKey, attempt int, epoch session.Epoch) session.Refusal {
+// orderIn orders a task of a stored job in an epoch and returns the refusal.
+func (f *fixture) orderIn(task work.TaskKey, attempt int, epoch session.Epoch) session.Refusal {
 	f.request++
 	return f.core.Order(f.now, testEntry, &session.StartRequest{Echo: session.StampOf(f.now), Number: f.request, Tasks: []session.StartTask{{
 		Task: task, Attempt: attempt, Epoch: epoch, Need: work.Resources{MilliCPU: 4000}, Estimate: 100 * time.Millisecond,
@@ -66,7 +61,7 @@
 			f.doneAlone(task)
 			f.passAlone(tc.age)
 			f.hello(0)
-			refusal := f.orderAgain(task, 2, tc.epoch)
+			refusal := f.orderIn(task, 2, tc.epoch)
 			must.EqOp(t, 0, f.core.AckedUpTo())
 			if tc.told {
 				must.EqOp(t, session.RefusedNone, refusal)
@@ -76,7 +71,7 @@
 			must.EqOp(t, session.RefusedNoMinion, refusal)
 			must.Len(t, 0, f.core.EventsFor(testEntry))
 			f.expectVoidedBeforeRelease()
-			must.EqOp(t, session.RefusedNone, f.orderAgain(task, 2, tc.epoch))
+			must.EqOp(t, session.RefusedNone, f.orderIn(task, 2, tc.epoch))
 			must.Len(t, 1, f.starts())
 		})
 	}
--- a/decision/heldjob/storedends_test.go
+++ b/decision/heldjob/storedends_test.go
@@ -109,15 +109,22 @@
 	must.Len(t, 2, f.stops)
 }
 
-// TestEndsOfDisownedJobAreLeftUnstored guards against a task that runs again after its end
-// was acknowledged: another entry takes the job over before this one has stored the end. One
-// that arrives later is not stored either.
-func TestEndsOfDisownedJobAreLeftUnstored(t *testing.T) {
+// runThreeTasks returns a fixture with a stored job of three tasks at one sidecar, and the
+// start request.
+func runThreeTasks(t *testing.T) (*fixture, StartTasks) {
+	t.Helper()
 	f := newFixture(t, 1)
 	f.own()
 	f.submitStored("j", 3)
 	f.confirmCreates()
-	start := f.replyToStarts(session.RefusedNone)[0]
+	return f, f.replyToStarts(session.RefusedNone)[0]
+}
+
+// TestEndsOfDisownedJobAreLeftUnstored guards against a task that runs again after its end
+// was acknowledged: another entry takes the job over before this one has stored the end. One
+// that arrives later is not stored either.
+func TestEndsOfDisownedJobAreLeftUnstored(t *testing.T) {
+	f, start := runThreeTasks(t)
 	tasks := start.Request.Tasks
 	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 1, Task: tasks[0].Task, End: work.EndDone})
 	f.collect()
@@ -157,11 +164,7 @@
 // ends all runs of a minion, for the ends of a job that another entry has cancelled: its owner
 // was told and starts nothing more, so that nobody needs them.
 func TestEndsOfAJobThatEndedElsewhereAreAcknowledged(t *testing.T) {
-	f := newFixture(t, 1)
-	f.own()
-	f.submitStored("j", 3)
-	f.confirmCreates()
-	start := f.replyToStarts(session.RefusedNone)[0]
+	f, start := runThreeTasks(t)
 	tasks := start.Request.Tasks
 	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 1, Task: tasks[0].Task, End: work.EndDone})
 	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 2, Task: tasks[1].Task, End: work.EndFailed})
--- a/decision/schedule/kept_test.go
+++ b/decision/schedule/kept_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
-	"github.com/shoenig/test/must"
-
 	"github.com/figring/figring/decision/execution"
 	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/manifest"
@@ -103,18 +99,7 @@
 // cancel. No task may run twice at the same time, start after an end done that was noted, or
 // more often than its route allows; and every job must end once the faults are over.
 func TestStoredJobsOfEntriesAndSidecars(t *testing.T) {
-	count := keptSchedules
-	if value := os.Getenv(scheduleCountEnv); value != "" {
-		var err error
-		count, err = strconv.Atoi(value)
-		must.NoError(t, err)
-	}
-	for seed := range count {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Parallel()
-			runKeptSchedule(t, uint64(seed))
-		})
-	}
+	eachSchedule(t, keptSchedules, runKeptSchedule)
 }
 
 func runKeptSchedule(t *testing.T, seed uint64) {
--- a/decision/schedule/schedule_test.go
+++ b/decision/schedule/schedule_test.go
@@ -29,7 +29,12 @@
 // the faults end, every caller must get an answer, all capacity must be free again
 // and a new job must complete.
 func TestEntriesAndSidecars(t *testing.T) {
-	count := defaultScheduleCount
+	eachSchedule(t, defaultScheduleCount, runSchedule)
+}
+
+// eachSchedule runs as many schedules as the environment says, count unless it does, each as a
+// subtest.
+func eachSchedule(t *testing.T, count int, run func(t *testing.T, seed uint64)) {
 	if value := os.Getenv(scheduleCountEnv); value != "" {
 		var err error
 		count, err = strconv.Atoi(value)
@@ -38,7 +43,7 @@
 	for seed := range count {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			runSchedule(t, uint64(seed))
+			run(t, uint64(seed))
 		})
 	}
 }
