--- a/decision/execution/entry.go
+++ b/decision/execution/entry.go
@@ -186,6 +186,9 @@
 // orphanUnstored unlinks the ends of the entry's events from the entry, for others that
 // may ask for them.
 func (c *Core) orphanUnstored(now time.Time, entry string, events []uint64) {
+	if len(events) == 0 {
+		return
+	}
 	for _, sequence := range c.endSequences() {
 		end := c.ends[sequence]
 		if end.entry != entry || !end.durable || !slices.Contains(events, end.event) {
@@ -219,9 +222,11 @@
 	for sequence := range c.ends {
 		upTo = min(upTo, sequence-1)
 	}
-	for o := range c.orphans.all() {
-		if o.sequence != 0 {
-			upTo = min(upTo, o.sequence-1)
+	for _, ends := range c.orphans {
+		for _, o := range ends {
+			if o.sequence != 0 {
+				upTo = min(upTo, o.sequence-1)
+			}
 		}
 	}
 	for sequence := range c.uncertainEnds {
