--- a/decision/heldjob/core.go
+++ b/decision/heldjob/core.go
@@ -305,14 +305,17 @@
 }
 
 // Tick does what is due at the time: it frees tasks at unreachable sidecars, gives up
-// late jobs and creates, and retries placement.
+// late jobs and creates, withdraws runs of stored jobs, and retries placement.
 func (c *Core) Tick(now time.Time) {
 	c.refreshClasses(now)
-	c.withdrawRuns(now)
 	c.freeLostTasks(now)
 	c.tickStored(now)
+	runsEnd := c.runsEnd()
 	for _, job := range c.jobs {
-		if job.stored == nil && now.After(job.answerDeadline) {
+		switch {
+		case job.stored != nil:
+			c.withdrawIfDue(now, job, runsEnd)
+		case now.After(job.answerDeadline):
 			c.giveUp(job, ReasonDeadline)
 		}
 	}
--- a/decision/heldjob/withdraw.go
+++ b/decision/heldjob/withdraw.go
@@ -10,25 +10,18 @@
 // runsEnd returns until when runs of stored jobs may go on.
 func (c *Core) runsEnd() time.Time { return laterOf(c.runsUntil, c.ownedUntil) }
 
-// withdrawRuns stops the runs of stored jobs that another entry may take over. They remain
-// this entry's until their ends are told: if it still owns the job then, it starts the tasks
-// again. Runs of best-effort jobs are nobody else's to start and go on.
-func (c *Core) withdrawRuns(now time.Time) {
-	entryEnd := c.runsEnd()
-	for _, job := range c.jobs {
-		if job.stored == nil {
-			continue
-		}
-		end := entryEnd
-		if job.stored.unconfirmed && job.stored.runsUntil.Before(end) {
-			end = job.stored.runsUntil
-		}
-		overdue := now.After(end)
-		if overdue && !job.stored.withdrawn {
-			c.withdrawJob(job)
-		}
-		job.stored.withdrawn = overdue
+// withdrawIfDue stops the runs of a stored job that another entry may take over after end. They
+// remain this entry's until their ends are told: if it still owns the job then, it starts the
+// tasks again. Runs of best-effort jobs are nobody else's to start and go on.
+func (c *Core) withdrawIfDue(now time.Time, job *job, end time.Time) {
+	if job.stored.unconfirmed && job.stored.runsUntil.Before(end) {
+		end = job.stored.runsUntil
+	}
+	overdue := now.After(end)
+	if overdue && !job.stored.withdrawn {
+		c.withdrawJob(job)
 	}
+	job.stored.withdrawn = overdue
 }
 
 // withdrawJob stops the runs of a job at the sidecars that are connected. The others have
