A claim of a run at work is not answered with an earlier run's checkpoint

Callers would see two runs of a kept task at once. Cause: what a sidecar keeps of a stopped run, its checkpoint, answered any claim of the task at the same attempt, also where a further run of it is at work; the entry then starts the task elsewhere.

Change: a claim is looked for among the runs first.

--- a/decision/execution/checkpoint_test.go
+++ b/decision/execution/checkpoint_test.go
@@ -143,3 +143,30 @@
 	must.Len(t, 0, reply.Ends)
 	must.Eq(t, []session.TaskCheckpoint{{Task: task, Checkpoint: "c-2"}}, reply.Checkpoints)
 }
+
+// TestClaimOfARunAtWorkIsNotAnsweredWithASavedCheckpoint guards against two runs of a task at the
+// same time: an earlier run was stopped and has left a checkpoint, the task runs here again, and
+// its entry loses the session for a moment and claims it. Told that the run was stopped, it would
+// start the task elsewhere. The same holds for a run that a restarted sidecar has found.
+func TestClaimOfARunAtWorkIsNotAnsweredWithASavedCheckpoint(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newFixture(t)
+		task := key("j", 0)
+		f.startFrom(task, "")
+		f.list([]RunningRun{{Task: task, Number: 1, Checkpoint: "c-1"}}, nil)
+		f.silenceEntry()
+		stopped := FinishedRun{Sequence: 1, Task: task, Number: 1, End: work.EndStopped, Checkpoint: "c-1"}
+		f.list(nil, []FinishedRun{stopped})
+		f.hello(0)
+		start := f.startFrom(task, "c-1")
+		if restarted {
+			f.restart()
+		}
+		f.list([]RunningRun{{Task: task, Number: start.Number}}, []FinishedRun{stopped})
+		claim := claimOf(task)
+		claim.Stored, claim.Attempt, claim.Epoch = true, 1, session.FirstEpoch
+		f.hello(0, claim)
+		must.Len(t, 0, f.core.EventsFor(testEntry))
+		must.Eq(t, []session.Refusal{session.RefusedOtherEntry}, f.order(task))
+	}
+}
--- a/decision/execution/claims.go
+++ b/decision/execution/claims.go
@@ -28,29 +28,40 @@
 	if claim.Epoch != session.UnknownEpoch {
 		c.voidSuperseded(now, claim.Task, claim.Epoch)
 	}
-	if c.hasEvent(entry, claim.Task) || c.claimOrphan(entry, claim.Task, claim.Attempt) {
+	if c.hasEvent(entry, claim.Task) {
 		return
 	}
-	run, ok := c.runs[claim.Task]
-	if !ok && !c.caughtUp {
-		c.entries[entry].pendingClaims = append(c.entries[entry].pendingClaims, claim)
+	run, here := c.runs[claim.Task]
+	if here && (run.entry == entry || run.entry == "") {
+		// What is kept of the task is of earlier runs.
+		c.attach(run, entry, &claim)
+		return
+	}
+	if c.claimOrphan(entry, claim.Task, claim.Attempt) {
 		return
 	}
-	if !ok || (run.entry != entry && run.entry != "") {
-		// The ordered task may have run: an end that no entry has received is
-		// forgotten some time after its entry.
-		c.report(entry, session.Event{Task: claim.Task, End: work.EndGone})
+	if !here && !c.caughtUp {
+		c.entries[entry].pendingClaims = append(c.entries[entry].pendingClaims, claim)
 		return
 	}
-	if run.entry == "" {
-		run.entry = entry
-		run.route = claim.Route
-		run.need = c.minion.Occupied(claim.Need)
-		run.needKnown = true
-		run.estimate = claim.Estimate
-		run.epoch = claim.Epoch
-		run.jobStored = claim.Stored
+	// The ordered task may have run: an end that no entry has received is
+	// forgotten some time after its entry.
+	c.report(entry, session.Event{Task: claim.Task, End: work.EndGone})
+}
+
+// attach makes the entry that claims a run which was found at the minion the one that waits
+// for it.
+func (c *Core) attach(run *run, entry string, claim *session.Claim) {
+	if run.entry != "" {
+		return
 	}
+	run.entry = entry
+	run.route = claim.Route
+	run.need = c.minion.Occupied(claim.Need)
+	run.needKnown = true
+	run.estimate = claim.Estimate
+	run.epoch = claim.Epoch
+	run.jobStored = claim.Stored
 }
 
 func (c *Core) hasEvent(entry string, task work.TaskKey) bool {
