One place decides about the ends that a sidecar keeps; clearer names

Epoch.AfterTakeover replaces two copies. The question whether another entry is gone, and the setting of until when runs go on, stood twice each.

The guard of runs no longer wakes up each 0.4 s at an entry that has never had a kept job: it waits for the first, like the renewal, on one closed channel.

Names: RelationUnknown (Unrelated), WithoutEpoch (Untagged), FromStore (OfAdopted), HeldBy (IsOf); "confirmation" for "word".

--- a/decision/execution/adopt.go
+++ b/decision/execution/adopt.go
@@ -64,7 +64,7 @@
 		if wanted[pending.task.Job] && pending.entry == request.Owner && !successor {
 			pending.reportedTo = addName(pending.reportedTo, request.Adopter)
 			c.ends[sequence] = pending
-			addEnd(&reply, session.TaskEnd{Task: pending.task, End: pending.end, Attempt: pending.attempt, Epoch: pending.epoch}, pending.checkpoint)
+			addEnd(&reply, pending.taskEnd(), pending.checkpoint)
 		}
 	}
 	return reply
--- a/decision/execution/core.go
+++ b/decision/execution/core.go
@@ -124,6 +124,11 @@
 	reportedTo []string
 }
 
+// taskEnd returns the end as entries name it.
+func (p pendingEnd) taskEnd() session.TaskEnd {
+	return session.TaskEnd{Task: p.task, End: p.end, Attempt: p.attempt, Epoch: p.epoch}
+}
+
 // New returns the core of a sidecar that has just started. The fence must be
 // higher than those of the sidecar's earlier processes.
 func New(fence int64) *Core {
--- a/decision/execution/keptends.go
+++ b/decision/execution/keptends.go
@@ -35,7 +35,8 @@
 	k[removed.task] = left
 }
 
-// all returns all ends, those of a task in the order in which they were added. The one that is visited may be removed.
+// all returns all ends, those of a task in the order in which they were added. The one that
+// is visited may be removed.
 func (k keptEnds) all() iter.Seq[*orphan] {
 	return func(yield func(*orphan) bool) {
 		for _, ends := range k {
--- a/decision/execution/release.go
+++ b/decision/execution/release.go
@@ -40,7 +40,7 @@
 // of unknown age counts as old unless the entry that was told of it has stored it.
 func (c *Core) isOld(now time.Time, o *orphan) bool {
 	if o.endedAt.IsZero() {
-		return !c.confirmedEnds[o.taskEnd().Untagged()]
+		return !c.confirmedEnds[o.taskEnd().WithoutEpoch()]
 	}
 	return now.Sub(o.endedAt) > safeReleaseAge
 }
@@ -49,7 +49,7 @@
 // has stored.
 func (c *Core) confirmEnds(ends []session.TaskEnd) {
 	for _, end := range ends {
-		c.confirmedEnds[end.Untagged()] = true
+		c.confirmedEnds[end.WithoutEpoch()] = true
 	}
 }
 
--- a/decision/heldjob/stored.go
+++ b/decision/heldjob/stored.go
@@ -104,7 +104,7 @@
 	}
 	added := newUnplacedJob(now, stored.Job, stored.Route)
 	// Without its monotonic part the time compares with those read from the job store.
-	epoch := stored.Epoch.OfAdopted()
+	epoch := stored.Epoch.FromStore()
 	added.stored = &storedState{accepted: stored.Accepted.Round(0), epoch: epoch, savedEpoch: epoch, cancelWaiters: make(map[uint64]bool)}
 	c.restoreTasks(now, added, &stored)
 	c.add(added, MemoryOf(&stored.Job))
--- a/decision/heldjob/storedsave.go
+++ b/decision/heldjob/storedsave.go
@@ -29,7 +29,7 @@
 func (c *Core) TaskEndStored(end session.TaskEnd) (own, stored bool, since session.Relation) {
 	job, ok := c.jobs[end.Task.Job]
 	if !ok || job.stored == nil {
-		return false, false, session.Unrelated
+		return false, false, session.RelationUnknown
 	}
 	stored = job.includes(end) && !job.stored.saving && !job.stored.unsaved
 	return true, stored, end.Epoch.Relate(job.stored.epoch)
--- a/decision/joblease/monitor.go
+++ b/decision/joblease/monitor.go
@@ -21,8 +21,8 @@
 	Version int64 `json:"-"`
 }
 
-// IsOf reports whether the incarnation may own jobs by this row.
-func (r OwnerRow) IsOf(boot string) bool { return r.Boot == boot && !r.Released }
+// HeldBy reports whether the incarnation may own jobs by this row.
+func (r OwnerRow) HeldBy(boot string) bool { return r.Boot == boot && !r.Released }
 
 // renewedSince reports whether the owner has written the row after the earlier reading.
 // A notice of another entry is no sign of life.
@@ -67,7 +67,7 @@
 // row before its first job.
 func (m *Monitor) MayOwnJobs(name, boot string) bool {
 	known, ok := m.observations[name]
-	return ok && known.row.IsOf(boot)
+	return ok && known.row.HeldBy(boot)
 }
 
 // Owners returns the identities of the entries whose rows are not released, by name.
--- a/decision/joblease/runguard.go
+++ b/decision/joblease/runguard.go
@@ -12,12 +12,12 @@
 	// and they have ended before another entry, whose clock may run faster, can have waited
 	// for TakeoverAfter and AdoptPatience.
 	RunsAfterRenewal = 7300 * time.Millisecond
-	// ConfirmationTTL is how long the word of another entry, that it does not regard the jobs
-	// as without an owner, lets runs go on, counted from when it was asked. Runs that are
-	// stopped then have ended before that entry can have waited for AdoptPatience.
+	// ConfirmationTTL is how long the confirmation of another entry, that it does not regard
+	// the jobs as without an owner, lets runs go on, counted from when it was asked. Runs that
+	// are stopped then have ended before that entry can have waited for AdoptPatience.
 	ConfirmationTTL = 1500 * time.Millisecond
 	// goneAfter is how long the row of an entry must have been unchanged before the entry
-	// counts as gone for good, so that its word is not needed.
+	// counts as gone for good, so that its confirmation is not needed.
 	goneAfter = time.Minute
 )
 
--- a/decision/joblease/runguard_test.go
+++ b/decision/joblease/runguard_test.go
@@ -22,11 +22,11 @@
 		want      time.Time
 	}{
 		{"nobody else", nil, nil, 30, at(30).Add(ConfirmationTTL)},
-		{"no word", nil, []string{"b"}, 30, renewed},
-		{"word of all", map[string]float64{"b": 29, "c": 29.5}, []string{"b", "c"}, 30, at(29).Add(ConfirmationTTL)},
-		{"word of one", map[string]float64{"b": 29}, []string{"b", "c"}, 30, renewed},
-		{"old word of one", map[string]float64{"b": 29, "c": 12}, []string{"b", "c"}, 30, at(12).Add(ConfirmationTTL)},
-		{"word before the lease ended", map[string]float64{"b": 1, "c": 1}, []string{"b", "c"}, 2, renewed},
+		{"no confirmation", nil, []string{"b"}, 30, renewed},
+		{"confirmed by all", map[string]float64{"b": 29, "c": 29.5}, []string{"b", "c"}, 30, at(29).Add(ConfirmationTTL)},
+		{"confirmed by one", map[string]float64{"b": 29}, []string{"b", "c"}, 30, renewed},
+		{"confirmed by one long ago", map[string]float64{"b": 29, "c": 12}, []string{"b", "c"}, 30, at(12).Add(ConfirmationTTL)},
+		{"confirmed before the lease ended", map[string]float64{"b": 1, "c": 1}, []string{"b", "c"}, 2, renewed},
 		{"an entry that has appeared", map[string]float64{"b": 29, "c": 29}, []string{"b", "c", "new"}, 30, renewed},
 		{"an entry that is gone", map[string]float64{"b": 29, "c": 12}, []string{"b"}, 30, at(29).Add(ConfirmationTTL)},
 	} {
--- a/decision/schedule/keptowner_test.go
+++ b/decision/schedule/keptowner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/decision/joblease"
+	"github.com/figring/figring/decision/keptend"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
 )
@@ -199,11 +200,11 @@
 
 // takeOver writes this entry as the owner of a job with the ends that it was told.
 func (k *keptOwner) takeOver(now time.Time, row *keptRow, ends map[*sidecar][]session.TaskEnd, missing bool) {
-	before := row.epoch.OfAdopted()
+	before := row.epoch.FromStore()
 	for sidecar, told := range ends {
 		var stored []session.TaskEnd
 		for _, end := range told {
-			if end.Task.Job == row.job.ID && end.Epoch.Relate(before) == session.Current {
+			if end.Task.Job == row.job.ID && keptend.IsCurrent(end, before) {
 				row.addEnd(end)
 				stored = append(stored, end)
 			}
@@ -214,10 +215,7 @@
 			sidecar.core.Adopt(now, &confirmed)
 		}
 	}
-	row.epoch = before
-	if missing {
-		row.epoch++
-	}
+	row.epoch = row.epoch.AfterTakeover(!missing)
 	row.owner, row.ownerName = k.self(), k.entry.name
 	k.entry.core.AddStoredJob(now, heldjob.StoredJob{
 		Job: row.job, Route: k.entry.sim.routes[0], Accepted: row.accepted, Epoch: row.epoch, Failures: row.failuresCopy(),
@@ -253,33 +251,25 @@
 	if !k.store.reachable(now, k.entry) {
 		return
 	}
-	var request session.AdoptRequest
+	var answer keptend.Answer
 	for _, end := range ends {
-		stored, since := k.find(now, end)
-		switch {
-		case since == session.Superseded:
-			request.SupersededEnds = append(request.SupersededEnds, end)
-		case stored && since == session.Current:
-			request.ConfirmedEnds = append(request.ConfirmedEnds, end)
-			request.StoredEnds = append(request.StoredEnds, end)
-		case stored:
-			request.StoredEnds = append(request.StoredEnds, end)
-		}
+		answer.Add(end, k.find(now, end))
 	}
+	request := answer.Request(sidecar.name)
 	sidecar.core.Adopt(now, &request)
 }
 
-// find returns whether an end is stored and how it stands to its job.
-func (k *keptOwner) find(now time.Time, end session.TaskEnd) (stored bool, since session.Relation) {
+// find returns what the store has of an end.
+func (k *keptOwner) find(now time.Time, end session.TaskEnd) keptend.State {
 	if own, stored, since := k.entry.core.TaskEndStored(end); own {
-		return stored, since
+		return keptend.Of(stored, since)
 	}
 	row := k.store.rows[end.Task.Job]
 	if row.outcome != 0 && row.cancelledUnder != "" && !k.ownerKnowsEnd(now, row) {
-		return false, session.Unrelated
+		return keptend.Needed
 	}
 	counted := end.End == work.EndFailed && row.failures[end.Task] >= end.Attempt
-	return row.outcome != 0 || counted || row.done[end.Task], end.Epoch.Relate(row.epoch)
+	return keptend.Of(row.outcome != 0 || counted || row.done[end.Task], end.Epoch.Relate(row.epoch))
 }
 
 // ownerKnowsEnd tells the owner of a cancelled job of its end, unless it owns nothing.
@@ -291,5 +281,5 @@
 		return true
 	}
 	ownerRow := k.store.owners[owner.name]
-	return !ownerRow.IsOf(row.cancelledUnder)
+	return !ownerRow.HeldBy(row.cancelledUnder)
 }
--- a/dispatcher/adopt.go
+++ b/dispatcher/adopt.go
@@ -13,6 +13,7 @@
 	"github.com/figring/figring/common/eventlog"
 	"github.com/figring/figring/common/pause"
 	"github.com/figring/figring/decision/heldjob"
+	"github.com/figring/figring/decision/keptend"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
@@ -75,9 +76,9 @@
 // let their lease lapse before they let go of them.
 func (t *takeover) dropSuperseded(found *adoptReplies, jobs []jobstore.OpenJob) {
 	for i := range jobs {
-		id, epoch := jobs[i].ID, jobs[i].Progress.Epoch.OfAdopted()
+		id, epoch := jobs[i].ID, jobs[i].Progress.Epoch.FromStore()
 		all := found.ends[id]
-		found.ends[id] = slices.DeleteFunc(all, func(one foundEnd) bool { return one.Epoch.Relate(epoch) != session.Current })
+		found.ends[id] = slices.DeleteFunc(all, func(one foundEnd) bool { return !keptend.IsCurrent(one.TaskEnd, epoch) })
 		if dropped := len(all) - len(found.ends[id]); dropped > 0 {
 			t.dispatcher.deps.Log.Failure(eventlog.KindEndUncertain).Str(eventlog.FieldJob, string(id)).
 				Int(eventlog.FieldCount, dropped).Str(eventlog.FieldReason, "superseded").Msg("")
@@ -165,7 +166,7 @@
 func (t *takeover) takeOver(record jobstore.AcceptedJob, job jobstore.OpenJob, found adoptReplies, done func(written bool)) {
 	progress := job.Progress
 	progress.Memory = heldjob.MemoryOf(&record.Job)
-	progress.Epoch = found.epochAfter(job.Progress.Epoch)
+	progress.Epoch = job.Progress.Epoch.AfterTakeover(len(found.missing) == 0)
 	for _, one := range found.ends[job.ID] {
 		if record.Job.Has(one.Task) {
 			progress.AddEnd(one.Task, one.End, one.Attempt)
@@ -264,16 +265,6 @@
 	checkpoints map[work.JobID]map[work.TaskKey]work.Checkpoint
 }
 
-// epochAfter returns the epoch of a job that is taken over, which was at another before. It is
-// the next one if a sidecar may have an end of the job that it has not told.
-func (a *adoptReplies) epochAfter(before session.Epoch) session.Epoch {
-	epoch := before.OfAdopted()
-	if len(a.missing) > 0 {
-		epoch++
-	}
-	return epoch
-}
-
 // foundEnd is an end and the name of the sidecar that has it.
 type foundEnd struct {
 	session.TaskEnd
--- a/dispatcher/notice.go
+++ b/dispatcher/notice.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return err
 		}
-		if !row.IsOf(owner.Boot) {
+		if !row.HeldBy(owner.Boot) {
 			return nil
 		}
 		row.Notices++
--- a/dispatcher/orphans.go
+++ b/dispatcher/orphans.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figring/figring/decision/keptend"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/work"
@@ -19,47 +20,19 @@
 func (s *openSession) releaseStored(ends []session.TaskEnd) {
 	ctx, cancel := context.WithTimeout(s.link.dispatcher.tasksCtx, releaseTimeout)
 	defer cancel()
-	var stored, unknown []session.TaskEnd
-	request := session.AdoptRequest{Sidecar: s.link.name}
 	query := endQuery{dispatcher: s.link.dispatcher, unaware: make(map[jobstore.Owner]bool)}
+	var answer keptend.Answer
 	for _, end := range ends {
-		switch query.find(ctx, end) {
-		case endConfirmed:
-			stored = append(stored, end)
-			request.ConfirmedEnds = append(request.ConfirmedEnds, end)
-		case endStored:
-			stored = append(stored, end)
-		case endSuperseded:
-			request.SupersededEnds = append(request.SupersededEnds, end)
-		case jobUnknown:
-			unknown = append(unknown, end)
-		}
+		answer.Add(end, query.find(ctx, end))
 	}
-	if len(stored)+len(unknown)+len(request.SupersededEnds) == 0 {
+	if answer.Empty() {
 		return
 	}
-	request.SetReleased(stored, unknown)
+	request := answer.Request(s.link.name)
 	// If the call fails, the sidecar lists the ends as orphans again.
 	_ = s.client.Call(ctx, session.MethodAdopt, &request, &session.AdoptReply{}, adoptTimeout)
 }
 
-// endState says what the job store has of an end.
-type endState int
-
-const (
-	// endNeeded means that the end is not stored yet, or that nothing is known of it.
-	endNeeded endState = iota
-	// endConfirmed means that the end is stored, or that its job has ended, and that its task
-	// was not started again.
-	endConfirmed
-	// endStored is endConfirmed where it is not known whether the task was started again.
-	endStored
-	// endSuperseded means that the task may have been started again.
-	endSuperseded
-	// jobUnknown means that the job is not stored.
-	jobUnknown
-)
-
 // endQuery finds out about the ends that one sidecar keeps.
 type endQuery struct {
 	dispatcher *Dispatcher
@@ -68,25 +41,26 @@
 }
 
 // find returns what the job store has of an end.
-func (q *endQuery) find(ctx context.Context, end session.TaskEnd) endState {
+func (q *endQuery) find(ctx context.Context, end session.TaskEnd) keptend.State {
 	d := q.dispatcher
-	own, stored, since := false, false, session.Unrelated
+	own, stored, since := false, false, session.RelationUnknown
 	d.loop.Do(func(time.Time) { own, stored, since = d.core.TaskEndStored(end) })
 	if own {
-		return stateOf(stored, since)
+		return keptend.Of(stored, since)
 	}
 	found, err := d.deps.Jobs.Find(ctx, end.Task.Job)
 	switch {
 	case err != nil:
-		return endNeeded
+		return keptend.Needed
 	case found.Open != nil:
-		return stateInOpenJob(&found.Open.Progress, end)
+		progress := &found.Open.Progress
+		return keptend.Of(progress.Includes(end.Task, end.End, end.Attempt), end.Epoch.Relate(progress.Epoch))
 	case found.End != nil && !q.ownerKnowsEnd(ctx, end.Task.Job, found.End.Owner):
-		return endNeeded
+		return keptend.Needed
 	case found.End != nil:
-		return stateOf(true, end.Epoch.Relate(found.End.Epoch))
+		return keptend.Of(true, end.Epoch.Relate(found.End.Epoch))
 	}
-	return jobUnknown
+	return keptend.JobUnknown
 }
 
 // ownerKnowsEnd reports whether the owner of a job that another entry has ended starts nothing
@@ -107,28 +81,9 @@
 	if err != nil {
 		q.dispatcher.storedJobs.writeFailed(err)
 	}
-	if err == nil && !row.IsOf(owner.Boot) {
+	if err == nil && !row.HeldBy(owner.Boot) {
 		return true
 	}
 	q.unaware[*owner] = true
 	return false
 }
-
-// stateInOpenJob returns what the progress of a job has of an end.
-func stateInOpenJob(progress *jobstore.Progress, end session.TaskEnd) endState {
-	return stateOf(progress.Includes(end.Task, end.End, end.Attempt), end.Epoch.Relate(progress.Epoch))
-}
-
-// stateOf returns the state of an end that is stored or not, and that stands to its job as
-// given.
-func stateOf(stored bool, since session.Relation) endState {
-	switch {
-	case since == session.Superseded:
-		return endSuperseded
-	case !stored:
-		return endNeeded
-	case since == session.Current:
-		return endConfirmed
-	}
-	return endStored
-}
--- a/dispatcher/orphans_test.go
+++ b/dispatcher/orphans_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figring/figring/decision/heldjob"
 	"github.com/figring/figring/decision/joblease"
+	"github.com/figring/figring/decision/keptend"
 	"github.com/figring/figring/jobstore"
 	"github.com/figring/figring/session"
 	"github.com/figring/figring/session/link"
@@ -45,7 +46,7 @@
 }
 
 // ask returns what this entry answers to a sidecar about a done task of the job.
-func (f *takeoverFixture) ask(id work.JobID) endState {
+func (f *takeoverFixture) ask(id work.JobID) keptend.State {
 	query := endQuery{dispatcher: f.takeover.dispatcher, unaware: make(map[jobstore.Owner]bool)}
 	return query.find(f.t.Context(), session.TaskEnd{Task: work.TaskKey{Job: id}, End: work.EndDone, Attempt: 1, Epoch: session.FirstEpoch})
 }
@@ -60,12 +61,12 @@
 	version, err := f.takeover.owners.Put(t.Context(), row)
 	must.NoError(t, err)
 	f.storeEnd("j", owner)
-	must.EqOp(t, endNeeded, f.ask("j"))
+	must.EqOp(t, keptend.Needed, f.ask("j"))
 
 	row.Version, row.Released = version, true
 	_, err = f.takeover.owners.Put(t.Context(), row)
 	must.NoError(t, err)
-	must.EqOp(t, endConfirmed, f.ask("j"), must.Sprint("the owner owns nothing any more"))
+	must.EqOp(t, keptend.Confirmed, f.ask("j"), must.Sprint("the owner owns nothing any more"))
 }
 
 // TestOwnerIsToldWhenAnEndOfItsCancelledJobIsAskedFor guards against an end that is kept, until
@@ -80,7 +81,7 @@
 	t.Cleanup(listener.Close)
 	f.takeover.dispatcher.deps.Directory.Merge(session.Peer{Name: "owner", Role: session.RoleEntry, Address: listener.Address(), Boot: "1"})
 	f.storeEnd("j", jobstore.Owner{Name: "owner", Boot: "1.0"})
-	must.EqOp(t, endConfirmed, f.ask("j"))
+	must.EqOp(t, keptend.Confirmed, f.ask("j"))
 	must.Eq(t, []work.JobID{"j"}, told.jobs)
 }
 
--- a/dispatcher/renewal.go
+++ b/dispatcher/renewal.go
@@ -23,15 +23,8 @@
 // leaves its jobs to other entries.
 func (s *storedJobs) renewLoop(ctx context.Context) {
 	var row joblease.OwnerRow
+	s.awaitRenewal(ctx)
 	for ctx.Err() == nil && !s.dispatcher.releasing.Load() {
-		if !s.renewalNeeded.Load() {
-			select {
-			case <-s.renewalStart:
-			case <-ctx.Done():
-				return
-			}
-			continue
-		}
 		delay := joblease.RenewEvery
 		sentAt := boottime.Now()
 		err := s.renewOnce(ctx, &row)
@@ -104,7 +97,7 @@
 			s.lease.Renewed(sentAt)
 			s.runGuard.Renewed(sentAt)
 		}
-		s.dispatcher.core.LetRunUntil(s.runGuard.Until(now, s.possibleAdopters()))
+		s.limitRuns(now)
 		s.dispatcher.core.OwnUntil(now, s.lease.End())
 		if !s.lease.Valid(now) {
 			return
--- a/dispatcher/runguard.go
+++ b/dispatcher/runguard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,12 +53,14 @@
 		return false
 	}
 	boot, ok := v.gone[entry.Name]
-	return ok && strings.HasPrefix(boot, entry.Boot+".")
+	return ok && processBoot(boot) == entry.Boot
 }
 
 // guardRunsLoop asks the other entries about the ownership of this one while its lease is not
-// valid, until ctx ends. As long as all of them confirm it, runs of stored jobs go on.
+// valid, from its first stored job on until ctx ends. As long as all of them confirm it, runs
+// of stored jobs go on.
 func (s *storedJobs) guardRunsLoop(ctx context.Context) {
+	s.awaitRenewal(ctx)
 	for ctx.Err() == nil {
 		if s.needsConfirmation() {
 			s.askOthers(ctx)
@@ -71,9 +72,6 @@
 
 // needsConfirmation reports whether there are stored jobs whose lease has ended.
 func (s *storedJobs) needsConfirmation() bool {
-	if !s.renewalNeeded.Load() {
-		return false
-	}
 	needed := false
 	s.dispatcher.loop.Do(func(now time.Time) { needed = !s.lease.Valid(now) && len(s.dispatcher.core.UnendedStoredJobs()) > 0 })
 	return needed
@@ -87,11 +85,16 @@
 		wait.Go(func() { s.askOther(ctx, name) })
 	}
 	wait.Wait()
-	s.dispatcher.loop.Do(func(now time.Time) { s.dispatcher.core.LetRunUntil(s.runGuard.Until(now, s.possibleAdopters())) })
+	s.dispatcher.loop.Do(s.limitRuns)
+}
+
+// limitRuns sets until when runs of stored jobs may go on. It must be called from the loop.
+func (s *storedJobs) limitRuns(now time.Time) {
+	s.dispatcher.core.LetRunUntil(s.runGuard.Until(now, s.possibleAdopters()))
 }
 
-// askOther asks one entry. Only its word counts: a connection that is refused does not show that
-// there is no process, as what cuts a network may refuse in its place.
+// askOther asks one entry. Only its answer counts: a connection that is refused does not show
+// that there is no process, as what cuts a network may refuse in its place.
 func (s *storedJobs) askOther(ctx context.Context, name string) {
 	other, ok := s.dispatcher.deps.Directory.Get(name)
 	if !ok {
--- a/dispatcher/storedjobs.go
+++ b/dispatcher/storedjobs.go
@@ -35,7 +35,8 @@
 	ownersExist atomic.Bool
 	// noOwners is true while the entry knows that no entry has an owner row. Until
 	// the first read of the rows, ownersExist and noOwners are both false.
-	noOwners     atomic.Bool
+	noOwners atomic.Bool
+	// renewalStart is closed when renewalNeeded becomes true.
 	renewalStart chan struct{}
 	// ownCheck records that another entry may have ended jobs of this one.
 	ownCheck *ownJobsCheck
@@ -74,7 +75,7 @@
 		dispatcher:   d,
 		store:        store,
 		owners:       owners,
-		renewalStart: make(chan struct{}, 1),
+		renewalStart: make(chan struct{}),
 
 		ownCheck: newOwnJobsCheck(),
 		creating: make(map[work.JobID]*jobstore.Change),
@@ -117,10 +118,15 @@
 // startRenewal makes the entry renew its owner row from now on.
 func (s *storedJobs) startRenewal() {
 	if !s.renewalNeeded.Swap(true) {
-		select {
-		case s.renewalStart <- struct{}{}:
-		default:
-		}
+		close(s.renewalStart)
+	}
+}
+
+// awaitRenewal waits until this entry has to renew its owner row, or ctx ends.
+func (s *storedJobs) awaitRenewal(ctx context.Context) {
+	select {
+	case <-s.renewalStart:
+	case <-ctx.Done():
 	}
 }
 
--- a/session/adopt.go
+++ b/session/adopt.go
@@ -85,14 +85,14 @@
 	// Attempt is as in StartTask, for the run that ended. It tells whether a failed run
 	// is counted already.
 	Attempt int
-	// Epoch is that of the order of the run; 0 if it is not known.
+	// Epoch is that of the order of the run; UnknownEpoch if it is not known.
 	Epoch Epoch
 }
 
-// Untagged returns the end without its epoch, which a sidecar does not know of a run that an
+// WithoutEpoch returns the end without its epoch, which a sidecar does not know of a run that an
 // earlier process of it has started.
-func (e TaskEnd) Untagged() TaskEnd {
-	e.Epoch = 0
+func (e TaskEnd) WithoutEpoch() TaskEnd {
+	e.Epoch = UnknownEpoch
 	return e
 }
 
--- a/session/epoch.go
+++ b/session/epoch.go
@@ -19,8 +19,8 @@
 type Relation int
 
 const (
-	// Unrelated means that the epochs don't tell.
-	Unrelated Relation = iota
+	// RelationUnknown means that the epochs don't tell.
+	RelationUnknown Relation = iota
 	// Current means that no other run of the task was started after the end.
 	Current
 	// Superseded means that the task may have been started again.
@@ -35,14 +35,23 @@
 	case e != UnknownEpoch && job != UnknownEpoch:
 		return Superseded
 	}
-	return Unrelated
+	return RelationUnknown
 }
 
-// OfAdopted returns the epoch of a job as read from the job store. One that an earlier build
-// has stored doesn't tell what became of its runs, which any later epoch expresses.
-func (e Epoch) OfAdopted() Epoch {
+// FromStore returns the epoch of a job as read from the job store. The row of an earlier build
+// has none: what became of the job's runs is not known, as after the first epoch.
+func (e Epoch) FromStore() Epoch {
 	if e == UnknownEpoch {
 		return FirstEpoch + 1
 	}
 	return e
 }
+
+// AfterTakeover returns the epoch of a job that is taken over in this one, as read from the job
+// store. It is the next one unless all sidecars have told their ends of the job.
+func (e Epoch) AfterTakeover(allTold bool) Epoch {
+	if allTold {
+		return e.FromStore()
+	}
+	return e.FromStore() + 1
+}
--- a/session/epoch_test.go
+++ b/session/epoch_test.go
@@ -13,11 +13,11 @@
 		end, job Epoch
 		want     Relation
 	}{
-		{UnknownEpoch, UnknownEpoch, Unrelated},
-		{FirstEpoch, UnknownEpoch, Unrelated},
+		{UnknownEpoch, UnknownEpoch, RelationUnknown},
+		{FirstEpoch, UnknownEpoch, RelationUnknown},
 		{UnknownEpoch, FirstEpoch, Current},
 		{FirstEpoch, FirstEpoch, Current},
-		{UnknownEpoch, FirstEpoch + 1, Unrelated},
+		{UnknownEpoch, FirstEpoch + 1, RelationUnknown},
 		{FirstEpoch, FirstEpoch + 1, Superseded},
 		{FirstEpoch + 1, FirstEpoch + 1, Current},
 		{FirstEpoch + 1, FirstEpoch + 2, Superseded},
@@ -25,6 +25,6 @@
 	} {
 		must.EqOp(t, tc.want, tc.end.Relate(tc.job), must.Sprintf("end of epoch %d, job at epoch %d", tc.end, tc.job))
 	}
-	must.EqOp(t, FirstEpoch+1, UnknownEpoch.OfAdopted())
-	must.EqOp(t, FirstEpoch, FirstEpoch.OfAdopted())
+	must.EqOp(t, FirstEpoch+1, UnknownEpoch.FromStore())
+	must.EqOp(t, FirstEpoch, FirstEpoch.FromStore())
 }
--- a/session/start.go
+++ b/session/start.go
@@ -21,7 +21,8 @@
 	// Attempt is the number of failed runs of the task before this one, plus 1; 0 from
 	// builds without it.
 	Attempt int
-	// Epoch is the epoch of the task's job; see the type.
+	// Epoch is the epoch of the task's job; UnknownEpoch from builds without it and for a
+	// best-effort job.
 	Epoch Epoch
 	// Route is the name of the job's route.
 	Route    string
