--- a/decision/heldjob/progress.go
+++ b/decision/heldjob/progress.go
@@ -81,17 +81,18 @@
 	if ok {
 		c.recordRunTime(now, c.jobs[event.Task.Job], placed, event.End, event.RunTime)
 		placed.checkpoint = work.NewestCheckpoint(placed.checkpoint, event.Checkpoint)
-		placed.countAttempts(&event)
+		c.countEarlierFailures(placed, &event)
 		c.finishRun(now, name, placed, event.End)
 	}
 	sidecar.advanceAck()
 }
 
-// countAttempts counts the failed runs before one that has failed of which this entry was not
-// told: they are those of an entry that was lost.
-func (t *task) countAttempts(event *session.Event) {
-	if event.End == work.EndFailed {
-		t.failures = max(t.failures, event.Attempt-1)
+// countEarlierFailures counts the failed runs of a stored task before one that has failed, as
+// far as this entry was not told of them: they are those of an entry that was lost. Each
+// submission of a best-effort job counts its own.
+func (c *Core) countEarlierFailures(failed *task, event *session.Event) {
+	if event.End == work.EndFailed && c.jobs[event.Task.Job].stored != nil {
+		failed.failures = max(failed.failures, event.Attempt-1)
 	}
 }
 
--- a/decision/heldjob/stored_test.go
+++ b/decision/heldjob/stored_test.go
@@ -478,3 +478,15 @@
 	must.Len(t, 1, f.endings)
 	must.EqOp(t, Failed, f.endings[0].Outcome)
 }
+
+// TestBestEffortJobCountsItsOwnFailedRuns guards against a best-effort job that is given up early:
+// a client has submitted it again, and its minion has seen later attempts of the first submission.
+func TestBestEffortJobCountsItsOwnFailedRuns(t *testing.T) {
+	f := newFixture(t, 2)
+	waiter := f.submit("b", 1)
+	start := f.replyToStarts(session.RefusedNone)[0]
+	f.core.RunEnded(f.now, start.Sidecar, session.Event{Number: 1, Task: start.Request.Tasks[0].Task, End: work.EndFailed, Attempt: 2})
+	f.collect()
+	must.MapNotContainsKey(t, f.replies, waiter)
+	must.Len(t, 1, f.starts)
+}
